--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Targets for users: demo, test. For developers: generate, format, lint, bench, history.
+
+MODULES := core balancer sidecar landingctl standin valuegen
+PROGRAMS := balancer sidecar landingctl standin
+TOOLS := $(CURDIR)/.tools
+
+SEED ?= 1
+RUNS ?= 20
+
+.PHONY: demo test build generate format lint tools bench history
+
+demo: build
+	./scripts/demo.sh
+
+test:
+	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+race:
+	go test -race $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+
+tools:
+	@./scripts/tools.sh "$(TOOLS)"
+
+generate: tools
+	cd valuegen && go build -o "$(TOOLS)/protoc-gen-value" .
+	rm -rf core/gen
+	PATH="$(TOOLS):$$PATH" buf generate
+
+format: tools
+	"$(TOOLS)/gofumpt" -w $$(git ls-files '*.go' | grep -v '^core/gen/')
+
+lint: tools
+	@for m in $(MODULES); do (cd $$m && "$(TOOLS)/golangci-lint" run ./...) || exit 1; done
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./core/... ./balancer/... ./sidecar/...
--- /dev/null
+++ b/balancer/main.go
@@ -0,0 +1,8 @@
+// Command balancer sends callers' packets along chains of sidecars.
+package main
+
+import "github.com/crocuslanding/crocuslanding/balancer/pkg/app"
+
+func main() {
+	app.Run()
+}
--- /dev/null
+++ b/balancer/pkg/front/front.go
@@ -0,0 +1,59 @@
+// Package front is the traffic side of a balancer: it reads packets from the fabric, routes them
+// by the newest view and sends them along their chain. It holds no state of any flow.
+package front
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/route"
+)
+
+// socketBufferBytes is the size asked for the socket's buffers, which take up bursts.
+const socketBufferBytes = 4 << 20
+
+// Source returns the newest view.
+type Source func() *route.View
+
+// Front reads and sends packets with several workers.
+type Front struct {
+	common  common.Common
+	conn    *net.UDPConn
+	address netip.AddrPort
+	source  Source
+	done    *common.Done
+}
+
+// New returns a front that listens on this UDP address, an IP and port.
+// It returns an error when the address cannot be used.
+func New(c common.Common, address string, source Source) (*Front, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	_ = conn.SetWriteBuffer(socketBufferBytes)
+	return &Front{common: c, conn: conn, address: a, source: source, done: common.NewDone()}, nil
+}
+
+// Start starts this number of workers.
+func (f *Front) Start(workers int) {
+	for range workers {
+		w := newWorker(f.common.Counters(), f.conn, f.address, f.source)
+		f.done.Go(w.run)
+	}
+}
+
+// Stop closes the socket and waits for the workers.
+func (f *Front) Stop() {
+	f.done.Close()
+	_ = f.conn.Close()
+	f.done.Wait()
+}
--- /dev/null
+++ b/balancer/pkg/keeper/keeper.go
@@ -0,0 +1,148 @@
+// Package keeper is the control thread of a balancer. It owns all control state: it takes
+// events from one channel and publishes an immutable snapshot.
+package keeper
+
+import (
+	"runtime"
+	"sync/atomic"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
+	"github.com/crocuslanding/crocuslanding/core/pkg/membership"
+)
+
+const (
+	noticeBuffer = 256
+	// taskBuffer holds every task that can be open at once: one write, one read, and spares.
+	taskBuffer = 8
+)
+
+// Keeper is the control thread.
+type Keeper struct {
+	common   common.Common
+	notices  chan landing.Notice
+	tasks    chan landing.Task
+	snapshot atomic.Pointer[Snapshot]
+	done     *common.Done
+}
+
+// New returns a keeper that starts from this state. Run must be called.
+func New(c common.Common, w landing.Watch) *Keeper {
+	k := &Keeper{
+		common:  c,
+		notices: make(chan landing.Notice, noticeBuffer),
+		tasks:   make(chan landing.Task, taskBuffer),
+		done:    common.NewDone(),
+	}
+	s := NewSnapshot(w)
+	k.snapshot.Store(&s)
+	return k
+}
+
+// Start starts the control thread.
+func (k *Keeper) Start() {
+	k.done.Go(k.run)
+}
+
+// Stop stops the control thread and waits for its end.
+func (k *Keeper) Stop() {
+	k.done.Close()
+	k.done.Wait()
+}
+
+// Snapshot returns the newest snapshot.
+func (k *Keeper) Snapshot() Snapshot {
+	return *k.snapshot.Load()
+}
+
+// Tasks returns the channel of tasks that another goroutine must carry out.
+func (k *Keeper) Tasks() <-chan landing.Task {
+	return k.tasks
+}
+
+// Post hands an event to the control thread. It waits while the thread is behind.
+func (k *Keeper) Post(n landing.Notice) {
+	select {
+	case k.notices <- n:
+	case <-k.done.C():
+	}
+}
+
+func (k *Keeper) run() {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for {
+		select {
+		case <-k.done.C():
+			return
+		case n := <-k.notices:
+			k.handle(n)
+		}
+	}
+}
+
+func (k *Keeper) handle(n landing.Notice) {
+	s := k.Snapshot()
+	switch n := n.(type) {
+	case landing.Heard:
+		s = k.member(s, n)
+	case landing.Met:
+		s = k.member(s, n)
+	case landing.Read:
+		s = k.member(s, n)
+	case landing.Wrote:
+		s = k.member(s, n)
+	case landing.Tick:
+		s = k.member(s, n)
+	case landing.Adopted:
+		s = k.adopt(s, n)
+	case landing.Marked:
+		s = k.mark(s, n)
+	}
+	k.snapshot.Store(&s)
+}
+
+// member hands an event to the decisions about the membership.
+func (k *Keeper) member(s Snapshot, h landing.Happening) Snapshot {
+	w, tasks := membership.Handle(s.Watch(), h)
+	s = s.WithWatch(w)
+	for _, t := range tasks {
+		s = k.carryOut(s, t)
+	}
+	return s
+}
+
+func (k *Keeper) carryOut(s Snapshot, t landing.Task) Snapshot {
+	switch t := t.(type) {
+	case landing.Publish:
+		k.common.Log().Info("roster in force", "serial", t.Roster().Serial(), "targets", t.Roster().TargetsLen(), "balancers", t.Roster().MembersLen())
+		return s.WithView(s.View().WithRoster(t.Roster()))
+	case landing.Write:
+		k.tasks <- t
+	case landing.Reread:
+		k.tasks <- t
+	}
+	return s
+}
+
+// adopt takes newer lists; older ones are refused, so that an accepted change never reverts.
+func (k *Keeper) adopt(s Snapshot, a landing.Adopted) Snapshot {
+	if a.Root().Serial() <= s.Root().Serial() {
+		return s
+	}
+	k.common.Log().Info("lists in force", "serial", a.Root().Serial(), "author", a.Root().Author())
+	return s.
+		WithRoot(a.Root()).
+		WithView(s.View().WithLists(a.Lists()))
+}
+
+func (k *Keeper) mark(s Snapshot, m landing.Marked) Snapshot {
+	present := s.View().Marks()
+	merged := mark.Merge(present, m.Marks())
+	if mark.Digest(merged) == mark.Digest(present) {
+		return s
+	}
+	k.common.Log().Info("marks in force", "digest", mark.Digest(merged))
+	return s.WithView(s.View().WithMarks(merged))
+}
--- /dev/null
+++ b/balancer/pkg/keeper/snapshot.go
@@ -0,0 +1,65 @@
+package keeper
+
+import (
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
+	"github.com/crocuslanding/crocuslanding/core/pkg/route"
+)
+
+// Snapshot is the control state that the other goroutines read. It is immutable.
+type Snapshot struct {
+	view  *route.View
+	watch landing.Watch
+	root  landing.Root
+}
+
+// NewSnapshot returns the snapshot of a balancer that knows nothing yet.
+func NewSnapshot(w landing.Watch) Snapshot {
+	return Snapshot{view: route.New(), watch: w}
+}
+
+// View returns the view that packets are routed by.
+func (s Snapshot) View() *route.View {
+	return s.view
+}
+
+// WithView returns a copy with another view.
+func (s Snapshot) WithView(v *route.View) Snapshot {
+	s.view = v
+	return s
+}
+
+// Watch returns the state of the membership.
+func (s Snapshot) Watch() landing.Watch {
+	return s.watch
+}
+
+// WithWatch returns a copy with another state of the membership.
+func (s Snapshot) WithWatch(w landing.Watch) Snapshot {
+	s.watch = w
+	return s
+}
+
+// Root returns the root in force.
+func (s Snapshot) Root() landing.Root {
+	return s.root
+}
+
+// WithRoot returns a copy with another root.
+func (s Snapshot) WithRoot(r landing.Root) Snapshot {
+	s.root = r
+	return s
+}
+
+// Roster returns the roster in force.
+func (s Snapshot) Roster() landing.Roster {
+	return s.view.Roster()
+}
+
+// Digest returns the versions in force.
+func (s Snapshot) Digest() landing.Digest {
+	return landing.Digest{}.
+		WithRoot(s.root.Serial()).
+		WithRoster(s.Roster().Serial()).
+		WithMarks(mark.Digest(s.view.Marks()))
+}
--- /dev/null
+++ b/balancer/pkg/serve/serve.go
@@ -0,0 +1,121 @@
+// Package serve answers the calls of sidecars, peers and landingctl from the newest snapshot.
+package serve
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/balancer/pkg/keeper"
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/loader"
+	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/core/pkg/roster"
+)
+
+// Server implements control.Service for a balancer.
+type Server struct {
+	common common.Common
+	keeper *keeper.Keeper
+	loader *loader.Loader
+}
+
+// New returns a server that answers from the keeper's snapshots.
+func New(c common.Common, k *keeper.Keeper, l *loader.Loader) *Server {
+	return &Server{common: c, keeper: k, loader: l}
+}
+
+// Announce takes a heartbeat of a sidecar and returns what is news to it.
+func (s *Server) Announce(_ context.Context, h landing.Heartbeat) (landing.News, error) {
+	t := h.Target()
+	if t.Instance() == "" || t.Service() == "" || t.Zone() == "" {
+		s.common.Counters().Refused(landing.RefusalMalformed)
+		return landing.News{}, trace.BadParameter("heartbeat without instance, service or zone")
+	}
+	s.keeper.Post(landing.Heard{}.WithTarget(t).WithNow(time.Now()))
+	snapshot := s.keeper.Snapshot()
+	news := newsFor(snapshot, h.Digest())
+	weights, place := roster.Weights(snapshot.Roster(), t.Service(), t.Instance())
+	if place >= 0 {
+		news = news.WithWeights(weights...).WithPlace(uint32(place))
+	}
+	present, found := roster.Find(snapshot.Roster(), t.Instance())
+	if found && present.Phase() == landing.PhaseLeft && present.Incarnation() == t.Incarnation() {
+		news = news.WithChange(present.Change())
+	}
+	return news.
+		WithRoster(landing.Roster{}).
+		WithMembers(snapshot.Roster().Members()...), nil
+}
+
+// Gossip takes what a peer knows and returns what is news to it.
+func (s *Server) Gossip(_ context.Context, x landing.Exchange) (landing.News, error) {
+	if x.Marks().MarksLen() > 0 {
+		s.keeper.Post(landing.Marked{}.WithMarks(x.Marks()))
+	}
+	s.keeper.Post(landing.Met{}.WithMember(x.Member()).WithTargets(x.Targets()...).WithNow(time.Now()))
+	return newsFor(s.keeper.Snapshot(), x.Digest()), nil
+}
+
+// Fetch returns the chunks that the balancer has.
+func (s *Server) Fetch(_ context.Context, w landing.Want) (landing.Parts, error) {
+	return s.loader.Parts(w), nil
+}
+
+// Status returns the state of the balancer and the explanation that was asked for.
+func (s *Server) Status(_ context.Context, q landing.Query) (landing.Report, error) {
+	snapshot := s.keeper.Snapshot()
+	report := landing.Report{}.
+		WithInstance(snapshot.Watch().Self().Instance()).
+		WithDigest(snapshot.Digest()).
+		WithRoster(snapshot.Roster()).
+		WithMarks(snapshot.View().Marks()).
+		WithHolder(snapshot.Watch().Record().Lease().Holder()).
+		WithCounters(s.common.Counters().Values()...)
+	if q.Caller() == "" {
+		return report, nil
+	}
+	return explain(report, snapshot, q)
+}
+
+func newsFor(s keeper.Snapshot, theirs landing.Digest) landing.News {
+	ours := s.Digest()
+	news := landing.News{}.WithDigest(ours)
+	if ours.Root() > theirs.Root() {
+		news = news.WithRoot(s.Root())
+	}
+	if ours.Roster() > theirs.Roster() {
+		news = news.WithRoster(s.Roster())
+	}
+	if ours.Marks() != theirs.Marks() {
+		news = news.WithMarks(s.View().Marks())
+	}
+	return news
+}
+
+func explain(report landing.Report, s keeper.Snapshot, q landing.Query) (landing.Report, error) {
+	caller, err := netip.ParseAddr(q.Caller())
+	if err != nil {
+		return report, trace.BadParameter("caller: %v", err)
+	}
+	service, err := netip.ParseAddrPort(q.Service())
+	if err != nil {
+		return report, trace.BadParameter("service: %v", err)
+	}
+	key := landing.Key{}.
+		WithSource(packet.Number(caller)).
+		WithSport(q.Port()).
+		WithDestination(packet.Number(service.Addr())).
+		WithDport(uint32(service.Port()))
+	verdict, chain := s.View().Explain(key)
+	switch v := verdict.(type) {
+	case landing.Forward:
+		return report.WithVerdict("forwarded").WithChain(chain...), nil
+	case landing.Refuse:
+		return report.WithVerdict("refused: " + v.Reason().String()), nil
+	}
+	return report, nil
+}
--- /dev/null
+++ b/balancer/pkg/store/store.go
@@ -0,0 +1,203 @@
+// Package store is the side of a balancer that talks to the platform: it watches the objects of
+// the system and carries out the tasks of the control thread. An outage of the platform only
+// delays it.
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/balancer/pkg/keeper"
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/lease"
+	"github.com/crocuslanding/crocuslanding/core/pkg/loader"
+	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
+	"github.com/crocuslanding/crocuslanding/core/pkg/object"
+	"github.com/crocuslanding/crocuslanding/core/pkg/platform"
+)
+
+const (
+	pauseAfterFailure = 300 * time.Millisecond
+	marksInterval     = time.Second
+)
+
+// Store keeps the control thread and the platform in step.
+type Store struct {
+	common common.Common
+	client *platform.Client
+	keeper *keeper.Keeper
+	loader *loader.Loader
+	region string
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   *common.Done
+}
+
+// New returns a store for the roster of this region.
+func New(c common.Common, client *platform.Client, k *keeper.Keeper, l *loader.Loader, region string) *Store {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Store{
+		common: c,
+		client: client,
+		keeper: k,
+		loader: l,
+		region: region,
+		ctx:    ctx,
+		cancel: cancel,
+		done:   common.NewDone(),
+	}
+}
+
+// Start starts the watches and the tasks.
+func (s *Store) Start() {
+	s.done.Go(func() { s.watch(object.Record(s.region), s.takeRecord) })
+	s.done.Go(func() { s.watch(object.Root, s.takeRoot) })
+	s.done.Go(func() { s.watch(object.Marks, s.takeMarks) })
+	s.done.Go(s.runTasks)
+	s.done.Go(s.saveMarks)
+}
+
+// Stop ends all calls and waits for the goroutines.
+func (s *Store) Stop() {
+	s.done.Close()
+	s.cancel()
+	s.done.Wait()
+	s.client.Close()
+}
+
+// watch reads the object of this name whenever it changes, and hands it to take.
+// When take fails the same version is read again.
+func (s *Store) watch(name string, take func(platform.Object) error) {
+	after := uint64(0)
+	for s.ctx.Err() == nil {
+		o, err := s.client.Watch(s.ctx, name, after)
+		if err == nil {
+			err = take(o)
+		}
+		switch {
+		case err == nil:
+			after = o.Version()
+		case trace.IsLimitExceeded(err) && after != 0:
+			s.pause(pauseAfterFailure / 10)
+		default:
+			s.common.Counters().Counter("retried.watch").Inc(1)
+			s.pause(pauseAfterFailure)
+		}
+	}
+}
+
+func (s *Store) takeRecord(o platform.Object) error {
+	r, err := object.DecodeRecord(o.Value())
+	if err != nil {
+		s.common.Counters().Refused(landing.RefusalMalformed)
+		return err
+	}
+	s.keeper.Post(landing.Read{}.WithRecord(r).WithVersion(o.Version()).WithNow(time.Now()))
+	return nil
+}
+
+func (s *Store) takeRoot(o platform.Object) error {
+	r, err := object.DecodeRoot(o.Value())
+	if err != nil {
+		s.common.Counters().Refused(landing.RefusalMalformed)
+		return err
+	}
+	if r.Serial() <= s.keeper.Snapshot().Root().Serial() {
+		return nil
+	}
+	l, err := s.loader.Load(s.ctx, r, loader.Platform{Client: s.client})
+	if err != nil {
+		return err
+	}
+	s.keeper.Post(landing.Adopted{}.WithRoot(r).WithLists(l))
+	return nil
+}
+
+func (s *Store) takeMarks(o platform.Object) error {
+	m, err := object.DecodeMarks(o.Value())
+	if err != nil {
+		s.common.Counters().Refused(landing.RefusalMalformed)
+		return err
+	}
+	s.keeper.Post(landing.Marked{}.WithMarks(m))
+	return nil
+}
+
+func (s *Store) runTasks() {
+	for {
+		select {
+		case <-s.done.C():
+			return
+		case t := <-s.keeper.Tasks():
+			s.carryOut(t)
+		}
+	}
+}
+
+func (s *Store) carryOut(t landing.Task) {
+	switch t := t.(type) {
+	case landing.Write:
+		s.write(t)
+	case landing.Reread:
+		s.reread()
+	case landing.Publish:
+	}
+}
+
+func (s *Store) write(t landing.Write) {
+	value := object.EncodeRecord(t.Record())
+	o, err := s.client.Put(s.ctx, object.Record(s.region), t.Version(), value)
+	if err == nil {
+		s.keeper.Post(landing.Wrote{}.WithConfirmed(true).WithRecord(t.Record()).WithVersion(o.Version()).WithNow(time.Now()))
+		return
+	}
+	s.common.Counters().Counter("retried.write").Inc(1)
+	s.keeper.Post(landing.Wrote{}.WithNow(time.Now()))
+}
+
+// reread reads the record until the platform answers: a write whose answer was lost may have taken effect.
+func (s *Store) reread() {
+	for s.ctx.Err() == nil {
+		o, err := s.client.Get(s.ctx, object.Record(s.region))
+		if trace.IsNotFound(err) {
+			s.keeper.Post(landing.Read{}.WithNow(time.Now()))
+			return
+		}
+		if err == nil && s.takeRecord(o) == nil {
+			return
+		}
+		s.common.Counters().Counter("retried.read").Inc(1)
+		s.pause(pauseAfterFailure)
+	}
+}
+
+// saveMarks lets the holder of the lease write marks that reached the fleet while the platform was down.
+func (s *Store) saveMarks() {
+	saved := uint64(0)
+	for s.ctx.Err() == nil {
+		s.pause(marksInterval)
+		snapshot := s.keeper.Snapshot()
+		digest := mark.Digest(snapshot.View().Marks())
+		isHolder := lease.IsHeldBy(snapshot.Watch().Record().Lease(), snapshot.Watch().Self())
+		if digest == saved || !isHolder {
+			continue
+		}
+		if _, err := platform.MergeMarks(s.ctx, s.client, snapshot.View().Marks()); err == nil {
+			saved = digest
+		}
+	}
+}
+
+// pause waits for about d, or until the store stops.
+func (s *Store) pause(d time.Duration) {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.done.C():
+	}
+}
--- /dev/null
+++ b/core/pkg/chain/chain.go
@@ -0,0 +1,239 @@
+// Package chain orders the targets of a service for each flow.
+//
+// Flows are hashed to buckets, and each bucket has the targets in weighted rendezvous order
+// (Thaler and Ravishankar, 1998; logarithmic weights as in Schindelhauer and Schomaker, 2005).
+// A target keeps its score in a bucket whatever other targets come and go, so two rosters that
+// differ in few targets give nearly the same order.
+package chain
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"math/bits"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+)
+
+const (
+	bucketsPerTarget = 256
+	maxBuckets       = 1 << 14
+	mantissaBits     = 53
+)
+
+// Table gives the chain of each flow of one service. It is immutable.
+type Table struct {
+	service  string
+	roster   uint64
+	mask     uint64
+	targets  []landing.Target
+	entrants []entrant
+	buckets  []uint32
+	verdicts []landing.Verdict
+}
+
+// entrant is one target with what its score is computed from.
+type entrant struct {
+	seed   uint64
+	weight float64
+	hop    landing.Hop
+	name   string
+}
+
+type scored struct {
+	index uint16
+	score float64
+}
+
+// New returns the table of service over targets, which belong to the roster with this serial number.
+// Targets that have left or whose address cannot be read are passed over.
+func New(service string, roster uint64, targets []landing.Target) *Table {
+	t := &Table{service: service, roster: roster, targets: slices.Clone(targets)}
+	for _, target := range targets {
+		t.addEntrant(target)
+	}
+	t.fill()
+	return t
+}
+
+// IsOver says whether the table orders these same targets.
+func (t *Table) IsOver(targets []landing.Target) bool {
+	return slices.EqualFunc(t.targets, targets, hasSamePlace)
+}
+
+// hasSamePlace says whether two forms of a target stand at the same place in every order.
+func hasSamePlace(a, b landing.Target) bool {
+	gone := landing.PhaseLeft
+	return a.Instance() == b.Instance() && a.Front() == b.Front() && a.Weight() == b.Weight() &&
+		(a.Phase() == gone) == (b.Phase() == gone)
+}
+
+// WithRoster returns a table whose chains carry another serial number of the roster.
+func (t *Table) WithRoster(roster uint64) *Table {
+	next := *t
+	next.roster = roster
+	next.verdicts = make([]landing.Verdict, len(t.verdicts))
+	for i, v := range t.verdicts {
+		next.verdicts[i] = withRoster(v, roster)
+	}
+	return &next
+}
+
+func withRoster(v landing.Verdict, roster uint64) landing.Verdict {
+	switch v := v.(type) {
+	case landing.Forward:
+		return v.WithChain(v.Chain().WithRoster(roster))
+	case landing.Refuse:
+		return v
+	}
+	return v
+}
+
+func (t *Table) addEntrant(target landing.Target) {
+	front, err := netip.ParseAddrPort(target.Front())
+	if err != nil || target.Phase() == landing.PhaseLeft {
+		return
+	}
+	hop := landing.Hop{}.
+		WithAddress(packet.Number(front.Addr())).
+		WithPort(uint32(front.Port()))
+	t.entrants = append(t.entrants, entrant{
+		seed:   xxhash.Sum64String(target.Instance()),
+		weight: float64(max(target.Weight(), 1)),
+		hop:    hop,
+		name:   target.Instance(),
+	})
+}
+
+func (t *Table) fill() {
+	if len(t.entrants) == 0 {
+		return
+	}
+	count := bucketCount(len(t.entrants))
+	t.mask = uint64(count - 1)
+	t.buckets = make([]uint32, count)
+	known := map[[envelope.MaxHops]uint16]uint32{}
+	order := make([]scored, len(t.entrants))
+	for bucket := range count {
+		t.rank(uint64(bucket), order)
+		head := headOf(order)
+		i, ok := known[head]
+		if !ok {
+			i = uint32(len(t.verdicts))
+			known[head] = i
+			t.verdicts = append(t.verdicts, landing.Forward{}.WithChain(t.part(order, 0)))
+		}
+		t.buckets[bucket] = i
+	}
+}
+
+func bucketCount(targets int) int {
+	wanted := uint(targets * bucketsPerTarget)
+	return min(1<<bits.Len(wanted-1), maxBuckets)
+}
+
+// rank writes the order of bucket into order, which has one place for each target.
+func (t *Table) rank(bucket uint64, order []scored) {
+	for i, e := range t.entrants {
+		order[i] = scored{uint16(i), score(e, bucket)}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(t.entrants[a.index].seed, t.entrants[b.index].seed))
+	})
+}
+
+// score is the weighted rendezvous score: weight over the negative logarithm of a number in (0, 1).
+func score(e entrant, bucket uint64) float64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], e.seed)
+	binary.LittleEndian.PutUint64(b[8:], bucket)
+	fraction := (float64(xxhash.Sum64(b[:])>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	return e.weight / -math.Log(fraction)
+}
+
+func headOf(order []scored) [envelope.MaxHops]uint16 {
+	var head [envelope.MaxHops]uint16
+	for i := range head {
+		head[i] = math.MaxUint16
+		if i < len(order) {
+			head[i] = order[i].index
+		}
+	}
+	return head
+}
+
+// part returns the chain that holds part number part of the order.
+func (t *Table) part(order []scored, part int) landing.Chain {
+	first := min(part*envelope.MaxHops, len(order))
+	last := min(first+envelope.MaxHops, len(order))
+	hops := make([]landing.Hop, 0, last-first)
+	for _, s := range order[first:last] {
+		hops = append(hops, t.entrants[s.index].hop)
+	}
+	return landing.Chain{}.
+		WithService(t.service).
+		WithRoster(t.roster).
+		WithHops(hops...).
+		WithMore(last < len(order))
+}
+
+// Verdict returns the verdict for flow k: the first part of its chain, or a refusal when there is no target.
+func (t *Table) Verdict(k landing.Key) landing.Verdict {
+	if len(t.buckets) == 0 {
+		return refuseZone
+	}
+	return t.verdicts[t.buckets[t.bucket(k)]]
+}
+
+// VerdictOfPart returns the verdict with part number part of the chain, from 0.
+func (t *Table) VerdictOfPart(k landing.Key, part int) landing.Verdict {
+	if part == 0 || len(t.buckets) == 0 {
+		return t.Verdict(k)
+	}
+	order := make([]scored, len(t.entrants))
+	t.rank(t.bucket(k), order)
+	c := t.part(order, part)
+	if c.HopsLen() == 0 {
+		return refuseUnknown
+	}
+	return landing.Forward{}.WithChain(c)
+}
+
+// Instances returns the instance names of all targets in the order in which flow k is offered to them.
+func (t *Table) Instances(k landing.Key) []string {
+	if len(t.buckets) == 0 {
+		return nil
+	}
+	order := make([]scored, len(t.entrants))
+	t.rank(t.bucket(k), order)
+	names := make([]string, 0, len(order))
+	for _, s := range order {
+		names = append(names, t.entrants[s.index].name)
+	}
+	return names
+}
+
+func (t *Table) bucket(k landing.Key) uint64 {
+	return HashKey(k) & t.mask
+}
+
+// HashKey returns the hash of flow k, the same in every process.
+func HashKey(k landing.Key) uint64 {
+	var b [12]byte
+	binary.LittleEndian.PutUint32(b[:], k.Source())
+	binary.LittleEndian.PutUint32(b[4:], k.Destination())
+	binary.LittleEndian.PutUint16(b[8:], uint16(k.Sport()))
+	binary.LittleEndian.PutUint16(b[10:], uint16(k.Dport()))
+	return xxhash.Sum64(b[:])
+}
+
+var (
+	refuseZone    landing.Verdict = landing.Refuse{}.WithReason(landing.RefusalZone)
+	refuseUnknown landing.Verdict = landing.Refuse{}.WithReason(landing.RefusalUnknown)
+)
--- /dev/null
+++ b/core/pkg/common/common.go
@@ -0,0 +1,53 @@
+// Package common holds what the constructors of every program take: the logger and the counters.
+package common
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+
+	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+)
+
+// Common is the bundle that is passed to constructors.
+type Common struct {
+	log      logr.Logger
+	counters *counter.Set
+}
+
+// New returns a bundle of log and counters.
+func New(log logr.Logger, counters *counter.Set) Common {
+	return Common{log: log, counters: counters}
+}
+
+// Log returns the logger.
+func (c Common) Log() logr.Logger {
+	return c.log
+}
+
+// Counters returns the counters.
+func (c Common) Counters() *counter.Set {
+	return c.counters
+}
+
+// WithLog returns a copy with another logger.
+func (c Common) WithLog(log logr.Logger) Common {
+	c.log = log
+	return c
+}
+
+// NewLogger returns a logger that writes each event to w as one line of key=value pairs.
+func NewLogger(w io.Writer, instance string, verbosity int) logr.Logger {
+	write := func(_, args string) {
+		fmt.Fprintln(w, args)
+	}
+	options := funcr.Options{
+		LogTimestamp:    true,
+		TimestampFormat: time.RFC3339Nano,
+		Verbosity:       verbosity,
+	}
+	return funcr.New(write, options).WithValues("instance", instance)
+}
--- /dev/null
+++ b/core/pkg/common/done.go
@@ -0,0 +1,35 @@
+package common
+
+import "sync"
+
+// Done is the done channel of one part and the wait for its goroutines.
+type Done struct {
+	once sync.Once
+	ch   chan struct{}
+	wg   sync.WaitGroup
+}
+
+// NewDone returns a Done that is open.
+func NewDone() *Done {
+	return &Done{ch: make(chan struct{})}
+}
+
+// C returns the channel that is closed when the part must stop.
+func (d *Done) C() <-chan struct{} {
+	return d.ch
+}
+
+// Go runs f on a goroutine that Wait waits for.
+func (d *Done) Go(f func()) {
+	d.wg.Go(f)
+}
+
+// Close closes the channel; later calls do nothing.
+func (d *Done) Close() {
+	d.once.Do(func() { close(d.ch) })
+}
+
+// Wait returns when all goroutines have ended.
+func (d *Done) Wait() {
+	d.wg.Wait()
+}
--- /dev/null
+++ b/core/pkg/counter/counter.go
@@ -0,0 +1,68 @@
+// Package counter keeps the counters of a process, one for each refusal and retry reason.
+package counter
+
+import (
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+const (
+	refusalCount  = int(landing.RefusalTag) + 1
+	refusalPrefix = "refused."
+)
+
+// Set is the set of counters of one process.
+type Set struct {
+	registry metrics.Registry
+	refusals [refusalCount]metrics.Counter
+}
+
+// New returns a set in which every refusal reason has a counter at zero.
+func New() *Set {
+	s := &Set{registry: metrics.NewRegistry()}
+	for i := range s.refusals {
+		name := refusalPrefix + landing.Refusal(i).String()
+		s.refusals[i] = metrics.GetOrRegisterCounter(name, s.registry)
+	}
+	return s
+}
+
+// Refused counts one refusal for reason r.
+func (s *Set) Refused(r landing.Refusal) {
+	s.refusals[r].Inc(1)
+}
+
+// Counter returns the counter of this name, made at the first call.
+func (s *Set) Counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, s.registry)
+}
+
+// Gauge returns the gauge of this name, made at the first call.
+func (s *Set) Gauge(name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(name, s.registry)
+}
+
+// Values returns all counters and gauges with their values.
+func (s *Set) Values() []landing.Counter {
+	var values []landing.Counter
+	s.registry.Each(func(name string, m any) {
+		value, ok := read(m)
+		if !ok {
+			return
+		}
+		values = append(values, landing.Counter{}.WithName(name).WithValue(value))
+	})
+	return values
+}
+
+func read(m any) (int64, bool) {
+	switch m := m.(type) {
+	case metrics.Counter:
+		return m.Count(), true
+	case metrics.Gauge:
+		return m.Value(), true
+	default:
+		return 0, false
+	}
+}
--- /dev/null
+++ b/core/pkg/envelope/envelope.go
@@ -0,0 +1,174 @@
+// Package envelope encodes the datagrams between balancers and sidecars.
+//
+// A datagram carries one IPv4 packet. Between the fabric and the fleet it is the packet alone,
+// which is variant 1 of Generic UDP Encapsulation (draft-ietf-intarea-gue-09, section 4).
+// Between balancers and sidecars it is variant 0 of the same, whose private data hold the chain.
+package envelope
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+const (
+	// MaxHops is the number of sidecars that one datagram can name.
+	MaxHops = 8
+	// MaxHeaderBytes is the length of the longest header.
+	MaxHeaderBytes = fixedBytes + MaxHops*hopBytes
+
+	wordBytes      = 4
+	hopBytes       = 6
+	fixedBytes     = 24
+	lengthMask     = 0x1f
+	protocolIPv4   = 4
+	offsetProtocol = 1
+	offsetFlags    = 2
+	offsetService  = 4
+	offsetRoster   = 8
+	offsetPosition = 12
+	offsetCount    = 13
+	offsetPart     = 14
+	offsetMore     = 15
+	offsetHome     = 16
+	offsetHomePort = 20
+)
+
+// ErrMalformed says that bytes are not a datagram of the fleet.
+var ErrMalformed = trace.BadParameter("malformed datagram")
+
+// Envelope reads and changes a datagram in place. The bytes are those of the datagram.
+type Envelope struct {
+	b []byte
+}
+
+// Open checks b and returns its envelope, which refers to b.
+// It returns ErrMalformed when b is no datagram of the fleet.
+func Open(b []byte) (Envelope, error) {
+	if len(b) < fixedBytes || b[0]&^lengthMask != 0 {
+		return Envelope{}, ErrMalformed
+	}
+	if b[offsetProtocol] != protocolIPv4 || b[offsetFlags] != 0 || b[offsetFlags+1] != 0 {
+		return Envelope{}, ErrMalformed
+	}
+	count := int(b[offsetCount])
+	if count == 0 || count > MaxHops || int(b[offsetPosition]) >= count {
+		return Envelope{}, ErrMalformed
+	}
+	if headerBytes(b) != paddedBytes(count) || len(b) <= headerBytes(b) {
+		return Envelope{}, ErrMalformed
+	}
+	return Envelope{b: b}, nil
+}
+
+// IsEnveloped says whether b begins like a datagram of variant 0, in contrast to a bare packet.
+func IsEnveloped(b []byte) bool {
+	return len(b) > 0 && b[0]&^lengthMask == 0
+}
+
+// Write writes the header for chain c, part number part, into the end of room, and returns
+// the header's first index in room. Home is the balancer that is asked for the next part.
+// The packet is expected to follow directly after room, which has MaxHeaderBytes or more.
+func Write(room []byte, c landing.Chain, part uint8, home netip.AddrPort) int {
+	count := min(c.HopsLen(), MaxHops)
+	start := len(room) - paddedBytes(count)
+	h := room[start:]
+	clear(h[:fixedBytes])
+	h[0] = byte(paddedBytes(count)/wordBytes - 1)
+	h[offsetProtocol] = protocolIPv4
+	binary.BigEndian.PutUint32(h[offsetService:], ServiceTag(c.Service()))
+	binary.BigEndian.PutUint32(h[offsetRoster:], uint32(c.Roster()))
+	h[offsetCount] = byte(count)
+	h[offsetPart] = part
+	if c.More() {
+		h[offsetMore] = 1
+	}
+	putAddrPort(h[offsetHome:], home)
+	for i := range count {
+		hop := h[fixedBytes+i*hopBytes:]
+		binary.BigEndian.PutUint32(hop, c.HopsAt(i).Address())
+		binary.BigEndian.PutUint16(hop[wordBytes:], uint16(c.HopsAt(i).Port()))
+	}
+	return start
+}
+
+// ServiceTag returns the number that stands for a service in datagrams.
+func ServiceTag(service string) uint32 {
+	return uint32(xxhash.Sum64String(service))
+}
+
+// Service returns the tag of the service.
+func (e Envelope) Service() uint32 {
+	return binary.BigEndian.Uint32(e.b[offsetService:])
+}
+
+// Roster returns the low 32 bits of the serial number of the sender's roster.
+func (e Envelope) Roster() uint32 {
+	return binary.BigEndian.Uint32(e.b[offsetRoster:])
+}
+
+// Part returns the number of the part of the chain, from 0.
+func (e Envelope) Part() uint8 {
+	return e.b[offsetPart]
+}
+
+// HasNext says whether another sidecar follows in this part.
+func (e Envelope) HasNext() bool {
+	return e.b[offsetPosition]+1 < e.b[offsetCount]
+}
+
+// HasMore says whether another part of the chain follows.
+func (e Envelope) HasMore() bool {
+	return e.b[offsetMore] != 0
+}
+
+// Hop returns the address of the sidecar at the present position.
+func (e Envelope) Hop() netip.AddrPort {
+	i := fixedBytes + int(e.b[offsetPosition])*hopBytes
+	return addrPort(e.b[i:])
+}
+
+// Advance moves the position to the next sidecar and returns its address.
+// HasNext must be true.
+func (e Envelope) Advance() netip.AddrPort {
+	e.b[offsetPosition]++
+	return e.Hop()
+}
+
+// Home returns the address of the balancer that sent the datagram.
+func (e Envelope) Home() netip.AddrPort {
+	return addrPort(e.b[offsetHome:])
+}
+
+// Packet returns the caller's packet.
+func (e Envelope) Packet() []byte {
+	return e.b[headerBytes(e.b):]
+}
+
+// Bytes returns the whole datagram.
+func (e Envelope) Bytes() []byte {
+	return e.b
+}
+
+func headerBytes(b []byte) int {
+	return (int(b[0]&lengthMask) + 1) * wordBytes
+}
+
+func paddedBytes(count int) int {
+	return (fixedBytes + count*hopBytes + wordBytes - 1) / wordBytes * wordBytes
+}
+
+func putAddrPort(b []byte, a netip.AddrPort) {
+	ip := a.Addr().As4()
+	copy(b, ip[:])
+	binary.BigEndian.PutUint16(b[wordBytes:], a.Port())
+}
+
+func addrPort(b []byte) netip.AddrPort {
+	ip := netip.AddrFrom4([wordBytes]byte(b[:wordBytes]))
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[wordBytes:]))
+}
--- /dev/null
+++ b/core/pkg/lease/lease.go
@@ -0,0 +1,48 @@
+// Package lease decides who may write the roster of a region.
+//
+// The lease stands in the object that it protects, and every write is conditional on the object's
+// version. A holder that was paused past its lease therefore harms nothing: its write fails.
+// No clocks are compared between instances: each measures with its own clock for how long
+// the count of the lease has stood still.
+package lease
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+// renewalsPerLease is the number of renewals that a holder makes in the duration of its lease.
+const renewalsPerLease = 3
+
+// IsHeldBy says whether the lease names this member.
+func IsHeldBy(l landing.Lease, m landing.Member) bool {
+	return l.Holder() == m.Instance() && l.Incarnation() == m.Incarnation()
+}
+
+// HasLapsed says whether the lease, whose count was first seen at seen, has lapsed at now.
+func HasLapsed(l landing.Lease, seen, now time.Time) bool {
+	if l.Holder() == "" {
+		return true
+	}
+	return now.Sub(seen) >= l.Duration()
+}
+
+// IsRenewalDue says whether the holder, which last renewed at renewed, must renew at now.
+func IsRenewalDue(l landing.Lease, renewed, now time.Time) bool {
+	return now.Sub(renewed) >= l.Duration()/renewalsPerLease
+}
+
+// IsSame says whether two leases are the same renewal of the same holder.
+func IsSame(a, b landing.Lease) bool {
+	return a.Holder() == b.Holder() && a.Incarnation() == b.Incarnation() && a.Count() == b.Count()
+}
+
+// Next returns the lease that m writes when it takes or renews the lease l.
+func Next(l landing.Lease, m landing.Member, duration time.Duration) landing.Lease {
+	return landing.Lease{}.
+		WithHolder(m.Instance()).
+		WithIncarnation(m.Incarnation()).
+		WithCount(l.Count() + 1).
+		WithDuration(duration)
+}
--- /dev/null
+++ b/core/pkg/membership/membership.go
@@ -0,0 +1,203 @@
+// Package membership decides what one balancer does about the roster of its region: which targets
+// it reports, when it takes the lease, and what it writes. It knows nothing of sockets, clocks or
+// encodings: an event and an immutable state go in, a new state and tasks come out.
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/lease"
+	"github.com/crocuslanding/crocuslanding/core/pkg/roster"
+)
+
+const (
+	// memberExpiries is the number of target expiries after which a silent balancer is gone.
+	memberExpiries = 3
+	// leaseExpiries is the duration of the lease in target expiries.
+	leaseExpiries = 1
+)
+
+// New returns the state of the balancer self before it knows any roster.
+func New(self landing.Member, region string, expiry time.Duration, now time.Time) landing.Watch {
+	return landing.Watch{}.
+		WithSelf(self).
+		WithRegion(region).
+		WithExpiry(expiry).
+		WithSince(now).
+		WithRecord(landing.Record{}.WithRoster(landing.Roster{}.WithRegion(region)))
+}
+
+// Handle returns the state after the event, and the tasks that follow from it, in order.
+func Handle(w landing.Watch, h landing.Happening) (landing.Watch, []landing.Task) {
+	switch h := h.(type) {
+	case landing.Heard:
+		return handleHeard(w, h)
+	case landing.Met:
+		return handleMet(w, h)
+	case landing.Read:
+		return handleRead(w, h)
+	case landing.Wrote:
+		return handleWrote(w, h)
+	case landing.Tick:
+		return handleTick(w, h.Now())
+	}
+	return w, nil
+}
+
+// Deviations returns the targets known to this balancer that its roster lacks or has in an older form.
+func Deviations(w landing.Watch) []landing.Target {
+	known := w.Reports()
+	for _, s := range w.Sightings() {
+		known, _ = roster.MergeTargets(known, []landing.Target{s.Target()})
+	}
+	return newerThan(w.Record().Roster(), known)
+}
+
+// newerThan returns those of known that the roster lacks or has in an older form.
+// A target that has left and that the roster lacks is no news.
+func newerThan(r landing.Roster, known []landing.Target) []landing.Target {
+	var news []landing.Target
+	for _, t := range known {
+		present, found := roster.Find(r, t.Instance())
+		if found && !roster.IsNewer(t, present) {
+			continue
+		}
+		if !found && t.Phase() == landing.PhaseLeft {
+			continue
+		}
+		news = append(news, t)
+	}
+	return news
+}
+
+func handleHeard(w landing.Watch, h landing.Heard) (landing.Watch, []landing.Task) {
+	s := landing.Sighting{}.WithTarget(h.Target()).WithAt(h.Now())
+	sightings := w.Sightings()
+	i, found := slices.BinarySearchFunc(sightings, s, compareSightings)
+	switch {
+	case !found:
+		sightings = slices.Insert(sightings, i, s)
+	case roster.IsNewer(sightings[i].Target(), h.Target()):
+		return w, nil
+	default:
+		sightings[i] = s
+	}
+	return writeIfHolder(w.WithSightings(sightings...), h.Now())
+}
+
+func handleMet(w landing.Watch, m landing.Met) (landing.Watch, []landing.Task) {
+	if m.Member().Instance() != "" {
+		w = withEncounter(w, m)
+	}
+	reports, _ := roster.MergeTargets(w.Reports(), newerThan(w.Record().Roster(), m.Targets()))
+	return writeIfHolder(w.WithReports(reports...), m.Now())
+}
+
+func withEncounter(w landing.Watch, m landing.Met) landing.Watch {
+	e := landing.Encounter{}.WithMember(m.Member()).WithAt(m.Now())
+	encounters := w.Encounters()
+	i, found := slices.BinarySearchFunc(encounters, e, compareEncounters)
+	if !found {
+		return w.WithEncounters(slices.Insert(encounters, i, e)...)
+	}
+	if encounters[i].Member().Incarnation() > m.Member().Incarnation() {
+		return w
+	}
+	encounters[i] = e
+	return w.WithEncounters(encounters...)
+}
+
+func handleRead(w landing.Watch, r landing.Read) (landing.Watch, []landing.Task) {
+	if !r.Peer() {
+		w = w.WithBusy(false)
+	}
+	if !r.Peer() && r.Version() >= w.Version() {
+		w = withLeaseSeen(w, r.Record().Lease(), r.Now()).WithVersion(r.Version())
+	}
+	if r.Record().Roster().Serial() <= w.Record().Roster().Serial() {
+		return w, nil
+	}
+	return adopt(w, r.Record().Roster(), r.Now())
+}
+
+// withLeaseSeen notes the lease, and when its count was first seen.
+func withLeaseSeen(w landing.Watch, l landing.Lease, now time.Time) landing.Watch {
+	if lease.IsSame(w.Record().Lease(), l) {
+		return w
+	}
+	return w.WithSeen(now).WithRecord(w.Record().WithLease(l))
+}
+
+func adopt(w landing.Watch, r landing.Roster, now time.Time) (landing.Watch, []landing.Task) {
+	if w.Record().Roster().Serial() == 0 {
+		w = w.WithSince(now)
+	}
+	w = w.WithRecord(w.Record().WithRoster(r))
+	w = w.WithReports(newerThan(r, w.Reports())...)
+	return w, []landing.Task{landing.Publish{}.WithRoster(r)}
+}
+
+func handleWrote(w landing.Watch, r landing.Wrote) (landing.Watch, []landing.Task) {
+	if !r.Confirmed() {
+		return w, []landing.Task{landing.Reread{}}
+	}
+	w = withLeaseSeen(w.WithBusy(false).WithVersion(r.Version()), r.Record().Lease(), r.Now())
+	w = w.WithRenewed(r.Now())
+	if r.Record().Roster().Serial() <= w.Record().Roster().Serial() {
+		return w, nil
+	}
+	return adopt(w, r.Record().Roster(), r.Now())
+}
+
+func handleTick(w landing.Watch, now time.Time) (landing.Watch, []landing.Task) {
+	w = forgetSightings(w, now)
+	w = reportSilent(w, now)
+	if w.Busy() {
+		return w, nil
+	}
+	l := w.Record().Lease()
+	if lease.IsHeldBy(l, w.Self()) {
+		return renewOrWrite(w, now)
+	}
+	if !lease.HasLapsed(l, w.Seen(), now) {
+		return w, nil
+	}
+	return write(w, now)
+}
+
+func renewOrWrite(w landing.Watch, now time.Time) (landing.Watch, []landing.Task) {
+	due := lease.IsRenewalDue(w.Record().Lease(), w.Renewed(), now)
+	if due || hasChange(w, now) {
+		return write(w, now)
+	}
+	return w, nil
+}
+
+func writeIfHolder(w landing.Watch, now time.Time) (landing.Watch, []landing.Task) {
+	if w.Busy() || !lease.IsHeldBy(w.Record().Lease(), w.Self()) || !hasChange(w, now) {
+		return w, nil
+	}
+	return write(w, now)
+}
+
+func hasChange(w landing.Watch, now time.Time) bool {
+	return nextRoster(w, now).Serial() != w.Record().Roster().Serial()
+}
+
+func write(w landing.Watch, now time.Time) (landing.Watch, []landing.Task) {
+	next := landing.Record{}.
+		WithRoster(nextRoster(w, now)).
+		WithLease(lease.Next(w.Record().Lease(), w.Self(), leaseExpiries*w.Expiry()))
+	task := landing.Write{}.WithRecord(next).WithVersion(w.Version())
+	return w.WithBusy(true), []landing.Task{task}
+}
+
+func compareSightings(a, b landing.Sighting) int {
+	return compareNames(a.Target().Instance(), b.Target().Instance())
+}
+
+func compareEncounters(a, b landing.Encounter) int {
+	return compareNames(a.Member().Instance(), b.Member().Instance())
+}
--- /dev/null
+++ b/core/pkg/netstack/conn.go
@@ -0,0 +1,95 @@
+package netstack
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/adapters/gonet"
+	"gvisor.dev/gvisor/pkg/tcpip/network/ipv4"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+	"gvisor.dev/gvisor/pkg/waiter"
+)
+
+// keepaliveProbes is the number of unanswered probes after which a flow is ended.
+const keepaliveProbes = 3
+
+// Conn is one flow of the stack.
+type Conn struct {
+	*gonet.TCPConn
+	endpoint tcpip.Endpoint
+}
+
+// Accept completes the handshake of r. It returns an error when the caller does not complete it.
+func Accept(r *tcp.ForwarderRequest) (*Conn, error) {
+	var queue waiter.Queue
+	e, err := r.CreateEndpoint(&queue)
+	if err != nil {
+		return nil, trace.ConnectionProblem(nil, "handshake: %s", err)
+	}
+	return &Conn{TCPConn: gonet.NewTCPConn(&queue, e), endpoint: e}, nil
+}
+
+// Dial opens a flow from one address to another.
+// It returns trace.ConnectionProblem when the flow is refused or ctx ends first.
+func (s *Stack) Dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (*Conn, error) {
+	var queue waiter.Queue
+	e, terr := s.stack.NewEndpoint(tcp.ProtocolNumber, ipv4.ProtocolNumber, &queue)
+	if terr != nil {
+		return nil, trace.ConnectionProblem(nil, "endpoint: %s", terr)
+	}
+	if err := connect(ctx, e, &queue, from, to); err != nil {
+		e.Abort()
+		return nil, err
+	}
+	return &Conn{TCPConn: gonet.NewTCPConn(&queue, e), endpoint: e}, nil
+}
+
+func connect(ctx context.Context, e tcpip.Endpoint, queue *waiter.Queue, from netip.Addr, to netip.AddrPort) error {
+	entry, ready := waiter.NewChannelEntry(waiter.WritableEvents)
+	queue.EventRegister(&entry)
+	defer queue.EventUnregister(&entry)
+	local := tcpip.FullAddress{NIC: interfaceID, Addr: tcpip.AddrFrom4(from.As4())}
+	if err := e.Bind(local); err != nil {
+		return trace.ConnectionProblem(nil, "bind: %s", err)
+	}
+	remote := tcpip.FullAddress{NIC: interfaceID, Addr: tcpip.AddrFrom4(to.Addr().As4()), Port: to.Port()}
+	err := e.Connect(remote)
+	if _, started := err.(*tcpip.ErrConnectStarted); !started {
+		return trace.ConnectionProblem(nil, "connect: %s", err)
+	}
+	select {
+	case <-ctx.Done():
+		return trace.ConnectionProblem(ctx.Err(), "connect")
+	case <-ready:
+	}
+	if err := e.LastError(); err != nil {
+		return trace.ConnectionProblem(nil, "connect: %s", err)
+	}
+	return nil
+}
+
+// SetKeepalive probes the other end after this idle time, and ends the flow when it stays silent.
+func (c *Conn) SetKeepalive(idle time.Duration) {
+	c.endpoint.SocketOptions().SetKeepAlive(true)
+	first := tcpip.KeepaliveIdleOption(idle)
+	_ = c.endpoint.SetSockOpt(&first)
+	next := tcpip.KeepaliveIntervalOption(max(idle/keepaliveProbes, time.Second))
+	_ = c.endpoint.SetSockOpt(&next)
+	_ = c.endpoint.SetSockOptInt(tcpip.KeepaliveCountOption, keepaliveProbes)
+	timeout := tcpip.TCPUserTimeoutOption(idle + keepaliveProbes*time.Duration(next))
+	_ = c.endpoint.SetSockOpt(&timeout)
+}
+
+// Reset ends the flow with a RST.
+func (c *Conn) Reset() {
+	c.endpoint.Abort()
+}
+
+// IsEnded says whether the stack has no more use for packets of the flow.
+func (c *Conn) IsEnded() bool {
+	state := tcp.EndpointState(c.endpoint.State())
+	return state == tcp.StateClose || state == tcp.StateError
+}
--- /dev/null
+++ b/core/pkg/object/object.go
@@ -0,0 +1,121 @@
+// Package object names and encodes the objects that the system keeps in the platform.
+package object
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/codec"
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/gen/landingpb"
+)
+
+const (
+	// Root is the name of the object that names the lists in force.
+	Root = "root"
+	// Marks is the name of the object that holds all marks.
+	Marks = "marks"
+
+	chunkPrefix  = "chunk-"
+	pastPrefix   = "past-"
+	recordPrefix = "roster-"
+)
+
+// Record returns the name of the object that holds the roster of a region.
+func Record(region string) string {
+	return recordPrefix + region
+}
+
+// Chunk returns the name of the chunk with this hash.
+func Chunk(hash string) string {
+	return chunkPrefix + hash
+}
+
+// Past returns the name under which the root with this hash is kept.
+func Past(hash string) string {
+	return pastPrefix + hash
+}
+
+// Hash returns the hash under which an encoded value is stored.
+func Hash(value []byte) string {
+	sum := sha256.Sum256(value)
+	return hex.EncodeToString(sum[:])
+}
+
+// EncodeRoot returns the encoding of the root, the same at each call.
+func EncodeRoot(r landing.Root) []byte {
+	return encode(codec.EncodeRoot(r))
+}
+
+// DecodeRoot returns the root encoded in b; trace.BadParameter when b is no root.
+func DecodeRoot(b []byte) (landing.Root, error) {
+	m := &landingpb.Root{}
+	if err := decode(b, m); err != nil {
+		return landing.Root{}, err
+	}
+	return codec.DecodeRoot(m), nil
+}
+
+// EncodeChunk returns the encoding of the chunk, the same at each call.
+func EncodeChunk(c landing.Chunk) []byte {
+	return encode(codec.EncodeChunk(c))
+}
+
+// DecodeChunk returns the chunk encoded in b. It returns trace.BadParameter when b is
+// no chunk or does not have this hash.
+func DecodeChunk(hash string, b []byte) (landing.Chunk, error) {
+	if Hash(b) != hash {
+		return landing.Chunk{}, trace.BadParameter("chunk %s has another hash", hash)
+	}
+	m := &landingpb.Chunk{}
+	if err := decode(b, m); err != nil {
+		return landing.Chunk{}, err
+	}
+	return codec.DecodeChunk(m), nil
+}
+
+// EncodeMarks returns the encoding of the marks.
+func EncodeMarks(v landing.Marks) []byte {
+	return encode(codec.EncodeMarks(v))
+}
+
+// DecodeMarks returns the marks encoded in b; trace.BadParameter when b holds no marks.
+func DecodeMarks(b []byte) (landing.Marks, error) {
+	m := &landingpb.Marks{}
+	if err := decode(b, m); err != nil {
+		return landing.Marks{}, err
+	}
+	return codec.DecodeMarks(m), nil
+}
+
+// EncodeRecord returns the encoding of the record.
+func EncodeRecord(r landing.Record) []byte {
+	return encode(codec.EncodeRecord(r))
+}
+
+// DecodeRecord returns the record encoded in b; trace.BadParameter when b is no record.
+func DecodeRecord(b []byte) (landing.Record, error) {
+	m := &landingpb.Record{}
+	if err := decode(b, m); err != nil {
+		return landing.Record{}, err
+	}
+	return codec.DecodeRecord(m), nil
+}
+
+func encode(m proto.Message) []byte {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func decode(b []byte, m proto.Message) error {
+	if err := proto.Unmarshal(b, m); err != nil {
+		return trace.BadParameter("object cannot be decoded: %v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/pkg/packet/packet.go
@@ -0,0 +1,125 @@
+// Package packet reads the IPv4 and TCP headers of callers' packets and writes resets.
+package packet
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+const (
+	// MaxBytes is the longest packet that is taken.
+	MaxBytes = 1500
+
+	ipv4HeaderBytes = 20
+	tcpHeaderBytes  = 20
+	protocolTCP     = 6
+	fragmentMask    = 0x3fff
+	offsetTotal     = 2
+	offsetFragment  = 6
+	offsetProtocol  = 9
+	offsetSource    = 12
+	offsetDest      = 16
+	tcpOffsetDport  = 2
+	tcpOffsetSeq    = 4
+	tcpOffsetAck    = 8
+	tcpOffsetData   = 12
+	tcpOffsetFlags  = 13
+	wordBytes       = 4
+
+	flagFin = 0x01
+	flagSyn = 0x02
+	flagRst = 0x04
+	flagAck = 0x10
+)
+
+// ErrMalformed says that bytes are not an unfragmented IPv4 packet with a TCP segment.
+var ErrMalformed = trace.BadParameter("malformed packet")
+
+// Parse reads the headers of b.
+// It returns ErrMalformed when b is not one unfragmented IPv4 packet with a TCP segment.
+func Parse(b []byte) (landing.Segment, error) {
+	t, err := tcpHeader(b)
+	if err != nil {
+		return landing.Segment{}, err
+	}
+	key := landing.Key{}.
+		WithSource(binary.BigEndian.Uint32(b[offsetSource:])).
+		WithDestination(binary.BigEndian.Uint32(b[offsetDest:])).
+		WithSport(uint32(binary.BigEndian.Uint16(t))).
+		WithDport(uint32(binary.BigEndian.Uint16(t[tcpOffsetDport:])))
+	flags := t[tcpOffsetFlags]
+	s := landing.Segment{}.
+		WithKey(key).
+		WithSequence(binary.BigEndian.Uint32(t[tcpOffsetSeq:])).
+		WithAcknowledged(binary.BigEndian.Uint32(t[tcpOffsetAck:])).
+		WithOpening(flags&(flagSyn|flagAck|flagRst) == flagSyn).
+		WithAcknowledges(flags&flagAck != 0).
+		WithResets(flags&flagRst != 0)
+	return s, nil
+}
+
+// ParseAnswer reads the headers of a packet from the service to the caller.
+// The key of the result names the flow as the caller's packets do, and opening
+// says whether the packet is the service's part of the handshake: SYN with ACK.
+// It returns ErrMalformed as Parse does.
+func ParseAnswer(b []byte) (landing.Segment, error) {
+	s, err := Parse(b)
+	if err != nil {
+		return landing.Segment{}, err
+	}
+	t, _ := tcpHeader(b)
+	both := byte(flagSyn | flagAck)
+	return s.WithKey(turn(s.Key())).WithOpening(t[tcpOffsetFlags]&both == both), nil
+}
+
+// turn returns the key with its ends exchanged.
+func turn(k landing.Key) landing.Key {
+	return k.
+		WithSource(k.Destination()).
+		WithDestination(k.Source()).
+		WithSport(k.Dport()).
+		WithDport(k.Sport())
+}
+
+func tcpHeader(b []byte) ([]byte, error) {
+	if len(b) < ipv4HeaderBytes || len(b) > MaxBytes || b[0]>>4 != 4 {
+		return nil, ErrMalformed
+	}
+	header := int(b[0]&0xf) * wordBytes
+	total := int(binary.BigEndian.Uint16(b[offsetTotal:]))
+	if header < ipv4HeaderBytes || total != len(b) || len(b) < header+tcpHeaderBytes {
+		return nil, ErrMalformed
+	}
+	if b[offsetProtocol] != protocolTCP {
+		return nil, ErrMalformed
+	}
+	if binary.BigEndian.Uint16(b[offsetFragment:])&fragmentMask != 0 {
+		return nil, ErrMalformed
+	}
+	t := b[header:]
+	data := int(t[tcpOffsetData]>>4) * wordBytes
+	if data < tcpHeaderBytes || data > len(t) {
+		return nil, ErrMalformed
+	}
+	return t, nil
+}
+
+// Address returns the IPv4 address a as netip.Addr.
+func Address(a uint32) netip.Addr {
+	var b [wordBytes]byte
+	binary.BigEndian.PutUint32(b[:], a)
+	return netip.AddrFrom4(b)
+}
+
+// Number returns the IPv4 address a as a number; 0 when a is not IPv4.
+func Number(a netip.Addr) uint32 {
+	if !a.Is4() {
+		return 0
+	}
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
--- /dev/null
+++ b/core/pkg/roster/roster.go
@@ -0,0 +1,96 @@
+// Package roster merges what is known of targets and balancers into the roster of a region.
+package roster
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+// IsNewer says whether a is a later form of the same target than b.
+func IsNewer(a, b landing.Target) bool {
+	if a.Incarnation() != b.Incarnation() {
+		return a.Incarnation() > b.Incarnation()
+	}
+	if a.Change() != b.Change() {
+		return a.Change() > b.Change()
+	}
+	return a.Phase() == landing.PhaseLeft && b.Phase() != landing.PhaseLeft
+}
+
+// Find returns the target of this instance.
+func Find(r landing.Roster, instance string) (landing.Target, bool) {
+	i, found := search(r.Targets(), instance)
+	if !found {
+		return landing.Target{}, false
+	}
+	return r.TargetsAt(i), true
+}
+
+func search(targets []landing.Target, instance string) (int, bool) {
+	return slices.BinarySearchFunc(targets, instance, func(t landing.Target, name string) int {
+		return cmp.Compare(t.Instance(), name)
+	})
+}
+
+// MergeTargets returns targets, ordered by instance, with each of changes that is newer,
+// and whether any was.
+func MergeTargets(targets, changes []landing.Target) ([]landing.Target, bool) {
+	merged := slices.Clone(targets)
+	changed := false
+	for _, t := range changes {
+		i, found := search(merged, t.Instance())
+		if !found {
+			merged = slices.Insert(merged, i, t)
+			changed = true
+			continue
+		}
+		if IsNewer(t, merged[i]) {
+			merged[i] = t
+			changed = true
+		}
+	}
+	return merged, changed
+}
+
+// Weights returns the weights of serving targets of a service in the order of the roster,
+// and the place of instance in them; -1 when it is not serving.
+func Weights(r landing.Roster, service, instance string) ([]uint32, int) {
+	var weights []uint32
+	place := -1
+	for i := range r.TargetsLen() {
+		t := r.TargetsAt(i)
+		if t.Service() != service || t.Phase() != landing.PhaseServing {
+			continue
+		}
+		if t.Instance() == instance {
+			place = len(weights)
+		}
+		weights = append(weights, t.Weight())
+	}
+	return weights, place
+}
+
+// Homes returns members in the order in which the sidecar of this instance turns to them:
+// rendezvous order, so that a lost balancer moves only the sidecars it was home to.
+func Homes(members []landing.Member, instance string) []landing.Member {
+	ordered := slices.Clone(members)
+	slices.SortFunc(ordered, func(a, b landing.Member) int {
+		return cmp.Or(
+			cmp.Compare(pairHash(b.Instance(), instance), pairHash(a.Instance(), instance)),
+			cmp.Compare(a.Instance(), b.Instance()),
+		)
+	})
+	return ordered
+}
+
+func pairHash(member, instance string) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], xxhash.Sum64String(member))
+	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64String(instance))
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/core/pkg/route/route.go
@@ -0,0 +1,169 @@
+// Package route decides what a balancer does with a packet: along which chain of sidecars
+// it is sent, or why it is refused. It knows nothing of sockets, time or encodings.
+package route
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
+	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
+	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
+)
+
+// View is what a balancer's traffic workers read. It is immutable; a change makes a new one.
+type View struct {
+	index  *plan.Index
+	lists  landing.Lists
+	roster landing.Roster
+	marks  landing.Marks
+	tables []*chain.Table
+	shared map[tableKey]*chain.Table
+}
+
+// tableKey names a table: plans with the same availability zones share it.
+type tableKey struct {
+	service string
+	zones   string
+}
+
+// New returns a view without configuration, which refuses every packet.
+func New() *View {
+	return &View{}
+}
+
+// WithLists returns a view with the lists in force.
+func (v *View) WithLists(l landing.Lists) *View {
+	next := *v
+	next.lists = l
+	next.index = plan.New(l)
+	next.buildTables()
+	return &next
+}
+
+// WithRoster returns a view with the roster in force.
+func (v *View) WithRoster(r landing.Roster) *View {
+	next := *v
+	next.roster = r
+	next.buildTables()
+	return &next
+}
+
+// WithMarks returns a view with the marks in force.
+func (v *View) WithMarks(m landing.Marks) *View {
+	next := *v
+	next.marks = m
+	next.buildTables()
+	return &next
+}
+
+// Roster returns the roster in force.
+func (v *View) Roster() landing.Roster {
+	return v.roster
+}
+
+// Marks returns the marks in force.
+func (v *View) Marks() landing.Marks {
+	return v.marks
+}
+
+// Lists returns the lists in force.
+func (v *View) Lists() landing.Lists {
+	return v.lists
+}
+
+// Route returns the verdict for a packet of flow k, with the first part of its chain.
+func (v *View) Route(k landing.Key) landing.Verdict {
+	t, refusal := v.find(k)
+	if t == nil {
+		return refusals[refusal]
+	}
+	return t.Verdict(k)
+}
+
+// RoutePart returns the verdict for a packet that has passed the first parts of its chain.
+func (v *View) RoutePart(k landing.Key, part int) landing.Verdict {
+	t, refusal := v.find(k)
+	if t == nil {
+		return refusals[refusal]
+	}
+	return t.VerdictOfPart(k, part)
+}
+
+// Explain returns the verdict for flow k and all instances in the order in which they are tried.
+func (v *View) Explain(k landing.Key) (landing.Verdict, []string) {
+	t, refusal := v.find(k)
+	if t == nil {
+		return refusals[refusal], nil
+	}
+	return t.Verdict(k), t.Instances(k)
+}
+
+func (v *View) find(k landing.Key) (*chain.Table, landing.Refusal) {
+	if v.index == nil {
+		return nil, landing.RefusalUnready
+	}
+	access, refusal := v.index.Find(k)
+	if refusal != landing.RefusalUnspecified {
+		return nil, refusal
+	}
+	return v.tables[access.Number()], landing.RefusalUnspecified
+}
+
+// buildTables makes the table of each grant; grants of the same service and zones share one.
+func (v *View) buildTables() {
+	if v.index == nil {
+		return
+	}
+	before := v.shared
+	v.shared = map[tableKey]*chain.Table{}
+	v.tables = nil
+	for _, g := range v.index.Grants() {
+		key := keyOf(g)
+		if v.shared[key] == nil {
+			v.shared[key] = v.buildTable(before[key], g)
+		}
+		v.tables = append(v.tables, v.shared[key])
+	}
+}
+
+// buildTable keeps the old table when the targets are the same as before.
+func (v *View) buildTable(old *chain.Table, g landing.Grant) *chain.Table {
+	targets := v.eligible(g)
+	if old != nil && old.IsOver(targets) {
+		return old.WithRoster(v.roster.Serial())
+	}
+	return chain.New(g.Service(), v.roster.Serial(), targets)
+}
+
+func (v *View) eligible(g landing.Grant) []landing.Target {
+	var targets []landing.Target
+	for i := range v.roster.TargetsLen() {
+		t := v.roster.TargetsAt(i)
+		if t.Service() != g.Service() || !slices.Contains(g.Zones(), t.Zone()) {
+			continue
+		}
+		if mark.IsOut(v.marks, t) {
+			continue
+		}
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+func keyOf(g landing.Grant) tableKey {
+	zones := g.Zones()
+	slices.Sort(zones)
+	return tableKey{g.Service(), strings.Join(zones, " ")}
+}
+
+var refusals = newRefusals()
+
+func newRefusals() []landing.Verdict {
+	list := make([]landing.Verdict, landing.RefusalTag+1)
+	for i := range list {
+		list[i] = landing.Refuse{}.WithReason(landing.Refusal(i))
+	}
+	return list
+}
--- /dev/null
+++ b/core/pkg/text/text.go
@@ -0,0 +1,7 @@
+// Package text holds the texts that all programs show to users.
+package text
+
+// Texts of the command line.
+const (
+	SettingsFlag = "path of the settings file, in JSON"
+)
--- /dev/null
+++ b/landingctl/pkg/config/config.go
@@ -0,0 +1,150 @@
+// Package config reads and writes the lists that the platform holds.
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/lists"
+	"github.com/crocuslanding/crocuslanding/core/pkg/loader"
+	"github.com/crocuslanding/crocuslanding/core/pkg/object"
+	"github.com/crocuslanding/crocuslanding/core/pkg/platform"
+)
+
+// Config is the lists in force, as read from the platform.
+type Config struct {
+	root    landing.Root
+	lists   landing.Lists
+	version uint64
+}
+
+// Root returns the root.
+func (c Config) Root() landing.Root {
+	return c.root
+}
+
+// Lists returns the lists.
+func (c Config) Lists() landing.Lists {
+	return c.lists
+}
+
+// Read returns the lists in force; empty lists when there are none yet.
+// It returns trace.ConnectionProblem when the platform cannot be asked.
+func Read(ctx context.Context, client *platform.Client) (Config, error) {
+	o, err := client.Get(ctx, object.Root)
+	if trace.IsNotFound(err) {
+		return Config{}, nil
+	}
+	if err != nil {
+		return Config{}, err
+	}
+	root, err := object.DecodeRoot(o.Value())
+	if err != nil {
+		return Config{}, err
+	}
+	l, err := loader.New().Load(ctx, root, loader.Platform{Client: client})
+	if err != nil {
+		return Config{}, err
+	}
+	return Config{root: root, lists: l, version: o.Version()}, nil
+}
+
+// Write puts next into force in place of base and returns the new root. It returns trace.CompareFailed
+// when the lists in force are no longer base. A write whose answer was lost is read back.
+func Write(ctx context.Context, client *platform.Client, base Config, next landing.Lists, author string, now time.Time) (landing.Root, error) {
+	hashes, err := writeChunks(ctx, client, next)
+	if err != nil {
+		return landing.Root{}, err
+	}
+	previous := ""
+	if base.version != 0 {
+		if previous, err = keepPast(ctx, client, base.root); err != nil {
+			return landing.Root{}, err
+		}
+	}
+	root := landing.Root{}.
+		WithSerial(base.root.Serial() + 1).
+		WithChunks(hashes...).
+		WithAuthor(author).
+		WithMade(now.UTC()).
+		WithPrevious(previous)
+	return root, writeRoot(ctx, client, base.version, root)
+}
+
+func writeChunks(ctx context.Context, client *platform.Client, l landing.Lists) ([]string, error) {
+	var hashes []string
+	for _, c := range lists.Split(l) {
+		value := object.EncodeChunk(c)
+		hash := object.Hash(value)
+		if err := writeOnce(ctx, client, object.Chunk(hash), value); err != nil {
+			return nil, err
+		}
+		hashes = append(hashes, hash)
+	}
+	return hashes, nil
+}
+
+// keepPast keeps the root under its hash for the history and returns the hash.
+func keepPast(ctx context.Context, client *platform.Client, root landing.Root) (string, error) {
+	value := object.EncodeRoot(root)
+	hash := object.Hash(value)
+	return hash, writeOnce(ctx, client, object.Past(hash), value)
+}
+
+// writeOnce writes an object whose name determines its value, so one that exists is as good.
+func writeOnce(ctx context.Context, client *platform.Client, name string, value []byte) error {
+	_, err := client.Put(ctx, name, 0, value)
+	if trace.IsCompareFailed(err) {
+		return nil
+	}
+	if err == nil || !trace.IsConnectionProblem(err) {
+		return err
+	}
+	if _, readErr := client.Get(ctx, name); readErr == nil {
+		return nil
+	}
+	return err
+}
+
+func writeRoot(ctx context.Context, client *platform.Client, version uint64, root landing.Root) error {
+	value := object.EncodeRoot(root)
+	_, err := client.Put(ctx, object.Root, version, value)
+	if err == nil || !trace.IsConnectionProblem(err) {
+		return err
+	}
+	o, readErr := client.Get(ctx, object.Root)
+	if readErr != nil {
+		return trace.ConnectionProblem(err, "it is not known whether the change was accepted; ask with landingctl history")
+	}
+	if object.Hash(o.Value()) == object.Hash(value) {
+		return nil
+	}
+	if o.Version() != version {
+		return trace.CompareFailed("the lists were changed by another operator")
+	}
+	return err
+}
+
+// History returns the roots from the newest back, limit at most.
+func History(ctx context.Context, client *platform.Client, limit int) ([]landing.Root, error) {
+	c, err := Read(ctx, client)
+	if err != nil || c.version == 0 {
+		return nil, err
+	}
+	all := []landing.Root{c.root}
+	for len(all) < limit && all[len(all)-1].Previous() != "" {
+		o, err := client.Get(ctx, object.Past(all[len(all)-1].Previous()))
+		if err != nil {
+			return all, err
+		}
+		root, err := object.DecodeRoot(o.Value())
+		if err != nil {
+			return all, err
+		}
+		all = append(all, root)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/landingctl/pkg/fleet/fleet.go
@@ -0,0 +1,102 @@
+// Package fleet asks the balancers for their state and hands marks to them.
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"google.golang.org/grpc/credentials"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/control"
+)
+
+// Fleet is the balancers that can be reached from some seeds.
+type Fleet struct {
+	pool  *control.Pool
+	seeds []string
+}
+
+// State is what one balancer reports. The report is empty when it did not answer.
+type State struct {
+	address string
+	report  landing.Report
+	err     error
+}
+
+// Address returns the control address of the balancer.
+func (s State) Address() string {
+	return s.address
+}
+
+// Report returns the report of the balancer.
+func (s State) Report() landing.Report {
+	return s.report
+}
+
+// Err returns why there is no report; nil when there is one.
+func (s State) Err() error {
+	return s.err
+}
+
+// New returns the fleet that these control addresses belong to.
+func New(seeds []string, creds credentials.TransportCredentials) *Fleet {
+	return &Fleet{pool: control.NewPool(creds), seeds: seeds}
+}
+
+// Close closes all connections.
+func (f *Fleet) Close() {
+	f.pool.Close()
+}
+
+// Ask asks all balancers: the seeds, and those that their rosters name.
+func (f *Fleet) Ask(ctx context.Context, q landing.Query) []State {
+	states := f.askAll(ctx, f.seeds, q)
+	var others []string
+	for _, s := range states {
+		for _, m := range s.report.Roster().Members() {
+			if !slices.Contains(f.seeds, m.Control()) && !slices.Contains(others, m.Control()) {
+				others = append(others, m.Control())
+			}
+		}
+	}
+	states = append(states, f.askAll(ctx, others, q)...)
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.address, b.address) })
+	return states
+}
+
+// Spread hands the marks to all seeds and returns the number that took them.
+func (f *Fleet) Spread(ctx context.Context, m landing.Marks) int {
+	taken := 0
+	for _, address := range f.seeds {
+		client, err := f.pool.Client(address)
+		if err != nil {
+			continue
+		}
+		if _, err := client.Gossip(ctx, landing.Exchange{}.WithMarks(m)); err == nil {
+			taken++
+		}
+	}
+	return taken
+}
+
+func (f *Fleet) askAll(ctx context.Context, addresses []string, q landing.Query) []State {
+	states := make([]State, len(addresses))
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		wg.Go(func() { states[i] = f.askOne(ctx, address, q) })
+	}
+	wg.Wait()
+	return states
+}
+
+func (f *Fleet) askOne(ctx context.Context, address string, q landing.Query) State {
+	client, err := f.pool.Client(address)
+	if err != nil {
+		return State{address: address, err: err}
+	}
+	report, err := client.Status(ctx, q)
+	return State{address: address, report: report, err: err}
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Runs all tests with the race detector. Failures that KNOWN-RED.txt lists are printed and passed over.
+set -u
+cd "$(dirname "$0")/.."
+out=$(mktemp)
+make --no-print-directory race 2>&1 | tee "$out"
+grep -q '^ok' "$out" || { echo "no test ran"; exit 1; }
+if grep -qE '^(panic:|FAIL.*\[(build|setup) failed\]|WARNING: DATA RACE)' "$out"; then
+  exit 1
+fi
+# A failed subtest counts under its own name; its parents fail with it.
+failures=$(grep -oE '^ *--- FAIL: [^ ]+' "$out" | awk '{print $3}' | sort -u)
+known=$(grep -oE '^Test[^ ]+' KNOWN-RED.txt | sort -u)
+status=0
+for test in $failures; do
+  if echo "$known" | grep -qx "$test"; then
+    echo "KNOWN RED: $(grep "^$test " KNOWN-RED.txt)"
+  elif echo "$failures" | grep -q "^$test/"; then
+    continue
+  else
+    echo "NEW RED: $test"
+    status=1
+  fi
+done
+if [ -z "$failures" ] && grep -qE '^(FAIL|make: \*\*\*)' "$out"; then
+  status=1
+fi
+exit $status
--- /dev/null
+++ b/sidecar/pkg/app/app.go
@@ -0,0 +1,205 @@
+// Package app puts the parts of a sidecar together.
+package app
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"google.golang.org/grpc/credentials/insecure"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/codec"
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/gen/landingpb"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/control"
+	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/program"
+	"github.com/crocuslanding/crocuslanding/core/pkg/settings"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/front"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/gate"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/home"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/keeper"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/local"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/requests"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/stream"
+)
+
+const (
+	frontWorkers = 2
+	// leaveTime is the time in which callers on open connections still get one answer
+	// after the upstream has said that it leaves.
+	leaveTime     = 2 * time.Second
+	drainInterval = 100 * time.Millisecond
+)
+
+// Run runs the program until it is asked to stop, and ends the process.
+func Run() {
+	m := &landingpb.SidecarSettings{}
+	program.ReadSettings("sidecar", os.Args[1:], m, func(report func(place, fault string)) {
+		settings.CheckSidecar(codec.DecodeSidecarSettings(m), report)
+	})
+	s := codec.DecodeSidecarSettings(m)
+	c := common.New(common.NewLogger(os.Stderr, s.Instance(), int(s.Verbosity())), counter.New())
+	ctx, cancel := program.SignalContext()
+	defer cancel()
+	program.Exit(Serve(ctx, c, s))
+}
+
+// Serve runs a sidecar until ctx ends, and then until its flows have ended.
+// It returns an error when an address cannot be used.
+func Serve(ctx context.Context, c common.Common, s landing.SidecarSettings) error {
+	sc, err := New(c, s)
+	if err != nil {
+		return err
+	}
+	sc.Start()
+	c.Log().Info("sidecar started", "front", s.Front(), "service", s.Service(), "zone", s.Zone())
+	<-ctx.Done()
+	sc.Drain()
+	sc.Stop()
+	c.Log().Info("sidecar stopped")
+	return nil
+}
+
+// Sidecar is one sidecar with all its parts.
+type Sidecar struct {
+	common   common.Common
+	settings landing.SidecarSettings
+	keeper   *keeper.Keeper
+	gate     *gate.Gate
+	front    *front.Front
+	home     *home.Home
+	pool     *control.Pool
+	local    *local.Server
+	requests *requests.Handler
+	stream   *stream.Handler
+	done     *common.Done
+}
+
+// New returns a sidecar whose sockets are open. It returns an error when an address cannot be used.
+func New(c common.Common, s landing.SidecarSettings) (*Sidecar, error) {
+	k := keeper.New(c, newTarget(s, time.Now()))
+	g := gate.New(s.Slots(), s.Queue())
+	f, err := front.New(c, s, k.Snapshot, g.IsBusy)
+	if err != nil {
+		return nil, err
+	}
+	pool := control.NewPool(insecure.NewCredentials())
+	sc := &Sidecar{
+		common:   c,
+		settings: s,
+		keeper:   k,
+		gate:     g,
+		front:    f,
+		home:     home.New(c, k, pool, s.Balancers(), s.Heartbeat()),
+		pool:     pool,
+		requests: requests.New(c, s, g, f.Table()),
+		stream:   stream.New(c, s, g, f.Table()),
+		done:     common.NewDone(),
+	}
+	sc.local, err = local.New(c, s.Local(), sc.take)
+	if err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return sc, nil
+}
+
+func newTarget(s landing.SidecarSettings, now time.Time) landing.Target {
+	return landing.Target{}.
+		WithInstance(s.Instance()).
+		WithService(s.Service()).
+		WithZone(s.Zone()).
+		WithFront(s.Front()).
+		WithWeight(s.Slots()).
+		WithPhase(landing.PhaseServing).
+		WithIncarnation(uint64(now.UnixNano()))
+}
+
+// Start starts all parts.
+func (sc *Sidecar) Start() {
+	sc.keeper.Start()
+	sc.requests.Start()
+	sc.front.Start(frontWorkers, sc.handle)
+	sc.local.Start()
+	sc.home.Start()
+}
+
+// Drain takes no new flows and returns when the flows that are held have ended, or after
+// the longest time for which a planned stop waits.
+func (sc *Sidecar) Drain() {
+	sc.keeper.Post(landing.Stopping{})
+	sc.requests.CloseSoon()
+	start := time.Now()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for sc.front.Table().Len() > 0 {
+		limit := sc.settings.Drain()
+		if limit > 0 && time.Since(start) >= limit {
+			sc.common.Log().Info("flows cut at the end of the drain", "flows", sc.front.Table().Len())
+			return
+		}
+		<-ticker.C
+	}
+}
+
+// Stop stops all parts and waits for them.
+func (sc *Sidecar) Stop() {
+	sc.home.Stop()
+	sc.local.Stop()
+	sc.done.Close()
+	sc.done.Wait()
+	sc.requests.Stop()
+	sc.front.Stop()
+	sc.pool.Close()
+	sc.keeper.Stop()
+}
+
+// Snapshot returns the control state.
+func (sc *Sidecar) Snapshot() keeper.Snapshot {
+	return sc.keeper.Snapshot()
+}
+
+// handle carries one new flow.
+func (sc *Sidecar) handle(r *tcp.ForwarderRequest) {
+	k := keyOf(r)
+	access, refusal := sc.keeper.Snapshot().Find(k)
+	if refusal != landing.RefusalUnspecified {
+		sc.common.Counters().Refused(refusal)
+		r.Complete(true)
+		sc.front.Table().Remove(k)
+		return
+	}
+	switch access.Service().Kind() {
+	case landing.KindRequests:
+		sc.requests.Handle(r, k)
+	case landing.KindStream, landing.KindUnspecified:
+		sc.stream.Handle(r, k)
+	}
+}
+
+// take takes an announcement of the upstream.
+func (sc *Sidecar) take(a landing.Announcement) {
+	sc.keeper.Post(landing.Announced{}.WithAnnouncement(a))
+	switch a.State() {
+	case landing.ConditionStarted:
+		sc.gate.Note(landing.Started{})
+	case landing.ConditionLeaving:
+		sc.requests.CloseSoon()
+		sc.done.Go(sc.leave)
+	case landing.ConditionUnspecified:
+	}
+}
+
+// leave stops admitting requests once callers on open connections had time for one more.
+func (sc *Sidecar) leave() {
+	timer := time.NewTimer(leaveTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		sc.gate.Note(landing.Leaving{})
+	case <-sc.done.C():
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/flows/entry.go
@@ -0,0 +1,53 @@
+package flows
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
+)
+
+// Entry is what a sidecar knows of one flow that it holds. It is immutable.
+type Entry struct {
+	stage    landing.Stage
+	customer string
+	conn     *netstack.Conn
+	since    time.Time
+}
+
+// NewEntry returns the entry of a flow of this customer, opened by a segment with this sequence number.
+func NewEntry(customer string, initial uint32, now time.Time) Entry {
+	return Entry{stage: landing.Taken{}.WithInitial(initial), customer: customer, since: now}
+}
+
+// Since returns the time at which the flow was taken.
+func (e Entry) Since() time.Time {
+	return e.since
+}
+
+// Stage returns the stage of the flow.
+func (e Entry) Stage() landing.Stage {
+	return e.stage
+}
+
+// WithStage returns a copy with another stage.
+func (e Entry) WithStage(s landing.Stage) Entry {
+	e.stage = s
+	return e
+}
+
+// Customer returns the name of the customer.
+func (e Entry) Customer() string {
+	return e.customer
+}
+
+// Conn returns the connection; nil before the handshake is complete.
+func (e Entry) Conn() *netstack.Conn {
+	return e.conn
+}
+
+// WithConn returns a copy with the connection.
+func (e Entry) WithConn(c *netstack.Conn) Entry {
+	e.conn = c
+	return e
+}
--- /dev/null
+++ b/sidecar/pkg/flows/table.go
@@ -0,0 +1,180 @@
+// Package flows is the table of the flows that a sidecar holds, cut into shards.
+package flows
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
+	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
+	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
+)
+
+const (
+	shardCount = 64
+	// handshakeTime is longer than the stack waits for the end of a handshake.
+	handshakeTime = 30 * time.Second
+)
+
+// Table holds the flows. Its methods may be called from several goroutines.
+type Table struct {
+	shards [shardCount]shard
+	size   atomic.Int64
+	ledger *ledger
+}
+
+type shard struct {
+	mu      sync.Mutex
+	entries map[landing.Key]Entry
+}
+
+// New returns an empty table.
+func New() *Table {
+	t := &Table{ledger: newLedger()}
+	for i := range t.shards {
+		t.shards[i].entries = map[landing.Key]Entry{}
+	}
+	return t
+}
+
+// Len returns the number of flows.
+func (t *Table) Len() int {
+	return int(t.size.Load())
+}
+
+// FlowsOf returns the number of flows of a customer.
+func (t *Table) FlowsOf(customer string) uint32 {
+	return t.ledger.count(customer)
+}
+
+// Decide decides what to do with segment s and notes the change of the flow's stage.
+// The customer and the refusal matter only when s opens a new flow.
+func (t *Table) Decide(s landing.Segment, at landing.Position, customer string, refusal landing.Refusal) landing.Step {
+	sh := t.shardOf(s.Key())
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	entry, found := sh.entries[s.Key()]
+	if !found {
+		entry = Entry{stage: landing.Absent{}}
+	}
+	step := hold.Decide(entry.Stage(), s, at, refusal)
+	switch step.(type) {
+	case landing.Take:
+		t.add(sh, s.Key(), NewEntry(customer, s.Sequence(), time.Now()))
+	case landing.Complete:
+		sh.entries[s.Key()] = entry.WithStage(landing.Open{})
+	case landing.Deliver, landing.Pass, landing.Both, landing.Return, landing.Reset, landing.Drop, landing.Replace:
+	}
+	return step
+}
+
+// NoteAnswer notes the sidecar's part of the handshake, s, that the stack sends to the caller.
+func (t *Table) NoteAnswer(s landing.Segment) {
+	sh := t.shardOf(s.Key())
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	entry, found := sh.entries[s.Key()]
+	if !found {
+		return
+	}
+	taken, ok := entry.Stage().(landing.Taken)
+	if !ok {
+		return
+	}
+	half := landing.Half{}.
+		WithInitial(taken.Initial()).
+		WithExpected(s.Sequence() + 1)
+	sh.entries[s.Key()] = entry.WithStage(half)
+}
+
+// SetConn notes the connection of flow k. It returns false when the flow is no longer held.
+func (t *Table) SetConn(k landing.Key, c *netstack.Conn) bool {
+	sh := t.shardOf(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	present, found := sh.entries[k]
+	if !found {
+		return false
+	}
+	sh.entries[k] = present.WithConn(c)
+	return true
+}
+
+// Find returns the entry of flow k.
+func (t *Table) Find(k landing.Key) (Entry, bool) {
+	sh := t.shardOf(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e, found := sh.entries[k]
+	return e, found
+}
+
+// Remove forgets flow k.
+func (t *Table) Remove(k landing.Key) {
+	sh := t.shardOf(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	t.remove(sh, k)
+}
+
+// RemoveEnded forgets the flows whose connection has ended, and those whose handshake the stack never began.
+func (t *Table) RemoveEnded(now time.Time) {
+	for i := range t.shards {
+		t.removeEnded(&t.shards[i], now)
+	}
+}
+
+// Entries returns all flows that have a connection.
+func (t *Table) Entries() []Entry {
+	var all []Entry
+	for i := range t.shards {
+		sh := &t.shards[i]
+		sh.mu.Lock()
+		for _, e := range sh.entries {
+			if e.Conn() != nil {
+				all = append(all, e)
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return all
+}
+
+func (t *Table) removeEnded(sh *shard, now time.Time) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for k, e := range sh.entries {
+		if hasEnded(e, now) {
+			t.remove(sh, k)
+		}
+	}
+}
+
+func hasEnded(e Entry, now time.Time) bool {
+	if e.Conn() == nil {
+		return now.Sub(e.Since()) > handshakeTime
+	}
+	return e.Conn().IsEnded()
+}
+
+func (t *Table) add(sh *shard, k landing.Key, e Entry) {
+	sh.entries[k] = e
+	t.size.Add(1)
+	t.ledger.add(e.Customer(), 1)
+}
+
+func (t *Table) remove(sh *shard, k landing.Key) {
+	e, found := sh.entries[k]
+	if !found {
+		return
+	}
+	delete(sh.entries, k)
+	t.size.Add(-1)
+	t.ledger.add(e.Customer(), -1)
+}
+
+func (t *Table) shardOf(k landing.Key) *shard {
+	return &t.shards[chain.HashKey(k)%shardCount]
+}
--- /dev/null
+++ b/sidecar/pkg/front/front.go
@@ -0,0 +1,164 @@
+// Package front is the packet side of a sidecar: it takes datagrams of balancers and other sidecars,
+// delivers the packets of flows that the sidecar holds, and passes the others on.
+package front
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
+	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/flows"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/keeper"
+)
+
+const (
+	socketBufferBytes = 4 << 20
+	datagramBytes     = envelope.MaxHeaderBytes + packet.MaxBytes + 1
+	maxHandshakes     = 4096
+	reapInterval      = 50 * time.Millisecond
+)
+
+// Source returns the newest control state.
+type Source func() keeper.Snapshot
+
+// Busy says whether a new flow had better go to another upstream.
+type Busy func() bool
+
+// Front takes and sends packets.
+type Front struct {
+	common      common.Common
+	conn        *net.UDPConn
+	fabric      netip.AddrPort
+	connections int
+	source      Source
+	busy        Busy
+	table       *flows.Table
+	stack       *netstack.Stack
+	misses      *misses
+	newest      atomic.Uint32
+	done        *common.Done
+}
+
+// New returns a front that listens on the UDP address of these settings.
+// It returns an error when the address cannot be used.
+func New(c common.Common, s landing.SidecarSettings, source Source, busy Busy) (*Front, error) {
+	address, err := netip.ParseAddrPort(s.Front())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	fabric, err := netip.ParseAddrPort(s.Fabric())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	_ = conn.SetWriteBuffer(socketBufferBytes)
+	f := &Front{
+		common:      c,
+		conn:        conn,
+		fabric:      fabric,
+		connections: int(s.Connections()),
+		source:      source,
+		busy:        busy,
+		table:       flows.New(),
+		misses:      newMisses(),
+		done:        common.NewDone(),
+	}
+	f.stack, err = netstack.New(f.sendAnswer)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Table returns the flows that the sidecar holds.
+func (f *Front) Table() *flows.Table {
+	return f.table
+}
+
+// Start starts this number of workers, and hands each new flow to handler on a goroutine of its own.
+func (f *Front) Start(workers int, handler func(*tcp.ForwarderRequest)) {
+	f.stack.Forward(maxHandshakes, handler)
+	for range workers {
+		f.done.Go(f.run)
+	}
+	f.done.Go(f.reap)
+}
+
+// Stop closes the socket, ends all flows and waits for the workers.
+func (f *Front) Stop() {
+	f.done.Close()
+	for _, e := range f.table.Entries() {
+		e.Conn().Reset()
+	}
+	_ = f.conn.Close()
+	f.done.Wait()
+	f.stack.Close()
+}
+
+func (f *Front) run() {
+	b := make([]byte, datagramBytes)
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			f.common.Counters().Counter("read_failed").Inc(1)
+			continue
+		}
+		f.handle(b[:n])
+	}
+}
+
+// reap forgets flows that have ended, and ends all flows while the upstream is taken out.
+func (f *Front) reap() {
+	ticker := time.NewTicker(reapInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.done.C():
+			return
+		case now := <-ticker.C:
+			f.table.RemoveEnded(now)
+			f.resetWhileOut()
+		}
+	}
+}
+
+func (f *Front) resetWhileOut() {
+	if !f.source().IsOut() {
+		return
+	}
+	for _, e := range f.table.Entries() {
+		e.Conn().Reset()
+	}
+}
+
+// sendAnswer sends a packet of the stack to the fabric.
+func (f *Front) sendAnswer(b []byte) {
+	if s, err := packet.ParseAnswer(b); err == nil && s.Opening() {
+		f.table.NoteAnswer(s)
+	}
+	f.send(b, f.fabric)
+}
+
+func (f *Front) send(b []byte, to netip.AddrPort) {
+	if _, err := f.conn.WriteToUDPAddrPort(b, to); err != nil {
+		f.common.Counters().Counter("write_failed").Inc(1)
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/front/handle.go
@@ -0,0 +1,133 @@
+package front
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
+	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/keeper"
+)
+
+// handle takes one datagram.
+func (f *Front) handle(b []byte) {
+	e, err := envelope.Open(b)
+	if err != nil {
+		f.common.Counters().Refused(landing.RefusalMalformed)
+		return
+	}
+	s, err := packet.Parse(e.Packet())
+	if err != nil {
+		f.common.Counters().Refused(landing.RefusalMalformed)
+		return
+	}
+	snapshot := f.source()
+	if e.Service() != envelope.ServiceTag(snapshot.Target().Service()) {
+		f.common.Counters().Refused(landing.RefusalForeign)
+		return
+	}
+	f.noteRoster(e.Roster())
+	f.carryOut(f.decide(e, s, snapshot), e, s)
+}
+
+func (f *Front) decide(e envelope.Envelope, s landing.Segment, snapshot keeper.Snapshot) landing.Step {
+	if snapshot.IsOut() {
+		return landing.Reset{}.WithReason(landing.RefusalOut)
+	}
+	at := landing.Position{}.
+		WithNext(e.HasNext()).
+		WithMore(e.HasMore())
+	if !s.Opening() {
+		at = at.WithFinal(f.mayReset(e, s))
+		return f.table.Decide(s, at, "", landing.RefusalUnspecified)
+	}
+	customer, refusal := f.check(s, snapshot)
+	if refusal == landing.RefusalForeign {
+		return landing.Drop{}.WithReason(refusal)
+	}
+	return f.table.Decide(s, at.WithBusy(f.busy()), customer, refusal)
+}
+
+// check returns the customer that opens a flow, and the reason why the flow may not be taken here.
+func (f *Front) check(s landing.Segment, snapshot keeper.Snapshot) (string, landing.Refusal) {
+	access, refusal := snapshot.Find(s.Key())
+	if refusal != landing.RefusalUnspecified {
+		return "", refusal
+	}
+	customer := access.Customer().Name()
+	if !snapshot.IsServing() || f.table.Len() >= f.connections {
+		return customer, landing.RefusalRoom
+	}
+	if f.table.FlowsOf(customer) >= snapshot.FlowsOf(access.Grant()) {
+		return customer, landing.RefusalCapacity
+	}
+	return customer, landing.RefusalUnspecified
+}
+
+func (f *Front) mayReset(e envelope.Envelope, s landing.Segment) bool {
+	if e.HasNext() || e.HasMore() || s.Resets() {
+		return false
+	}
+	if _, held := f.table.Find(s.Key()); held {
+		return false
+	}
+	now := time.Now()
+	return hold.MayReset(f.misses.first(s.Key(), now), now, e.Roster(), f.newest.Load())
+}
+
+func (f *Front) carryOut(step landing.Step, e envelope.Envelope, s landing.Segment) {
+	switch step := step.(type) {
+	case landing.Take, landing.Deliver, landing.Complete:
+		f.stack.Inject(e.Packet())
+	case landing.Pass:
+		f.pass(e)
+	case landing.Both:
+		f.stack.Inject(e.Packet())
+		f.pass(e)
+	case landing.Return:
+		f.send(e.Bytes(), e.Home())
+	case landing.Reset:
+		f.reset(e, step.Reason())
+	case landing.Drop:
+		f.common.Counters().Refused(step.Reason())
+	case landing.Replace:
+		f.replace(s.Key())
+	}
+}
+
+func (f *Front) pass(e envelope.Envelope) {
+	f.common.Counters().Counter("passed").Inc(1)
+	f.send(e.Bytes(), e.Advance())
+}
+
+func (f *Front) reset(e envelope.Envelope, reason landing.Refusal) {
+	f.common.Counters().Refused(reason)
+	b, err := packet.NewReset(e.Packet())
+	if err == nil {
+		f.send(b, f.fabric)
+	}
+}
+
+// replace gives up the handshake of flow k by resetting it as the caller would.
+func (f *Front) replace(k landing.Key) {
+	entry, held := f.table.Find(k)
+	if !held {
+		return
+	}
+	half, ok := entry.Stage().(landing.Half)
+	if !ok {
+		return
+	}
+	f.stack.Inject(packet.NewCallerReset(k, half.Initial()+1))
+}
+
+// noteRoster notes the newest roster that any balancer is known to use.
+func (f *Front) noteRoster(serial uint32) {
+	for {
+		newest := f.newest.Load()
+		if serial <= newest || f.newest.CompareAndSwap(newest, serial) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/keeper/keeper.go
@@ -0,0 +1,152 @@
+// Package keeper is the control thread of a sidecar. It owns all control state: it takes
+// events from one channel and publishes an immutable snapshot.
+package keeper
+
+import (
+	"runtime"
+	"sync/atomic"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
+)
+
+const signalBuffer = 64
+
+// Keeper is the control thread.
+type Keeper struct {
+	common   common.Common
+	signals  chan landing.Signal
+	snapshot atomic.Pointer[Snapshot]
+	changed  chan struct{}
+	done     *common.Done
+}
+
+// New returns a keeper for this target.
+func New(c common.Common, t landing.Target) *Keeper {
+	k := &Keeper{
+		common:  c,
+		signals: make(chan landing.Signal, signalBuffer),
+		changed: make(chan struct{}, 1),
+		done:    common.NewDone(),
+	}
+	s := NewSnapshot(t)
+	k.snapshot.Store(&s)
+	return k
+}
+
+// Start starts the control thread.
+func (k *Keeper) Start() {
+	k.done.Go(k.run)
+}
+
+// Stop stops the control thread and waits for its end.
+func (k *Keeper) Stop() {
+	k.done.Close()
+	k.done.Wait()
+}
+
+// Snapshot returns the newest snapshot.
+func (k *Keeper) Snapshot() Snapshot {
+	return *k.snapshot.Load()
+}
+
+// Changed returns a channel that receives when the target has changed and must be announced.
+func (k *Keeper) Changed() <-chan struct{} {
+	return k.changed
+}
+
+// Post hands an event to the control thread. It waits while the thread is behind.
+func (k *Keeper) Post(s landing.Signal) {
+	select {
+	case k.signals <- s:
+	case <-k.done.C():
+	}
+}
+
+func (k *Keeper) run() {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for {
+		select {
+		case <-k.done.C():
+			return
+		case s := <-k.signals:
+			k.handle(s)
+		}
+	}
+}
+
+func (k *Keeper) handle(signal landing.Signal) {
+	s := k.Snapshot()
+	before := s.Target()
+	switch signal := signal.(type) {
+	case landing.Answer:
+		s = k.answer(s, signal.News())
+	case landing.Adopted:
+		s = k.adopt(s, signal)
+	case landing.Announced:
+		s = k.announce(s, signal.Announcement())
+	case landing.Stopping:
+		s = withPhase(s, landing.PhaseDraining)
+	}
+	k.snapshot.Store(&s)
+	if s.Target() != before {
+		k.noteChange()
+	}
+}
+
+func (k *Keeper) noteChange() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) answer(s Snapshot, n landing.News) Snapshot {
+	if n.MembersLen() > 0 {
+		s = s.WithMembers(n.Members())
+	}
+	if n.WeightsLen() > 0 {
+		s = s.WithWeights(n.Weights(), int(n.Place()))
+	}
+	s = s.WithRoster(max(s.Roster(), n.Digest().Roster()))
+	if n.Change() >= s.Target().Change() && n.Change() > 0 {
+		s = s.WithTarget(s.Target().WithChange(n.Change() + 1))
+	}
+	merged := mark.Merge(s.Marks(), n.Marks())
+	if mark.Digest(merged) != mark.Digest(s.Marks()) {
+		s = s.WithMarks(merged)
+		k.common.Log().Info("marks in force", "digest", mark.Digest(merged), "out", s.IsOut())
+	}
+	return s
+}
+
+func (k *Keeper) adopt(s Snapshot, a landing.Adopted) Snapshot {
+	if a.Root().Serial() <= s.Root().Serial() {
+		return s
+	}
+	k.common.Log().Info("lists in force", "serial", a.Root().Serial())
+	return s.WithLists(a.Root(), a.Lists())
+}
+
+func (k *Keeper) announce(s Snapshot, a landing.Announcement) Snapshot {
+	k.common.Log().Info("upstream announced", "upstream", a.Instance(), "state", a.State().String())
+	switch a.State() {
+	case landing.ConditionStarted:
+		return withPhase(s, landing.PhaseServing)
+	case landing.ConditionLeaving:
+		return withPhase(s, landing.PhaseDraining)
+	case landing.ConditionUnspecified:
+		return s
+	}
+	return s
+}
+
+func withPhase(s Snapshot, p landing.Phase) Snapshot {
+	t := s.Target()
+	if t.Phase() == p {
+		return s
+	}
+	return s.WithTarget(t.WithPhase(p).WithChange(t.Change() + 1))
+}
--- /dev/null
+++ b/sidecar/pkg/keeper/snapshot.go
@@ -0,0 +1,134 @@
+package keeper
+
+import (
+	"slices"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
+	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
+)
+
+// Snapshot is the control state that traffic reads. It is immutable.
+type Snapshot struct {
+	target  landing.Target
+	index   *plan.Index
+	root    landing.Root
+	marks   landing.Marks
+	weights []uint32
+	place   int
+	members []landing.Member
+	roster  uint64
+}
+
+// NewSnapshot returns the snapshot of a sidecar that knows nothing but its target.
+func NewSnapshot(t landing.Target) Snapshot {
+	return Snapshot{target: t, place: -1}
+}
+
+// Target returns the target as it is announced.
+func (s Snapshot) Target() landing.Target {
+	return s.target
+}
+
+// WithTarget returns a copy with another target.
+func (s Snapshot) WithTarget(t landing.Target) Snapshot {
+	s.target = t
+	return s
+}
+
+// Root returns the root in force.
+func (s Snapshot) Root() landing.Root {
+	return s.root
+}
+
+// WithLists returns a copy with other lists in force.
+func (s Snapshot) WithLists(r landing.Root, l landing.Lists) Snapshot {
+	s.root = r
+	s.index = plan.New(l)
+	return s
+}
+
+// Marks returns the marks in force.
+func (s Snapshot) Marks() landing.Marks {
+	return s.marks
+}
+
+// WithMarks returns a copy with other marks.
+func (s Snapshot) WithMarks(m landing.Marks) Snapshot {
+	s.marks = m
+	return s
+}
+
+// Members returns the balancers of the region.
+func (s Snapshot) Members() []landing.Member {
+	return slices.Clone(s.members)
+}
+
+// WithMembers returns a copy with other balancers.
+func (s Snapshot) WithMembers(m []landing.Member) Snapshot {
+	s.members = m
+	return s
+}
+
+// WithWeights returns a copy with other weights of the service's targets, among which the
+// target's place is given.
+func (s Snapshot) WithWeights(weights []uint32, place int) Snapshot {
+	s.weights = weights
+	s.place = place
+	return s
+}
+
+// Roster returns the serial number of the newest roster known.
+func (s Snapshot) Roster() uint64 {
+	return s.roster
+}
+
+// WithRoster returns a copy with another serial number of the roster.
+func (s Snapshot) WithRoster(serial uint64) Snapshot {
+	s.roster = serial
+	return s
+}
+
+// Digest returns the versions in force.
+func (s Snapshot) Digest() landing.Digest {
+	return landing.Digest{}.
+		WithRoot(s.root.Serial()).
+		WithRoster(s.roster).
+		WithMarks(mark.Digest(s.marks))
+}
+
+// IsOut says whether the upstream or its availability zone is taken out.
+func (s Snapshot) IsOut() bool {
+	return mark.IsOut(s.marks, s.target)
+}
+
+// IsServing says whether the upstream takes new flows.
+func (s Snapshot) IsServing() bool {
+	return s.target.Phase() == landing.PhaseServing
+}
+
+// Find returns the access of the caller of flow k to this sidecar's service, or the reason why there is none.
+func (s Snapshot) Find(k landing.Key) (plan.Access, landing.Refusal) {
+	if s.index == nil {
+		return plan.Access{}, landing.RefusalUnready
+	}
+	access, refusal := s.index.Find(k)
+	if refusal != landing.RefusalUnspecified {
+		return access, refusal
+	}
+	if access.Service().Name() != s.target.Service() {
+		return access, landing.RefusalForeign
+	}
+	if !slices.Contains(access.Grant().Zones(), s.target.Zone()) {
+		return access, landing.RefusalZone
+	}
+	return access, landing.RefusalUnspecified
+}
+
+// FlowsOf returns the number of flows that a customer with this grant may have open here.
+func (s Snapshot) FlowsOf(g landing.Grant) uint32 {
+	if s.place < 0 {
+		return 0
+	}
+	return plan.Share(g.Flows(), s.weights, s.place)
+}
--- /dev/null
+++ b/sidecar/pkg/local/local.go
@@ -0,0 +1,77 @@
+// Package local serves the upstream beside the sidecar: it takes the upstream's announcements over HTTP.
+package local
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/codec"
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/gen/landingpb"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/document"
+)
+
+const (
+	// AnnouncePath is the path that takes announcements.
+	AnnouncePath = "/announce"
+
+	maxBytes      = 4 << 10
+	headerTimeout = 5 * time.Second
+)
+
+// Take takes an announcement.
+type Take func(landing.Announcement)
+
+// Server takes announcements.
+type Server struct {
+	common   common.Common
+	take     Take
+	listener net.Listener
+	http     *http.Server
+	done     *common.Done
+}
+
+// New returns a server on this TCP address. It returns an error when the address cannot be used.
+func New(c common.Common, address string, take Take) (*Server, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s := &Server{common: c, take: take, listener: listener, done: common.NewDone()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+AnnouncePath, s.announce)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return s, nil
+}
+
+// Start starts the server.
+func (s *Server) Start() {
+	s.done.Go(func() { _ = s.http.Serve(s.listener) })
+}
+
+// Stop ends all connections and waits for the server.
+func (s *Server) Stop() {
+	_ = s.http.Close()
+	s.done.Wait()
+}
+
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	m := &landingpb.Announcement{}
+	d := document.Read("announcement", b, m)
+	if err := document.Error(d.Findings()); err != nil {
+		s.common.Counters().Refused(landing.RefusalMalformed)
+		http.Error(w, trace.UserMessage(err), http.StatusBadRequest)
+		return
+	}
+	s.take(codec.DecodeAnnouncement(m))
+}
--- /dev/null
+++ b/sidecar/pkg/requests/requests.go
@@ -0,0 +1,99 @@
+// Package requests serves flows of requests services: it admits, sends, retries and refuses
+// HTTP/1.1 requests one by one, and says in each refusal what is known of the request.
+package requests
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/flows"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/gate"
+)
+
+const (
+	headerTime     = 30 * time.Second
+	idleTime       = 30 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// connKey is the key of the caller's connection in a request's context.
+type connKey struct{}
+
+// Handler serves requests of all flows.
+type Handler struct {
+	common    common.Common
+	table     *flows.Table
+	keepalive time.Duration
+	upstream  *upstream
+	gate      *gate.Gate
+	budget    *budget
+	listener  *listener
+	server    *http.Server
+	closing   atomic.Bool
+	done      *common.Done
+}
+
+// New returns a handler that sends requests to the upstream of these settings.
+func New(c common.Common, s landing.SidecarSettings, g *gate.Gate, t *flows.Table) *Handler {
+	h := &Handler{
+		common:    c,
+		table:     t,
+		keepalive: s.Keepalive(),
+		upstream:  newUpstream(s),
+		gate:      g,
+		budget:    newBudget(),
+		listener:  newListener(),
+		done:      common.NewDone(),
+	}
+	h.server = &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+	return h
+}
+
+// Start starts the HTTP server.
+func (h *Handler) Start() {
+	h.done.Go(func() { _ = h.server.Serve(h.listener) })
+}
+
+// CloseSoon lets every connection end after its next answer.
+func (h *Handler) CloseSoon() {
+	h.closing.Store(true)
+}
+
+// Stop ends all connections and waits for the server.
+func (h *Handler) Stop() {
+	h.done.Close()
+	_ = h.server.Close()
+	h.done.Wait()
+}
+
+// Handle takes the flow k.
+func (h *Handler) Handle(r *tcp.ForwarderRequest, k landing.Key) {
+	conn, err := netstack.Accept(r)
+	r.Complete(false)
+	if err != nil {
+		h.table.Remove(k)
+		return
+	}
+	conn.SetKeepalive(h.keepalive)
+	entry, _ := h.table.Find(k)
+	c := &callerConn{Conn: conn, customer: entry.Customer()}
+	if !h.table.SetConn(k, conn) || !h.listener.add(c) {
+		conn.Reset()
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/requests/upstream.go
@@ -0,0 +1,148 @@
+package requests
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+const copyBytes = 32 << 10
+
+// hopHeaders are the headers that concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// upstream sends requests to the local upstream, each on a connection of its own. So no answer can be
+// taken for that of another request, and the transport of the library never sends a request twice.
+type upstream struct {
+	address   string
+	deadline  time.Duration
+	transport *http.Transport
+}
+
+func newUpstream(s landing.SidecarSettings) *upstream {
+	dialer := &net.Dialer{Timeout: s.Deadline(), KeepAlive: s.Keepalive()}
+	return &upstream{
+		address:  s.Upstream(),
+		deadline: s.Deadline(),
+		transport: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+	}
+}
+
+// send sends the request once. The answer is nil unless the outcome is Answered.
+func (u *upstream) send(r *http.Request, body *replay) (*answer, landing.Outcome) {
+	ctx, cancel := context.WithCancel(r.Context())
+	timer := time.AfterFunc(u.deadline, cancel)
+	connected := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	response, err := u.transport.RoundTrip(u.outgoing(traced, r, body))
+	inTime := timer.Stop()
+	if err == nil && inTime && !isShed(response) {
+		return &answer{response: response, cancel: cancel}, landing.Answered{}
+	}
+	cancel()
+	if response != nil {
+		_ = response.Body.Close()
+	}
+	return nil, outcomeOf(r, response, connected, inTime)
+}
+
+func outcomeOf(r *http.Request, response *http.Response, connected, inTime bool) landing.Outcome {
+	if r.Context().Err() != nil {
+		return landing.Cancelled{}
+	}
+	if !connected {
+		return landing.Unsent{}
+	}
+	if response != nil && inTime && isShed(response) {
+		return landing.Shed{}
+	}
+	return landing.Lost{}
+}
+
+// isShed says whether the upstream refused the request without running it.
+func isShed(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
+}
+
+func (u *upstream) outgoing(ctx context.Context, r *http.Request, body *replay) *http.Request {
+	out := r.Clone(ctx)
+	out.URL = &url.URL{Scheme: "http", Host: u.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+	out.Host = r.Host
+	out.RequestURI = ""
+	out.Close = true
+	removeHopHeaders(out.Header)
+	out.Body = body.reader()
+	out.GetBody = nil
+	return out
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// answer is the answer of the upstream to one request.
+type answer struct {
+	response *http.Response
+	cancel   context.CancelFunc
+}
+
+func (a *answer) close() {
+	a.cancel()
+	_ = a.response.Body.Close()
+}
+
+func (a *answer) copyHeader(to http.Header) {
+	removeHopHeaders(a.response.Header)
+	for name, values := range a.response.Header {
+		to[name] = values
+	}
+}
+
+// copyBody passes on each part of the body as it comes, so that feeds are not held back.
+// It returns an error when the body breaks off or the caller is gone.
+func (a *answer) copyBody(w http.ResponseWriter) error {
+	controller := http.NewResponseController(w)
+	if err := controller.Flush(); err != nil {
+		return err
+	}
+	b := make([]byte, copyBytes)
+	for {
+		n, err := a.response.Body.Read(b)
+		if n > 0 {
+			if _, err := w.Write(b[:n]); err != nil {
+				return err
+			}
+			if err := controller.Flush(); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/stream/stream.go
@@ -0,0 +1,81 @@
+// Package stream carries flows of stream services: bytes between a caller and the upstream.
+package stream
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
+	"github.com/crocuslanding/crocuslanding/core/pkg/splice"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/flows"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/gate"
+)
+
+// Handler carries one flow after another, each on its own goroutine.
+type Handler struct {
+	common    common.Common
+	upstream  string
+	deadline  time.Duration
+	keepalive time.Duration
+	gate      *gate.Gate
+	table     *flows.Table
+}
+
+// New returns a handler that dials the upstream of these settings.
+func New(c common.Common, s landing.SidecarSettings, g *gate.Gate, t *flows.Table) *Handler {
+	return &Handler{
+		common:    c,
+		upstream:  s.Upstream(),
+		deadline:  s.Deadline(),
+		keepalive: s.Keepalive(),
+		gate:      g,
+		table:     t,
+	}
+}
+
+// Handle carries the flow k until it ends. The handshake with the caller is
+// completed only when the upstream has taken the connection.
+func (h *Handler) Handle(r *tcp.ForwarderRequest, k landing.Key) {
+	upstream, refusal := h.dial(k)
+	if refusal != landing.RefusalUnspecified {
+		h.common.Counters().Refused(refusal)
+		r.Complete(true)
+		h.table.Remove(k)
+		return
+	}
+	conn, err := netstack.Accept(r)
+	r.Complete(false)
+	if err != nil {
+		upstream.Reset()
+		h.table.Remove(k)
+		return
+	}
+	conn.SetKeepalive(h.keepalive)
+	if !h.table.SetConn(k, conn) {
+		conn.Reset()
+	}
+	splice.Run(conn, upstream)
+}
+
+func (h *Handler) dial(k landing.Key) (splice.TCP, landing.Refusal) {
+	entry, _ := h.table.Find(k)
+	refusal := h.gate.Enter(context.Background(), entry.Customer())
+	if refusal != landing.RefusalUnspecified {
+		return splice.TCP{}, refusal
+	}
+	start := time.Now()
+	conn, err := net.DialTimeout("tcp4", h.upstream, h.deadline)
+	if err != nil {
+		h.gate.Leave(landing.Failed{})
+		return splice.TCP{}, landing.RefusalUpstream
+	}
+	h.gate.Leave(landing.Finished{}.WithLatency(time.Since(start)))
+	tcpConn := conn.(*net.TCPConn)
+	_ = tcpConn.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: h.keepalive, Interval: h.keepalive, Count: 3})
+	return splice.NewTCP(tcpConn), landing.RefusalUnspecified
+}
--- /dev/null
+++ b/standin/pkg/upstream/upstream.go
@@ -0,0 +1,108 @@
+// Package upstream is a stand-in for an upstream: a plain HTTP server with slots, a cold start,
+// a drain, and a memory of the confirmations that it ran.
+//
+// GET /feed holds a stream of lines open, GET /pack downloads a pack, GET /ping answers at once,
+// POST /confirm runs the confirmation that the query names, and GET /ran/ID says how often it ran.
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	stopTime      = 20 * time.Second
+)
+
+// Server is the stand-in.
+type Server struct {
+	common   common.Common
+	settings landing.UpstreamSettings
+	slots    *slots
+	ledger   *ledger
+	pack     *pack
+	listener net.Listener
+	http     *http.Server
+	done     *common.Done
+}
+
+// New returns a server on the address of these settings. It returns an error when the address cannot be used.
+func New(c common.Common, s landing.UpstreamSettings) (*Server, error) {
+	listener, err := net.Listen("tcp4", s.Listen())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	server := &Server{
+		common:   c,
+		settings: s,
+		slots:    newSlots(s, time.Now()),
+		ledger:   newLedger(),
+		pack:     newPack(s.Pack().Bytes()),
+		listener: listener,
+		done:     common.NewDone(),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ping", server.ping)
+	mux.HandleFunc("GET /feed", server.feed)
+	mux.HandleFunc("GET /pack", server.download)
+	mux.HandleFunc("POST /confirm", server.confirm)
+	mux.HandleFunc("GET /ran/{id}", server.ran)
+	server.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return server, nil
+}
+
+// Address returns the TCP address of the server.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Start starts the server and announces it to its sidecar.
+func (s *Server) Start() {
+	s.done.Go(func() { _ = s.http.Serve(s.listener) })
+	s.done.Go(func() { s.announce(landing.ConditionStarted) })
+}
+
+// Restart lets the server fall back into cold start without a word.
+func (s *Server) Restart() {
+	s.slots.restart(time.Now())
+}
+
+// Leave announces that the server leaves.
+func (s *Server) Leave() {
+	s.announce(landing.ConditionLeaving)
+}
+
+// Stop waits for open requests, then ends the server.
+func (s *Server) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	_ = s.http.Shutdown(ctx)
+	s.done.Close()
+	_ = s.http.Close()
+	s.done.Wait()
+}
+
+// Kill ends the server at once.
+func (s *Server) Kill() {
+	s.done.Close()
+	_ = s.http.Close()
+	s.done.Wait()
+}
+
+// Runs returns how often each confirmation ran.
+func (s *Server) Runs() map[string]int {
+	return s.ledger.all()
+}
+
+// Overshoot returns the highest number of requests by which the slots were exceeded.
+func (s *Server) Overshoot() uint32 {
+	return s.slots.overshoot()
+}
