--- a/sidecar/pkg/app/app.go
+++ b/sidecar/pkg/app/app.go
@@ -145,9 +145,19 @@
 	}
 }
 
-// Stop stops all parts and waits for them.
+// Stop announces that the target has left, stops all parts and waits for them.
 func (sc *Sidecar) Stop() {
 	sc.home.Stop()
+	sc.stopParts()
+}
+
+// Kill stops all parts without a word to anybody.
+func (sc *Sidecar) Kill() {
+	sc.home.Kill()
+	sc.stopParts()
+}
+
+func (sc *Sidecar) stopParts() {
 	sc.local.Stop()
 	sc.done.Close()
 	sc.done.Wait()
--- a/sidecar/pkg/home/home.go
+++ b/sidecar/pkg/home/home.go
@@ -62,6 +62,13 @@
 	h.cancel()
 }
 
+// Kill ends all calls and waits for the goroutine, without an announcement.
+func (h *Home) Kill() {
+	h.done.Close()
+	h.cancel()
+	h.done.Wait()
+}
+
 func (h *Home) run() {
 	ticker := time.NewTicker(h.interval)
 	defer ticker.Stop()
--- a/sidecar/pkg/keeper/snapshot.go
+++ b/sidecar/pkg/keeper/snapshot.go
@@ -102,6 +102,11 @@
 	return mark.IsOut(s.marks, s.target)
 }
 
+// IsReady says whether the sidecar has lists and knows its part of the service's limits.
+func (s Snapshot) IsReady() bool {
+	return s.index != nil && s.place >= 0
+}
+
 // IsServing says whether the upstream takes new flows.
 func (s Snapshot) IsServing() bool {
 	return s.target.Phase() == landing.PhaseServing
--- a/standin/pkg/fabric/fabric.go
+++ b/standin/pkg/fabric/fabric.go
@@ -86,6 +86,11 @@
 	f.balancers = list
 }
 
+// Front returns the UDP address on which answers of sidecars arrive.
+func (f *Fabric) Front() string {
+	return f.conn.LocalAddr().String()
+}
+
 // Stack returns the stack, for clients that dial from an address of their own.
 func (f *Fabric) Stack() *netstack.Stack {
 	return f.stack
