Admission: grow by one request at a time, confirmed and timed

Cause: the first rule doubled within 70 ms of a cold start, while the upstream stayed cold for seconds, and one slow answer among quick ones halved the limit of a healthy upstream.

Ruled out: trusting an announced size (health and load endpoints lag or mislead); a fixed ramp (cold starts differ in length).

Change: the limit starts at one and grows by one after four answers at full limit and a pause; a shed at a limit just tried goes back by one and doubles the pause; a shed of a warm upstream begins at one again. Slow means that the recent average is four times the usual one, so that a mix of short and long requests does not count.

--- a/core/gen/codec/request.go
+++ b/core/gen/codec/request.go
@@ -7,6 +7,7 @@
 	landing "github.com/crocuslanding/crocuslanding/core/gen/landing"
 	landingpb "github.com/crocuslanding/crocuslanding/core/gen/landingpb"
 	durationpb "google.golang.org/protobuf/types/known/durationpb"
+	timestamppb "google.golang.org/protobuf/types/known/timestamppb"
 )
 
 // EncodeOutcome returns the message for v; an empty one when v is nil.
@@ -229,9 +230,11 @@
 	m.Limit = v.Limit()
 	m.Running = v.Running()
 	m.Slots = v.Slots()
-	m.Cold = v.Cold()
 	m.Draining = v.Draining()
 	m.Good = v.Good()
+	m.Pause = durationpb.New(v.Pause())
+	m.Changed = timestamppb.New(v.Changed())
+	m.Recent = durationpb.New(v.Recent())
 	m.Usual = durationpb.New(v.Usual())
 	m.Lowered = v.Lowered()
 	return m
@@ -243,9 +246,11 @@
 	v = v.WithLimit(m.GetLimit())
 	v = v.WithRunning(m.GetRunning())
 	v = v.WithSlots(m.GetSlots())
-	v = v.WithCold(m.GetCold())
 	v = v.WithDraining(m.GetDraining())
 	v = v.WithGood(m.GetGood())
+	v = v.WithPause(m.GetPause().AsDuration())
+	v = v.WithChanged(m.GetChanged().AsTime())
+	v = v.WithRecent(m.GetRecent().AsDuration())
 	v = v.WithUsual(m.GetUsual().AsDuration())
 	v = v.WithLowered(m.GetLowered())
 	return v
@@ -298,12 +303,14 @@
 // EncodeStarted returns the message for v.
 func EncodeStarted(v landing.Started) *landingpb.Started {
 	m := &landingpb.Started{}
+	m.Now = timestamppb.New(v.Now())
 	return m
 }
 
 // DecodeStarted returns the value of m; the zero value when m is nil.
 func DecodeStarted(m *landingpb.Started) landing.Started {
 	v := landing.Started{}
+	v = v.WithNow(m.GetNow().AsTime())
 	return v
 }
 
@@ -323,6 +330,7 @@
 func EncodeFinished(v landing.Finished) *landingpb.Finished {
 	m := &landingpb.Finished{}
 	m.Latency = durationpb.New(v.Latency())
+	m.Now = timestamppb.New(v.Now())
 	return m
 }
 
@@ -330,30 +338,35 @@
 func DecodeFinished(m *landingpb.Finished) landing.Finished {
 	v := landing.Finished{}
 	v = v.WithLatency(m.GetLatency().AsDuration())
+	v = v.WithNow(m.GetNow().AsTime())
 	return v
 }
 
 // EncodeOverloaded returns the message for v.
 func EncodeOverloaded(v landing.Overloaded) *landingpb.Overloaded {
 	m := &landingpb.Overloaded{}
+	m.Now = timestamppb.New(v.Now())
 	return m
 }
 
 // DecodeOverloaded returns the value of m; the zero value when m is nil.
 func DecodeOverloaded(m *landingpb.Overloaded) landing.Overloaded {
 	v := landing.Overloaded{}
+	v = v.WithNow(m.GetNow().AsTime())
 	return v
 }
 
 // EncodeFailed returns the message for v.
 func EncodeFailed(v landing.Failed) *landingpb.Failed {
 	m := &landingpb.Failed{}
+	m.Now = timestamppb.New(v.Now())
 	return m
 }
 
 // DecodeFailed returns the value of m; the zero value when m is nil.
 func DecodeFailed(m *landingpb.Failed) landing.Failed {
 	v := landing.Failed{}
+	v = v.WithNow(m.GetNow().AsTime())
 	return v
 }
 
--- a/core/gen/landing/request.go
+++ b/core/gen/landing/request.go
@@ -151,24 +151,26 @@
 
 // Allowance is the state of the admission to one upstream.
 type Allowance struct {
-	limit    uint64
+	limit    uint32
 	running  uint32
 	slots    uint32
-	cold     bool
 	draining bool
 	good     uint32
+	pause    time.Duration
+	changed  time.Time
+	recent   time.Duration
 	usual    time.Duration
 	lowered  uint32
 }
 
 // Limit returns the field of this name:
-// Requests that may run at once, in thousandths.
-func (v Allowance) Limit() uint64 {
+// Requests that may run at once.
+func (v Allowance) Limit() uint32 {
 	return v.limit
 }
 
 // WithLimit returns a copy with another limit.
-func (v Allowance) WithLimit(limit uint64) Allowance {
+func (v Allowance) WithLimit(limit uint32) Allowance {
 	v.limit = limit
 	return v
 }
@@ -197,18 +199,6 @@
 	return v
 }
 
-// Cold returns the field of this name:
-// Whether the upstream is in cold start.
-func (v Allowance) Cold() bool {
-	return v.cold
-}
-
-// WithCold returns a copy with another cold.
-func (v Allowance) WithCold(cold bool) Allowance {
-	v.cold = cold
-	return v
-}
-
 // Draining returns the field of this name:
 // Whether the upstream leaves.
 func (v Allowance) Draining() bool {
@@ -222,7 +212,7 @@
 }
 
 // Good returns the field of this name:
-// Answers since the limit was last lowered.
+// Answers at full limit since the limit last changed.
 func (v Allowance) Good() uint32 {
 	return v.good
 }
@@ -233,8 +223,44 @@
 	return v
 }
 
+// Pause returns the field of this name:
+// Time for which the limit stays before it grows.
+func (v Allowance) Pause() time.Duration {
+	return v.pause
+}
+
+// WithPause returns a copy with another pause.
+func (v Allowance) WithPause(pause time.Duration) Allowance {
+	v.pause = pause
+	return v
+}
+
+// Changed returns the field of this name:
+// Time at which the limit last changed.
+func (v Allowance) Changed() time.Time {
+	return v.changed
+}
+
+// WithChanged returns a copy with another changed.
+func (v Allowance) WithChanged(changed time.Time) Allowance {
+	v.changed = changed
+	return v
+}
+
+// Recent returns the field of this name:
+// Average time to answer over the last few answers.
+func (v Allowance) Recent() time.Duration {
+	return v.recent
+}
+
+// WithRecent returns a copy with another recent.
+func (v Allowance) WithRecent(recent time.Duration) Allowance {
+	v.recent = recent
+	return v
+}
+
 // Usual returns the field of this name:
-// Moving average of the time to answer when warm.
+// Average time to answer over many answers.
 func (v Allowance) Usual() time.Duration {
 	return v.usual
 }
@@ -266,10 +292,23 @@
 
 // Started says that the upstream starts cold.
 type Started struct {
+	now time.Time
 }
 
 func (Started) isObservation() {}
 
+// Now returns the field of this name:
+// Time of the observation.
+func (v Started) Now() time.Time {
+	return v.now
+}
+
+// WithNow returns a copy with another now.
+func (v Started) WithNow(now time.Time) Started {
+	v.now = now
+	return v
+}
+
 // Asked says that a request wants to run.
 type Asked struct {
 }
@@ -279,6 +318,7 @@
 // Finished says that a request ended with an answer.
 type Finished struct {
 	latency time.Duration
+	now     time.Time
 }
 
 func (Finished) isObservation() {}
@@ -295,18 +335,56 @@
 	return v
 }
 
+// Now returns the field of this name:
+// Time of the observation.
+func (v Finished) Now() time.Time {
+	return v.now
+}
+
+// WithNow returns a copy with another now.
+func (v Finished) WithNow(now time.Time) Finished {
+	v.now = now
+	return v
+}
+
 // Overloaded says that the upstream shed a request.
 type Overloaded struct {
+	now time.Time
 }
 
 func (Overloaded) isObservation() {}
 
+// Now returns the field of this name:
+// Time of the observation.
+func (v Overloaded) Now() time.Time {
+	return v.now
+}
+
+// WithNow returns a copy with another now.
+func (v Overloaded) WithNow(now time.Time) Overloaded {
+	v.now = now
+	return v
+}
+
 // Failed says that a request ended without an answer.
 type Failed struct {
+	now time.Time
 }
 
 func (Failed) isObservation() {}
 
+// Now returns the field of this name:
+// Time of the observation.
+func (v Failed) Now() time.Time {
+	return v.now
+}
+
+// WithNow returns a copy with another now.
+func (v Failed) WithNow(now time.Time) Failed {
+	v.now = now
+	return v
+}
+
 // Leaving says that the upstream leaves.
 type Leaving struct {
 }
--- a/core/pkg/admission/admission.go
+++ b/core/pkg/admission/admission.go
@@ -1,7 +1,10 @@
-// Package admission decides how many requests run at once at one upstream. The limit begins at one
-// in a cold start and grows with the answers; it falls at once when the upstream sheds or becomes
-// slow, since an upstream can fall back into cold start without a word, and its health
-// and load endpoints lag. It knows nothing of sockets, time or encodings.
+// Package admission decides how many requests run at once at one upstream.
+//
+// Nothing is known of an upstream that starts, and its health and load endpoints lag, so the limit
+// begins at one request and grows by one at a time while answers come. When the upstream sheds at
+// a limit that was just tried, the limit goes back by one and the next try comes later. When a warm
+// upstream sheds, it has fallen back into cold start, and the limit begins at one again.
+// The package knows nothing of sockets, clocks or encodings.
 package admission
 
 import (
@@ -11,40 +14,42 @@
 )
 
 const (
-	// thousandths is the scale of Allowance.Limit.
-	thousandths = 1000
-	// growth is the number of answers at full limit after which the limit has grown by one.
-	growth = 4
-	// slowFactor is how many times the usual latency an answer takes that counts as a sign of overload.
+	// firstPause is the time for which a new limit stays before it grows.
+	firstPause = 250 * time.Millisecond
+	// maxPause bounds the time between two tries at a limit at which the upstream shed.
+	maxPause = 4 * time.Second
+	// goodAnswers is the number of answers at full limit that come before it grows.
+	goodAnswers = 4
+	// slowFactor is how many times the usual latency the recent one is that counts as overload.
 	slowFactor = 4
 	// slowFloor is the latency below which no answer counts as slow.
-	slowFloor = 20 * time.Millisecond
-	// averageShare is the share, as one part in this many, of a new latency in the moving average.
-	averageShare = 8
+	slowFloor = 50 * time.Millisecond
+	// recentShare and usualShare are the shares, one part in so many, of a new latency in the averages.
+	recentShare = 8
+	usualShare  = 128
 )
 
-// New returns the allowance for an upstream with this number of slots. It begins cold,
-// since nothing is known of the upstream.
+// New returns the allowance for an upstream with this number of slots that may be cold.
 func New(slots uint32) landing.Allowance {
 	return landing.Allowance{}.
 		WithSlots(max(slots, 1)).
-		WithLimit(thousandths).
-		WithCold(true)
+		WithLimit(1).
+		WithPause(firstPause)
 }
 
 // Handle returns the allowance after the observation, and whether a request that asked may run.
 func Handle(a landing.Allowance, o landing.Observation) (landing.Allowance, bool) {
 	switch o := o.(type) {
 	case landing.Started:
-		return restart(a), false
+		return restart(a, o.Now()).WithDraining(false), false
 	case landing.Asked:
 		return ask(a)
 	case landing.Finished:
-		return finish(a, o.Latency()), false
+		return finish(a, o.Latency(), o.Now()), false
 	case landing.Overloaded:
-		return lower(end(a)), false
+		return shed(end(a), o.Now()), false
 	case landing.Failed:
-		return lower(end(a)), false
+		return halve(end(a), o.Now()), false
 	case landing.Leaving:
 		return a.WithDraining(true), false
 	case landing.Withdrawn:
@@ -58,16 +63,12 @@
 	if a.Draining() {
 		return 0
 	}
-	limit := uint32(a.Limit() / thousandths)
-	return limit - min(a.Running(), limit)
+	return a.Limit() - min(a.Running(), a.Limit())
 }
 
-func restart(a landing.Allowance) landing.Allowance {
-	return a.
-		WithLimit(thousandths).
-		WithCold(true).
-		WithDraining(false).
-		WithGood(0)
+// IsWarm says whether the upstream takes requests in all its slots.
+func IsWarm(a landing.Allowance) bool {
+	return a.Limit() >= a.Slots()
 }
 
 func ask(a landing.Allowance) (landing.Allowance, bool) {
@@ -77,46 +78,72 @@
 	return a.WithRunning(a.Running() + 1), true
 }
 
-func finish(a landing.Allowance, latency time.Duration) landing.Allowance {
-	if isSlow(a, latency) {
-		return lower(end(a))
-	}
+func finish(a landing.Allowance, latency time.Duration, now time.Time) landing.Allowance {
 	a = average(a, latency)
-	return end(grow(a))
+	if isSlow(a) {
+		return halve(end(a), now).WithRecent(a.Usual())
+	}
+	if a.Running() >= a.Limit() {
+		a = a.WithGood(a.Good() + 1)
+	}
+	return grow(end(a), now)
 }
 
 func end(a landing.Allowance) landing.Allowance {
 	return a.WithRunning(a.Running() - min(a.Running(), 1))
 }
 
-func isSlow(a landing.Allowance, latency time.Duration) bool {
-	return a.Usual() > 0 && latency > slowFloor && latency > slowFactor*a.Usual()
-}
-
+// average takes one more latency into both averages. A mix of short and long requests moves both
+// alike, so only a change of the whole mix makes them differ.
 func average(a landing.Allowance, latency time.Duration) landing.Allowance {
 	if a.Usual() == 0 {
-		return a.WithUsual(latency)
+		return a.WithUsual(latency).WithRecent(latency)
 	}
-	return a.WithUsual(a.Usual() + (latency-a.Usual())/averageShare)
+	return a.
+		WithRecent(a.Recent() + (latency-a.Recent())/recentShare).
+		WithUsual(a.Usual() + (latency-a.Usual())/usualShare)
+}
+
+func isSlow(a landing.Allowance) bool {
+	return a.Recent() > slowFloor && a.Recent() > slowFactor*a.Usual()
 }
 
-// grow raises the limit only when it was used in full, so that idle time earns nothing.
-func grow(a landing.Allowance) landing.Allowance {
-	full := uint64(a.Slots()) * thousandths
-	if uint64(a.Running())*thousandths+thousandths <= a.Limit() {
+// grow raises the limit by one when it was used in full for long enough, so that idle time earns nothing.
+func grow(a landing.Allowance, now time.Time) landing.Allowance {
+	if IsWarm(a) || a.Good() < goodAnswers || now.Sub(a.Changed()) < a.Pause() {
 		return a
 	}
-	limit := min(a.Limit()+thousandths/growth, full)
-	return a.
-		WithLimit(limit).
-		WithGood(a.Good() + 1).
-		WithCold(a.Cold() && limit < full)
+	return withLimit(a, a.Limit()+1, now)
 }
 
-func lower(a landing.Allowance) landing.Allowance {
+func restart(a landing.Allowance, now time.Time) landing.Allowance {
+	return withLimit(a, 1, now).WithPause(firstPause)
+}
+
+// shed lowers the limit after the upstream shed. Answers to requests that were let through
+// before the limit was last lowered say nothing new.
+func shed(a landing.Allowance, now time.Time) landing.Allowance {
+	if a.Running() >= a.Limit() {
+		return a
+	}
+	if IsWarm(a) {
+		return lowered(restart(a, now))
+	}
+	a = a.WithPause(min(2*a.Pause(), maxPause))
+	return lowered(withLimit(a, max(a.Limit()-1, 1), now))
+}
+
+func halve(a landing.Allowance, now time.Time) landing.Allowance {
+	return lowered(withLimit(a, max(a.Limit()/2, 1), now))
+}
+
+func lowered(a landing.Allowance) landing.Allowance {
+	return a.WithLowered(a.Lowered() + 1)
+}
+
+func withLimit(a landing.Allowance, limit uint32, now time.Time) landing.Allowance {
 	return a.
-		WithLimit(max(a.Limit()/2, thousandths)).
-		WithCold(true).
+		WithLimit(limit).
 		WithGood(0).
-		WithLowered(a.Lowered() + 1)
+		WithChanged(now)
 }
--- a/experiment/pkg/deployment/plan.go
+++ b/experiment/pkg/deployment/plan.go
@@ -139,6 +139,11 @@
 	return s
 }
 
+// Slots returns the number of slots of each upstream.
+func (s Service) Slots() uint32 {
+	return s.slots
+}
+
 // WithTimes returns a copy whose upstreams take these times for a request, in turn.
 func (s Service) WithTimes(times ...time.Duration) Service {
 	s.times = times
--- /dev/null
+++ b/experiment/pkg/scenario/cold_test.go
@@ -0,0 +1,57 @@
+package scenario
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/pkg/admission"
+	"github.com/crocuslanding/crocuslanding/experiment/pkg/deployment"
+	"github.com/crocuslanding/crocuslanding/experiment/pkg/traffic"
+)
+
+const (
+	// maxOvershoot is one: the limit grows by single requests, and the upstream sheds the one too many.
+	maxOvershoot = 1
+	coldCallers  = 40
+)
+
+func startLoad(d *deployment.Deployment, s deployment.Service, callers int) *traffic.Load {
+	return traffic.StartLoad(s.Address(), callers, time.Millisecond, func(i int) *http.Client {
+		return d.Client(i % 2)
+	})
+}
+
+func TestColdUpstreamUnderLoadGetsNoMoreThanItBears(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(3)
+	d := start(t, deployment.NewPlan(desk))
+	load := startLoad(d, desk, coldCallers)
+	defer load.Stop()
+
+	cold, err := d.AddNode(desk.WithCold(1, 2*time.Second), 10)
+	is.NoErr(err)
+	begin := time.Now()
+	is.NoErr(deployment.Await(func() bool { return admission.IsWarm(cold.Allowance()) }))
+
+	t.Logf("overshoot %d, full after %.1f s, sheds %d", cold.Upstream().Overshoot(), time.Since(begin).Seconds(), cold.Allowance().Lowered())
+	is.True(cold.Upstream().Overshoot() <= maxOvershoot)
+}
+
+func TestSilentFallBackIntoColdStartIsHeldByEverySender(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(3).WithCold(8, 2*time.Second)
+	d := start(t, deployment.NewPlan(desk))
+	load := startLoad(d, desk, coldCallers)
+	defer load.Stop()
+	n := d.Nodes()[0]
+	is.NoErr(deployment.Await(func() bool { return admission.IsWarm(n.Allowance()) }))
+
+	before := n.Allowance().Lowered()
+	n.Upstream().FallBack(1)
+	is.NoErr(deployment.Await(func() bool { return n.Allowance().Lowered() > before }))
+	is.True(n.Allowance().Limit() < desk.Slots())
+	is.NoErr(deployment.Await(func() bool { return admission.IsWarm(n.Allowance()) }))
+}
--- a/sidecar/pkg/app/app.go
+++ b/sidecar/pkg/app/app.go
@@ -16,6 +16,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/control"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/program"
+	"github.com/crocuslanding/crocuslanding/core/pkg/retry"
 	"github.com/crocuslanding/crocuslanding/core/pkg/settings"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/front"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/gate"
@@ -95,7 +96,7 @@
 		front:    f,
 		home:     home.New(c, k, pool, s.Balancers(), s.Heartbeat()),
 		pool:     pool,
-		requests: requests.New(c, s, g, f.Table()),
+		requests: requests.New(c, s, g, f.Table(), retry.Decide),
 		stream:   stream.New(c, s, g, f.Table()),
 		done:     common.NewDone(),
 	}
@@ -172,6 +173,11 @@
 	return sc.keeper.Snapshot()
 }
 
+// Allowance returns the state of the admission.
+func (sc *Sidecar) Allowance() landing.Allowance {
+	return sc.gate.Allowance()
+}
+
 // handle carries one new flow.
 func (sc *Sidecar) handle(r *tcp.ForwarderRequest) {
 	k := keyOf(r)
@@ -195,7 +201,7 @@
 	sc.keeper.Post(landing.Announced{}.WithAnnouncement(a))
 	switch a.State() {
 	case landing.ConditionStarted:
-		sc.gate.Note(landing.Started{})
+		sc.gate.Note(landing.Started{}.WithNow(time.Now()))
 	case landing.ConditionLeaving:
 		sc.requests.CloseSoon()
 		sc.done.Go(sc.leave)
--- a/sidecar/pkg/requests/requests.go
+++ b/sidecar/pkg/requests/requests.go
@@ -27,8 +27,12 @@
 // connKey is the key of the caller's connection in a request's context.
 type connKey struct{}
 
+// Decide decides what follows when a request ended at the upstream.
+type Decide func(landing.Outcome, landing.Attempt) landing.Sequel
+
 // Handler serves requests of all flows.
 type Handler struct {
+	decide    Decide
 	common    common.Common
 	table     *flows.Table
 	keepalive time.Duration
@@ -41,9 +45,11 @@
 	done      *common.Done
 }
 
-// New returns a handler that sends requests to the upstream of these settings.
-func New(c common.Common, s landing.SidecarSettings, g *gate.Gate, t *flows.Table) *Handler {
+// New returns a handler that sends requests to the upstream of these settings, and
+// follows the decisions of decide.
+func New(c common.Common, s landing.SidecarSettings, g *gate.Gate, t *flows.Table, decide Decide) *Handler {
 	h := &Handler{
+		decide:    decide,
 		common:    c,
 		table:     t,
 		keepalive: s.Keepalive(),
--- a/sidecar/pkg/requests/serve.go
+++ b/sidecar/pkg/requests/serve.go
@@ -43,7 +43,7 @@
 			return
 		}
 		answer, outcome := h.send(r, body)
-		if h.follow(w, conn, answer, retry.Decide(outcome, attempt)) {
+		if h.follow(w, conn, answer, h.decide(outcome, attempt)) {
 			return
 		}
 		h.budget.noteRetry()
@@ -56,14 +56,14 @@
 	a, outcome := h.upstream.send(r, body)
 	switch outcome.(type) {
 	case landing.Answered:
-		h.gate.Leave(landing.Finished{}.WithLatency(time.Since(start)))
+		h.gate.Leave(landing.Finished{}.WithNow(time.Now()).WithLatency(time.Since(start)))
 	case landing.Shed:
 		h.common.Counters().Counter("shed").Inc(1)
-		h.gate.Leave(landing.Overloaded{})
+		h.gate.Leave(landing.Overloaded{}.WithNow(time.Now()))
 	case landing.Unsent:
-		h.gate.Leave(landing.Failed{})
+		h.gate.Leave(landing.Failed{}.WithNow(time.Now()))
 	case landing.Lost:
-		h.gate.Leave(landing.Failed{})
+		h.gate.Leave(landing.Failed{}.WithNow(time.Now()))
 	case landing.Canceled:
 		h.gate.Leave(landing.Withdrawn{})
 	}
--- a/standin/pkg/upstream/slots.go
+++ b/standin/pkg/upstream/slots.go
@@ -23,10 +23,11 @@
 	return &slots{warm: s.Slots(), cold: s.Cold(), warmup: s.Warmup(), start: now}
 }
 
-// restart begins another cold start.
-func (s *slots) restart(now time.Time) {
+// fallBack begins another cold start.
+func (s *slots) fallBack(cold uint32, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.cold = cold
 	s.start = now
 }
 
--- a/standin/pkg/upstream/upstream.go
+++ b/standin/pkg/upstream/upstream.go
@@ -70,9 +70,10 @@
 	s.done.Go(func() { s.announce(landing.ConditionStarted) })
 }
 
-// Restart lets the server fall back into cold start without a word.
-func (s *Server) Restart() {
-	s.slots.restart(time.Now())
+// FallBack lets the server fall back into cold start without a word: it serves this number of
+// requests at once, and all its slots after the warm-up.
+func (s *Server) FallBack(cold uint32) {
+	s.slots.fallBack(cold, time.Now())
 }
 
 // Leave announces that the server leaves.
