Tests of the decisions: membership worlds, marks, queue, plans, lists, decoders

Change: 150 seeded worlds of three balancers with freezes, isolation, a platform that is down or loses answers, and sidecars that come and go; after a quiet time every roster must be right and none may have reverted. A holder that was frozen past its lease writes over the version it knew and changes nothing. Rapid checks of marks, queue, shares and datagrams; fuzz targets on both decoders.

Seen failing first: a balancer that takes older rosters from peers, and one that never reports silence, are both caught within the 150 worlds. A list that is cut off was reported as 'EOF'; it now says so in words.

--- a/core/pkg/document/document.go
+++ b/core/pkg/document/document.go
@@ -4,7 +4,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -15,6 +17,9 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
+// wholeFile is the place of a finding that ends the reading of the file.
+const wholeFile = "file"
+
 // MaxBytes is the length of the longest file that is read.
 const MaxBytes = 1 << 20
 
@@ -102,7 +107,14 @@
 		err = w.end()
 	}
 	if err != nil {
-		d.lines["?"] = w.line()
-		d.Add("?", err.Error())
+		d.lines[wholeFile] = w.line()
+		d.Add(wholeFile, faultOfJSON(err))
+	}
+}
+
+func faultOfJSON(err error) string {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return "is cut off"
 	}
+	return err.Error()
 }
--- /dev/null
+++ b/core/pkg/envelope/envelope_test.go
@@ -0,0 +1,73 @@
+package envelope
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+var home = netip.MustParseAddrPort("127.0.0.1:9000")
+
+func newChain(hops int) landing.Chain {
+	var list []landing.Hop
+	for i := range hops {
+		list = append(list, landing.Hop{}.WithAddress(0x7f000001).WithPort(uint32(7000+i)))
+	}
+	return landing.Chain{}.WithService("desk").WithRoster(9).WithHops(list...).WithMore(true)
+}
+
+func write(c landing.Chain, payload []byte) []byte {
+	room := make([]byte, MaxHeaderBytes, MaxHeaderBytes+len(payload))
+	first := Write(room, c, 3, home)
+	return append(room, payload...)[first:]
+}
+
+func TestWhatWasWrittenIsRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hops := rapid.IntRange(1, MaxHops).Draw(t, "hops")
+		payload := rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "payload")
+		e, err := Open(write(newChain(hops), payload))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(e.Packet()) != string(payload) || e.Home() != home || e.Part() != 3 || !e.HasMore() || e.Roster() != 9 {
+			t.Fatal("fields differ")
+		}
+		for i := 1; i < hops; i++ {
+			if !e.HasNext() || e.Advance().Port() != uint16(7000+i) {
+				t.Fatal("hops differ")
+			}
+		}
+		if e.HasNext() {
+			t.Fatal("too many hops")
+		}
+	})
+}
+
+func TestBarePacketIsNoEnvelope(t *testing.T) {
+	is := is.New(t)
+	is.True(!IsEnveloped([]byte{0x45}))
+	is.True(IsEnveloped(write(newChain(2), []byte{1})))
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add(write(newChain(1), []byte{0x45}))
+	f.Add(write(newChain(MaxHops), []byte{0x45}))
+	f.Add([]byte{0x05, 4})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		e, err := Open(b)
+		if err != nil {
+			return
+		}
+		_ = e.Packet()
+		_ = e.Home()
+		_ = e.Hop()
+		for e.HasNext() {
+			_ = e.Advance()
+		}
+	})
+}
--- /dev/null
+++ b/core/pkg/mark/mark_test.go
@@ -0,0 +1,64 @@
+package mark
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+func drawMarks(t *rapid.T, label string) landing.Marks {
+	marks := landing.Marks{}
+	for i := range rapid.IntRange(0, 6).Draw(t, label) {
+		zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, fmt.Sprintf("%s zone %d", label, i))
+		author := rapid.SampledFrom([]string{"x", "y"}).Draw(t, fmt.Sprintf("%s author %d", label, i))
+		marks = SetZone(marks, zone, rapid.Bool().Draw(t, fmt.Sprintf("%s out %d", label, i)), author)
+	}
+	return marks
+}
+
+func TestMergeIsCommutativeAssociativeAndIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawMarks(t, "a"), drawMarks(t, "b"), drawMarks(t, "c")
+		if Digest(Merge(a, b)) != Digest(Merge(b, a)) {
+			t.Fatal("not commutative")
+		}
+		if Digest(Merge(Merge(a, b), c)) != Digest(Merge(a, Merge(b, c))) {
+			t.Fatal("not associative")
+		}
+		if Digest(Merge(a, a)) != Digest(a) {
+			t.Fatal("not idempotent")
+		}
+	})
+}
+
+func TestMarkInForceIsNeverRevertedByAnOlderOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old := drawMarks(t, "old")
+		newer := SetZone(old, "a", true, "x")
+		target := landing.Target{}.WithZone("a")
+		if !IsOut(Merge(newer, old), target) || !IsOut(Merge(old, newer), target) {
+			t.Fatal("reverted")
+		}
+	})
+}
+
+func TestTwoOperatorsAtOnceOutWins(t *testing.T) {
+	is := is.New(t)
+	base := SetZone(landing.Marks{}, "a", true, "x")
+	back := SetZone(base, "a", false, "x")
+	outAgain := SetZone(base, "a", true, "y")
+	is.True(IsOut(Merge(back, outAgain), landing.Target{}.WithZone("a")))
+}
+
+func ExampleIsOut() {
+	marks := SetUpstream(landing.Marks{}, "desk-1", true, "ops")
+	fmt.Println(IsOut(marks, landing.Target{}.WithInstance("desk-1")))
+	fmt.Println(IsOut(marks, landing.Target{}.WithInstance("desk-2")))
+	// Output:
+	// true
+	// false
+}
--- /dev/null
+++ b/core/pkg/membership/membership_test.go
@@ -0,0 +1,99 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/lease"
+)
+
+const (
+	worlds     = 150
+	quietSteps = 300
+)
+
+// firstFault runs worlds with failures and returns the first fault that is left after a quiet time.
+func firstFault(h handler) string {
+	for seed := range uint64(worlds) {
+		w := newWorld(seed, h)
+		for range 5 {
+			w.startSidecar()
+		}
+		w.run(300, true)
+		w.heal()
+		w.run(quietSteps, false)
+		if fault := w.fault(); fault != "" {
+			return fmt.Sprintf("seed %d: %s", seed, fault)
+		}
+	}
+	return ""
+}
+
+func TestRosterConvergesAfterFailuresAndNeverReverts(t *testing.T) {
+	is := is.New(t)
+	is.Equal(firstFault(Handle), "")
+}
+
+func TestRosterRevertsWhenOlderOnesAreTaken(t *testing.T) {
+	is := is.New(t)
+	mutant := func(w landing.Watch, h landing.Happening) (landing.Watch, []landing.Task) {
+		if r, isRead := h.(landing.Read); isRead && r.Peer() {
+			return w.WithRecord(w.Record().WithRoster(r.Record().Roster())), nil
+		}
+		return Handle(w, h)
+	}
+	is.True(firstFault(mutant) != "")
+}
+
+func TestDeadTargetStaysWhenSilenceIsNotReported(t *testing.T) {
+	is := is.New(t)
+	mutant := func(w landing.Watch, h landing.Happening) (landing.Watch, []landing.Task) {
+		next, tasks := Handle(w.WithSince(time.Unix(1<<40, 0)), h)
+		return next, tasks
+	}
+	is.True(firstFault(mutant) != "")
+}
+
+func TestHolderThatWakesUpWritesOnlyOverTheVersionItKnew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, Handle)
+	w.startSidecar()
+	w.run(100, false)
+	var holder *member
+	for _, m := range w.balancers {
+		if lease.IsHeldBy(m.watch.Record().Lease(), m.watch.Self()) {
+			holder = m
+		}
+	}
+	holder.frozen = true
+	known := holder.watch.Version()
+	w.run(100, false)
+	is.True(!lease.IsHeldBy(w.object.Lease(), holder.watch.Self()))
+	version := w.version
+
+	holder.frozen = false
+	next, tasks := Handle(holder.watch, landing.Tick{}.WithNow(w.now))
+	holder.watch = next
+	is.Equal(len(tasks), 1)
+	write, isWrite := tasks[0].(landing.Write)
+	is.True(isWrite)
+	is.Equal(write.Version(), known)
+	is.True(write.Version() < version)
+	w.write(holder, write)
+	is.Equal(w.version, version)
+	w.run(quietSteps, false)
+	is.Equal(w.fault(), "")
+}
+
+func ExampleHandle() {
+	now := time.Unix(1000, 0)
+	self := landing.Member{}.WithInstance("balancer-1").WithIncarnation(1)
+	w := New(self, "khomas", 4*time.Second, now)
+	_, tasks := Handle(w, landing.Tick{}.WithNow(now))
+	fmt.Printf("%T\n", tasks[0])
+	// Output: landing.Write
+}
--- /dev/null
+++ b/core/pkg/membership/world_test.go
@@ -0,0 +1,226 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/roster"
+)
+
+const (
+	step       = 100 * time.Millisecond
+	testExpiry = 2 * time.Second
+)
+
+// handler is the signature of Handle, so that a faulty one can take its place.
+type handler func(landing.Watch, landing.Happening) (landing.Watch, []landing.Task)
+
+// world is the balancers of a region, their sidecars, and the platform's object.
+type world struct {
+	random    *rand.Rand
+	handle    handler
+	now       time.Time
+	balancers []*member
+	sidecars  map[string]landing.Target
+	next      int
+	object    landing.Record
+	version   uint64
+	isDown    bool
+	isDeaf    bool
+	reverted  bool
+}
+
+// member is one balancer, and the tasks that it has not carried out yet.
+type member struct {
+	watch    landing.Watch
+	tasks    []landing.Task
+	frozen   bool
+	isolated bool
+}
+
+func newWorld(seed uint64, h handler) *world {
+	w := &world{
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		handle:   h,
+		now:      time.Unix(1000, 0),
+		sidecars: map[string]landing.Target{},
+	}
+	for i := range 3 {
+		self := landing.Member{}.WithInstance(fmt.Sprintf("balancer-%d", i)).WithIncarnation(1)
+		w.balancers = append(w.balancers, &member{watch: New(self, "khomas", testExpiry, w.now)})
+	}
+	return w
+}
+
+func (w *world) startSidecar() {
+	w.next++
+	name := fmt.Sprintf("desk-%03d", w.next)
+	w.sidecars[name] = landing.Target{}.
+		WithInstance(name).
+		WithService("desk").
+		WithPhase(landing.PhaseServing).
+		WithIncarnation(uint64(w.now.UnixNano()))
+}
+
+// run lets this many steps pass. With chaos, things fail at random.
+func (w *world) run(steps int, chaos bool) {
+	for range steps {
+		w.now = w.now.Add(step)
+		if chaos {
+			w.fail()
+		}
+		w.heartbeats()
+		w.gossip()
+		for _, m := range w.balancers {
+			if !m.frozen {
+				w.post(m, landing.Tick{}.WithNow(w.now))
+				w.carryOut(m)
+			}
+		}
+	}
+}
+
+func (w *world) fail() {
+	m := w.balancers[w.random.IntN(len(w.balancers))]
+	switch w.random.IntN(60) {
+	case 0:
+		m.frozen = !m.frozen
+	case 1:
+		w.isDown = !w.isDown
+	case 2:
+		w.isDeaf = !w.isDeaf
+	case 3:
+		w.startSidecar()
+	case 4:
+		for name := range w.sidecars {
+			delete(w.sidecars, name)
+			break
+		}
+	case 5:
+		m.isolated = !m.isolated
+	}
+}
+
+func (w *world) heal() {
+	w.isDown = false
+	w.isDeaf = false
+	for _, m := range w.balancers {
+		m.frozen = false
+		m.isolated = false
+	}
+}
+
+// heartbeats lets each sidecar announce itself to the first balancer that answers.
+func (w *world) heartbeats() {
+	for name, t := range w.sidecars {
+		var members []landing.Member
+		byName := map[string]*member{}
+		for _, m := range w.balancers {
+			members = append(members, m.watch.Self())
+			byName[m.watch.Self().Instance()] = m
+		}
+		for _, home := range roster.Homes(members, name) {
+			m := byName[home.Instance()]
+			if m.frozen || m.isolated {
+				continue
+			}
+			w.post(m, landing.Heard{}.WithTarget(t).WithNow(w.now))
+			present, found := roster.Find(m.watch.Record().Roster(), name)
+			if found && present.Phase() == landing.PhaseLeft && present.Change() >= t.Change() {
+				w.sidecars[name] = t.WithChange(present.Change() + 1)
+			}
+			break
+		}
+	}
+}
+
+// gossip lets each balancer meet another one.
+func (w *world) gossip() {
+	for _, m := range w.balancers {
+		peer := w.balancers[w.random.IntN(len(w.balancers))]
+		if peer == m || m.frozen || peer.frozen || m.isolated || peer.isolated {
+			continue
+		}
+		w.post(peer, landing.Met{}.WithMember(m.watch.Self()).WithTargets(Deviations(m.watch)...).WithNow(w.now))
+		w.post(m, landing.Read{}.WithRecord(landing.Record{}.WithRoster(peer.watch.Record().Roster())).WithPeer(true).WithNow(w.now))
+	}
+}
+
+func (w *world) post(m *member, h landing.Happening) {
+	before := m.watch.Record().Roster().Serial()
+	next, tasks := w.handle(m.watch, h)
+	m.watch = next
+	m.tasks = append(m.tasks, tasks...)
+	if next.Record().Roster().Serial() < before {
+		w.reverted = true
+	}
+}
+
+// carryOut carries out the open tasks of m, and lets its watch see the object.
+func (w *world) carryOut(m *member) {
+	tasks := m.tasks
+	m.tasks = nil
+	for _, t := range tasks {
+		switch t := t.(type) {
+		case landing.Write:
+			w.write(m, t)
+		case landing.Reread:
+			w.read(m)
+		case landing.Publish:
+		}
+	}
+	if !m.isolated && w.random.IntN(3) == 0 && !m.watch.Busy() {
+		w.read(m)
+	}
+}
+
+func (w *world) write(m *member, t landing.Write) {
+	fits := t.Version() == w.version
+	reaches := !w.isDown && !m.isolated
+	if fits && reaches {
+		if t.Record().Roster().Serial() < w.object.Roster().Serial() {
+			w.reverted = true
+		}
+		w.object = t.Record()
+		w.version++
+	}
+	if fits && reaches && !w.isDeaf {
+		w.post(m, landing.Wrote{}.WithConfirmed(true).WithRecord(t.Record()).WithVersion(w.version).WithNow(w.now))
+		return
+	}
+	w.post(m, landing.Wrote{}.WithNow(w.now))
+}
+
+func (w *world) read(m *member) {
+	if w.isDown || m.isolated {
+		if m.watch.Busy() {
+			m.tasks = append(m.tasks, landing.Reread{})
+		}
+		return
+	}
+	w.post(m, landing.Read{}.WithRecord(w.object).WithVersion(w.version).WithNow(w.now))
+}
+
+// fault returns what is wrong after a long quiet time; empty when nothing is.
+func (w *world) fault() string {
+	if w.reverted {
+		return "a roster was reverted"
+	}
+	for _, m := range w.balancers {
+		r := m.watch.Record().Roster()
+		if r.MembersLen() != len(w.balancers) {
+			return fmt.Sprintf("%s knows %d balancers", m.watch.Self().Instance(), r.MembersLen())
+		}
+		if r.TargetsLen() != len(w.sidecars) {
+			return fmt.Sprintf("%s knows %d targets of %d", m.watch.Self().Instance(), r.TargetsLen(), len(w.sidecars))
+		}
+		for _, t := range r.Targets() {
+			if _, lives := w.sidecars[t.Instance()]; !lives || t.Phase() != landing.PhaseServing {
+				return fmt.Sprintf("%s has %s %s", m.watch.Self().Instance(), t.Instance(), t.Phase())
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/core/pkg/packet/packet_test.go
@@ -0,0 +1,55 @@
+package packet
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+func newKey() landing.Key {
+	return landing.Key{}.
+		WithSource(0x0a010007).
+		WithSport(4000).
+		WithDestination(0x0ac80001).
+		WithDport(80)
+}
+
+func TestResetOfTheCallerIsReadAsSuch(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse(NewCallerReset(newKey(), 77))
+	is.NoErr(err)
+	is.Equal(s.Key(), newKey())
+	is.Equal(s.Sequence(), uint32(77))
+	is.True(s.Resets())
+	is.True(!s.Opening())
+}
+
+func TestResetAnswersTheCaller(t *testing.T) {
+	is := is.New(t)
+	answer, err := NewReset(NewCallerReset(newKey(), 77))
+	is.NoErr(err)
+	s, err := ParseAnswer(answer)
+	is.NoErr(err)
+	is.Equal(s.Key(), newKey())
+	is.Equal(checksum(answer[:ipv4HeaderBytes], 0), uint16(0))
+	is.Equal(checksum(answer[ipv4HeaderBytes:], pseudoSum(answer)), uint16(0))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(NewCallerReset(newKey(), 77))
+	f.Add([]byte{0x45})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, err := Parse(b); err != nil {
+			return
+		}
+		if _, err := ParseAnswer(b); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := NewReset(b); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/core/pkg/plan/plan_test.go
@@ -0,0 +1,78 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+func newIndex() *Index {
+	return New(landing.Lists{}.
+		WithServices(
+			landing.Service{}.WithName("desk").WithAddress("10.200.0.1:80"),
+			landing.Service{}.WithName("store").WithAddress("10.200.0.2:80"),
+		).
+		WithPlans(
+			landing.Plan{}.WithName("full").WithGrants(
+				landing.Grant{}.WithService("desk").WithZones("a").WithFlows(10),
+				landing.Grant{}.WithService("store").WithZones("a").WithFlows(10),
+			),
+			landing.Plan{}.WithName("desk-only").WithGrants(landing.Grant{}.WithService("desk").WithZones("b").WithFlows(3)),
+		).
+		WithCustomers(
+			landing.Customer{}.WithName("north").WithPlan("full").WithPrefixes("10.1.0.0/24", "10.7.0.0/16"),
+			landing.Customer{}.WithName("south").WithPlan("desk-only").WithPrefixes("10.1.1.0/24"),
+		))
+}
+
+func keyOf(source, destination uint32) landing.Key {
+	return landing.Key{}.
+		WithSource(10<<24 | source).
+		WithDestination(10<<24 | 200<<16 | destination).
+		WithDport(80)
+}
+
+func TestCustomerReachesOnlyWhatItsPlanGrants(t *testing.T) {
+	for name, c := range map[string]struct {
+		key  landing.Key
+		want landing.Refusal
+	}{
+		"granted":                 {keyOf(1<<16|9, 2), landing.RefusalUnspecified},
+		"granted, second prefix":  {keyOf(7<<16|255<<8, 1), landing.RefusalUnspecified},
+		"not granted":             {keyOf(1<<16|1<<8|9, 2), landing.RefusalPlan},
+		"unknown caller":          {keyOf(1<<16|2<<8, 1), landing.RefusalCaller},
+		"unknown caller above":    {keyOf(8<<16, 1), landing.RefusalCaller},
+		"unknown service":         {keyOf(1<<16, 3), landing.RefusalService},
+		"unknown port of service": {keyOf(1<<16, 1).WithDport(81), landing.RefusalService},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, refusal := newIndex().Find(c.key)
+			is.Equal(refusal, c.want)
+		})
+	}
+}
+
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.Uint32Range(1, 1000), 1, 50).Draw(t, "weights")
+		total := rapid.Uint32().Draw(t, "total")
+		var sum uint64
+		for place := range weights {
+			sum += uint64(Share(total, weights, place))
+		}
+		if sum != uint64(total) {
+			t.Fatalf("%d in place of %d", sum, total)
+		}
+	})
+}
+
+func ExampleIndex_Find() {
+	access, refusal := newIndex().Find(keyOf(1<<16|9, 1))
+	fmt.Println(access.Customer().Name(), access.Service().Name(), refusal)
+	// Output: north desk unspecified
+}
--- /dev/null
+++ b/core/pkg/queue/queue_test.go
@@ -0,0 +1,80 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestCustomersTakeTurnsAndTheLongestLineIsShed(t *testing.T) {
+	is := is.New(t)
+	q := New(4)
+	for i := range 3 {
+		q, _, _ = q.WithWaiter("much", Ticket(i+1))
+	}
+	q, _, _ = q.WithWaiter("little", 10)
+	q, shed, isShed := q.WithWaiter("little", 11)
+	is.True(isShed)
+	is.Equal(shed, Ticket(3))
+	var order []Ticket
+	for q.Len() > 0 {
+		next, ticket, _ := q.Next()
+		q = next
+		order = append(order, ticket)
+	}
+	is.Equal(order, []Ticket{1, 10, 2, 11})
+}
+
+func TestEveryTicketLeavesOnceAndInOrderOfItsCustomer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(rapid.IntRange(1, 8).Draw(t, "limit"))
+		left := map[Ticket]int{}
+		lastOf := map[string]Ticket{}
+		owner := map[Ticket]string{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			ticket := Ticket(i + 1)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				customer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")
+				owner[ticket] = customer
+				next, shed, isShed := q.WithWaiter(customer, ticket)
+				q = next
+				if isShed {
+					left[shed]++
+				}
+			case 1:
+				next, served, ok := q.Next()
+				q = next
+				if ok {
+					left[served]++
+					if served < lastOf[owner[served]] {
+						t.Fatalf("ticket %d after %d", served, lastOf[owner[served]])
+					}
+					lastOf[owner[served]] = served
+				}
+			case 2:
+				q = q.Without(Ticket(rapid.IntRange(1, 60).Draw(t, "ticket")))
+			}
+		}
+		for ticket, n := range left {
+			if n > 1 {
+				t.Fatalf("ticket %d left %d times", ticket, n)
+			}
+		}
+	})
+}
+
+func ExampleQueue_Next() {
+	q := New(10)
+	q, _, _ = q.WithWaiter("north", 1)
+	q, _, _ = q.WithWaiter("north", 2)
+	q, _, _ = q.WithWaiter("south", 3)
+	for q.Len() > 0 {
+		next, ticket, _ := q.Next()
+		q = next
+		fmt.Print(ticket, " ")
+	}
+	// Output: 1 3 2
+}
