Lists: garbage from the platform is never taken for an answer

Cause (found by the history of five operators against a platform that is down, deaf or garbled): three faults. (2) A write answered by garbage counted as accepted.

Ruled out: a second try of the PUT by the HTTP library (it repeats only idempotent methods without a body) and delayed writes (the stand-in has none in these modes).

Change: objects carry a checksum; chunks are read back before the root names them; a root is confirmed by reading it, or by finding it, with its own hash, among the past ones.

The loader's own test fails before and passes after.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for users: demo, test. For developers: generate, format, lint, bench, history.
 
-MODULES := core balancer sidecar landingctl standin valuegen
+MODULES := core balancer sidecar landingctl standin experiment valuegen
 PROGRAMS := balancer sidecar landingctl standin
 TOOLS := $(CURDIR)/.tools
 
@@ -38,3 +38,7 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./core/... ./balancer/... ./sidecar/...
+
+# Searches longer histories than CI: make history SEED=1 RUNS=50
+history:
+	cd experiment && go test -run 'AtMostOnce|AcceptedLists' -v ./pkg/scenario -seed $(SEED) -runs $(RUNS)
--- a/core/pkg/loader/loader.go
+++ b/core/pkg/loader/loader.go
@@ -58,7 +58,7 @@
 		missing = l.missing(root)
 	}
 	if len(missing) > 0 {
-		return landing.Lists{}, trace.Wrap(err, "%d chunks of root %d are missing", len(missing), root.Serial())
+		return landing.Lists{}, trace.ConnectionProblem(err, "%d chunks of root %d are missing", len(missing), root.Serial())
 	}
 	return l.join(root)
 }
--- /dev/null
+++ b/core/pkg/loader/loader_test.go
@@ -0,0 +1,28 @@
+package loader
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/platform"
+)
+
+func TestGarbageInPlaceOfAChunkIsAnErrorAndNotEmptyLists(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("ETag", `"1"`)
+		_, _ = w.Write([]byte("garbage"))
+	}))
+	defer server.Close()
+	client := platform.New(strings.TrimPrefix(server.URL, "http://"))
+	defer client.Close()
+	root := landing.Root{}.WithSerial(1).WithChunks("0123")
+	_, err := New().Load(context.Background(), root, Platform{Client: client})
+	is.True(err != nil)
+}
--- a/core/pkg/object/object.go
+++ b/core/pkg/object/object.go
@@ -3,8 +3,10 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
@@ -22,6 +24,8 @@
 	chunkPrefix  = "chunk-"
 	pastPrefix   = "past-"
 	recordPrefix = "roster-"
+
+	checksumBytes = 8
 )
 
 // Record returns the name of the object that holds the roster of a region.
@@ -105,16 +109,22 @@
 	return codec.DecodeRecord(m), nil
 }
 
+// encode returns the encoding of m after its checksum.
 func encode(m proto.Message) []byte {
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	b, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(make([]byte, checksumBytes), m)
 	if err != nil {
 		panic(err)
 	}
+	binary.BigEndian.PutUint64(b, xxhash.Sum64(b[checksumBytes:]))
 	return b
 }
 
+// decode checks the checksum, so that garbage is not taken for an object without fields.
 func decode(b []byte, m proto.Message) error {
-	if err := proto.Unmarshal(b, m); err != nil {
+	if len(b) < checksumBytes || binary.BigEndian.Uint64(b) != xxhash.Sum64(b[checksumBytes:]) {
+		return trace.BadParameter("object has a wrong checksum")
+	}
+	if err := proto.Unmarshal(b[checksumBytes:], m); err != nil {
 		return trace.BadParameter("object cannot be decoded: %v", err)
 	}
 	return nil
--- a/core/pkg/platform/marks.go
+++ b/core/pkg/platform/marks.go
@@ -29,11 +29,11 @@
 
 func mergeOnce(ctx context.Context, c *Client, m landing.Marks) (landing.Marks, error) {
 	o, err := c.Get(ctx, object.Marks)
-	if err != nil && !trace.IsNotFound(err) {
-		return landing.Marks{}, err
+	present := landing.Marks{}
+	if err == nil {
+		present, err = object.DecodeMarks(o.Value())
 	}
-	present, err := object.DecodeMarks(o.Value())
-	if err != nil {
+	if err != nil && !trace.IsNotFound(err) {
 		return landing.Marks{}, err
 	}
 	merged := mark.Merge(present, m)
--- a/landingctl/pkg/config/config.go
+++ b/landingctl/pkg/config/config.go
@@ -95,37 +95,61 @@
 }
 
 // writeOnce writes an object whose name determines its value, so one that exists is as good.
+// The object is read back, since an answer can be lost or wrong.
 func writeOnce(ctx context.Context, client *platform.Client, name string, value []byte) error {
 	_, err := client.Put(ctx, name, 0, value)
 	if trace.IsCompareFailed(err) {
 		return nil
 	}
-	if err == nil || !trace.IsConnectionProblem(err) {
+	if err != nil && !trace.IsConnectionProblem(err) {
 		return err
 	}
-	if _, readErr := client.Get(ctx, name); readErr == nil {
-		return nil
+	o, readErr := client.Get(ctx, name)
+	if readErr != nil {
+		return trace.ConnectionProblem(readErr, "object %s is not known to be written", name)
 	}
-	return err
+	if object.Hash(o.Value()) != object.Hash(value) {
+		return trace.ConnectionProblem(err, "object %s was not written", name)
+	}
+	return nil
 }
 
 func writeRoot(ctx context.Context, client *platform.Client, version uint64, root landing.Root) error {
 	value := object.EncodeRoot(root)
 	_, err := client.Put(ctx, object.Root, version, value)
-	if err == nil || !trace.IsConnectionProblem(err) {
+	if err != nil && !trace.IsConnectionProblem(err) {
 		return err
 	}
-	o, readErr := client.Get(ctx, object.Root)
-	if readErr != nil {
-		return trace.ConnectionProblem(err, "it is not known whether the change was accepted; ask with landingctl history")
+	return confirmRoot(ctx, client, version, value)
+}
+
+// confirmRoot reads whether the root was accepted, since an answer can be lost or wrong. An operator who
+// changed it since has kept it among the past ones first.
+func confirmRoot(ctx context.Context, client *platform.Client, version uint64, value []byte) error {
+	o, err := client.Get(ctx, object.Root)
+	if err != nil {
+		return unknownOutcome(err)
 	}
-	if object.Hash(o.Value()) == object.Hash(value) {
+	hash := object.Hash(value)
+	if object.Hash(o.Value()) == hash {
 		return nil
 	}
-	if o.Version() != version {
+	if _, err = object.DecodeRoot(o.Value()); err != nil || o.Version() == version {
+		return unknownOutcome(err)
+	}
+	o, err = client.Get(ctx, object.Past(hash))
+	switch {
+	case err == nil && object.Hash(o.Value()) == hash:
+		return nil
+	case trace.IsNotFound(err):
 		return trace.CompareFailed("the lists were changed by another operator")
+	default:
+		return unknownOutcome(err)
 	}
-	return err
+}
+
+func unknownOutcome(err error) error {
+	return trace.ConnectionProblem(err, "it is not known whether the change was accepted; ask with landingctl history")
 }
 
 // History returns the roots from the newest back, limit at most.
