Membership: a living target is never shown as gone while homes change

Cause: a balancer that thawed, or became home to targets through a change of the balancers, reported as gone at once the targets that had not turned to it yet; the roster lost them until their next heartbeat.

Ruled out: heartbeats lost on the way (the sidecar's order of homes is right and the next one heard it); the lease (the writes were in order).

Change: a balancer reports silence only after two expiries in which the balancers did not change and it was not paused itself; a sidecar avoids a silent balancer for two heartbeats in place of 10 s.

Frozen for exactly 5 s the check passed by coincidence of the avoidance, so it freezes for 4.7 s.

--- /dev/null
+++ b/balancer/pkg/front/front_test.go
@@ -0,0 +1,230 @@
+package front
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"golang.org/x/net/ipv4"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/core/pkg/route"
+)
+
+const (
+	windowPackets = 256
+	ackTimeout    = 5 * time.Millisecond
+)
+
+func newConn(t testing.TB) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func newView(sidecar *net.UDPConn, targets int) *route.View {
+	var list []landing.Target
+	for i := range targets {
+		list = append(list, landing.Target{}.
+			WithInstance(fmt.Sprintf("desk-%d", i)).
+			WithService("desk").
+			WithZone("a").
+			WithFront(sidecar.LocalAddr().String()).
+			WithWeight(8).
+			WithPhase(landing.PhaseServing))
+	}
+	grant := landing.Grant{}.WithService("desk").WithZones("a").WithFlows(1)
+	lists := landing.Lists{}.
+		WithServices(landing.Service{}.WithName("desk").WithAddress("10.200.0.1:80").WithKind(landing.KindRequests)).
+		WithPlans(landing.Plan{}.WithName("full").WithGrants(grant)).
+		WithCustomers(landing.Customer{}.WithName("north").WithPlan("full").WithPrefixes("10.1.0.0/16"))
+	return route.New().WithLists(lists).WithRoster(landing.Roster{}.WithSerial(1).WithTargets(list...))
+}
+
+// newPacket returns a packet of this length from the caller with this number.
+func newPacket(caller uint32, length int) []byte {
+	k := landing.Key{}.
+		WithSource(10<<24 | 1<<16 | caller&0xffff).
+		WithSport(1024 + caller>>16).
+		WithDestination(10<<24 | 200<<16 | 1).
+		WithDport(80)
+	b := append(packet.NewCallerReset(k, 1), make([]byte, length)...)[:length]
+	binary.BigEndian.PutUint16(b[2:], uint16(length))
+	return b
+}
+
+func newFront(t testing.TB, v *route.View) *Front {
+	t.Helper()
+	c := common.New(logr.Discard(), counter.New())
+	f, err := New(c, "127.0.0.1:0", func() *route.View { return v })
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Start(1)
+	t.Cleanup(f.Stop)
+	return f
+}
+
+func TestPacketIsSentAlongItsChainAndReturnedOnesGetTheNextPart(t *testing.T) {
+	is := is.New(t)
+	sidecar := newConn(t)
+	f := newFront(t, newView(sidecar, envelope.MaxHops+3))
+	to := f.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	_, err := sidecar.WriteToUDPAddrPort(newPacket(1, 200), to)
+	is.NoErr(err)
+
+	b := make([]byte, bufferBytes)
+	n, _, err := sidecar.ReadFromUDPAddrPort(b)
+	is.NoErr(err)
+	e, err := envelope.Open(b[:n])
+	is.NoErr(err)
+	is.Equal(e.Packet(), newPacket(1, 200))
+	is.True(e.HasMore())
+	is.Equal(e.Part(), uint8(0))
+
+	_, err = sidecar.WriteToUDPAddrPort(e.Bytes(), to)
+	is.NoErr(err)
+	n, _, err = sidecar.ReadFromUDPAddrPort(b)
+	is.NoErr(err)
+	e, err = envelope.Open(b[:n])
+	is.NoErr(err)
+	is.Equal(e.Packet(), newPacket(1, 200))
+	is.True(!e.HasMore())
+	is.Equal(e.Part(), uint8(1))
+}
+
+func TestForeignDatagramsAreCountedAndDropped(t *testing.T) {
+	is := is.New(t)
+	sidecar := newConn(t)
+	f := newFront(t, newView(sidecar, 1))
+	to := f.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	bad := [][]byte{{}, {0x45}, {0x00}, make([]byte, 100), newPacket(1, 200)[:150], make([]byte, 1600)}
+	for _, b := range bad {
+		_, err := sidecar.WriteToUDPAddrPort(b, to)
+		is.NoErr(err)
+	}
+	_, err := sidecar.WriteToUDPAddrPort(newPacket(1, 200), to)
+	is.NoErr(err)
+	b := make([]byte, bufferBytes)
+	n, _, err := sidecar.ReadFromUDPAddrPort(b)
+	is.NoErr(err)
+	_, err = envelope.Open(b[:n])
+	is.NoErr(err)
+	malformed := f.common.Counters().Counter("refused." + landing.RefusalMalformed.String())
+	is.Equal(malformed.Count(), int64(len(bad)))
+}
+
+// relay is the baseline: it forwards each datagram to one address and decides nothing.
+func relay(conn *net.UDPConn, to *net.UDPAddr) {
+	pc := ipv4.NewPacketConn(conn)
+	in := make([]ipv4.Message, batch)
+	out := make([]ipv4.Message, batch)
+	for i := range in {
+		in[i].Buffers = [][]byte{make([]byte, bufferBytes)}
+		out[i].Addr = to
+	}
+	for {
+		n, err := pc.ReadBatch(in, 0)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		for i := range n {
+			out[i].Buffers = [][]byte{in[i].Buffers[0][:in[i].N]}
+		}
+		for sent := 0; sent < n; {
+			m, err := pc.WriteBatch(out[sent:n], 0)
+			if err != nil {
+				return
+			}
+			sent += m
+		}
+	}
+}
+
+// pump sends packets in windows and waits for each window to come out at the sidecar.
+func pump(b *testing.B, sidecar *net.UDPConn, to netip.AddrPort, packets [][]byte) {
+	b.Helper()
+	sender := newConn(b)
+	pcOut := ipv4.NewPacketConn(sender)
+	pcIn := ipv4.NewPacketConn(sidecar)
+	out := make([]ipv4.Message, batch)
+	in := make([]ipv4.Message, batch)
+	for i := range in {
+		in[i].Buffers = [][]byte{make([]byte, bufferBytes)}
+	}
+	lost := 0
+	next := 0
+	b.ResetTimer()
+	for done := 0; done < b.N; done += windowPackets {
+		for range windowPackets / batch {
+			for i := range out {
+				out[i].Buffers = [][]byte{packets[next%len(packets)]}
+				out[i].Addr = net.UDPAddrFromAddrPort(to)
+				next++
+			}
+			if _, err := pcOut.WriteBatch(out, 0); err != nil {
+				b.Fatal(err)
+			}
+		}
+		for got := 0; got < windowPackets; {
+			_ = sidecar.SetReadDeadline(time.Now().Add(ackTimeout))
+			n, err := pcIn.ReadBatch(in, 0)
+			if err != nil {
+				lost += windowPackets - got
+				break
+			}
+			got += n
+		}
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "packets/s")
+	b.ReportMetric(float64(lost), "lost")
+}
+
+func newPackets(flows, length int) [][]byte {
+	packets := make([][]byte, flows)
+	for i := range packets {
+		packets[i] = newPacket(uint32(i), length)
+	}
+	return packets
+}
+
+func BenchmarkForward(b *testing.B) {
+	for _, length := range []int{200, 1400} {
+		b.Run(fmt.Sprintf("relay/bytes=%d", length), func(b *testing.B) {
+			sidecar, middle := newConn(b), newConn(b)
+			go relay(middle, sidecar.LocalAddr().(*net.UDPAddr))
+			pump(b, sidecar, middle.LocalAddr().(*net.UDPAddr).AddrPort(), newPackets(1000, length))
+		})
+		b.Run(fmt.Sprintf("balancer/bytes=%d", length), func(b *testing.B) {
+			sidecar := newConn(b)
+			f := newFront(b, newView(sidecar, 4))
+			pump(b, sidecar, f.conn.LocalAddr().(*net.UDPAddr).AddrPort(), newPackets(1000, length))
+		})
+	}
+}
+
+// BenchmarkOpenFlows shows that the cost of a packet does not grow with the number of open flows.
+func BenchmarkOpenFlows(b *testing.B) {
+	for _, flows := range []int{3_000, 30_000, 300_000} {
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) {
+			sidecar := newConn(b)
+			f := newFront(b, newView(sidecar, 4))
+			pump(b, sidecar, f.conn.LocalAddr().(*net.UDPAddr).AddrPort(), newPackets(flows, 200))
+		})
+	}
+}
--- a/core/gen/codec/membership.go
+++ b/core/gen/codec/membership.go
@@ -279,6 +279,8 @@
 	m.Expiry = durationpb.New(v.Expiry())
 	m.Since = timestamppb.New(v.Since())
 	m.Renewed = timestamppb.New(v.Renewed())
+	m.Settled = timestamppb.New(v.Settled())
+	m.Ticked = timestamppb.New(v.Ticked())
 	return m
 }
 
@@ -309,5 +311,7 @@
 	v = v.WithExpiry(m.GetExpiry().AsDuration())
 	v = v.WithSince(m.GetSince().AsTime())
 	v = v.WithRenewed(m.GetRenewed().AsTime())
+	v = v.WithSettled(m.GetSettled().AsTime())
+	v = v.WithTicked(m.GetTicked().AsTime())
 	return v
 }
--- a/core/gen/landing/membership.go
+++ b/core/gen/landing/membership.go
@@ -414,6 +414,8 @@
 	expiry     time.Duration
 	since      time.Time
 	renewed    time.Time
+	settled    time.Time
+	ticked     time.Time
 }
 
 // Self returns the field of this name:
@@ -589,3 +591,28 @@
 	v.renewed = renewed
 	return v
 }
+
+// Settled returns the field of this name:
+// Time at which the homes of targets may last have changed: the balancers of the roster
+// changed, or this balancer was paused.
+func (v Watch) Settled() time.Time {
+	return v.settled
+}
+
+// WithSettled returns a copy with another settled.
+func (v Watch) WithSettled(settled time.Time) Watch {
+	v.settled = settled
+	return v
+}
+
+// Ticked returns the field of this name:
+// Time of the last tick.
+func (v Watch) Ticked() time.Time {
+	return v.ticked
+}
+
+// WithTicked returns a copy with another ticked.
+func (v Watch) WithTicked(ticked time.Time) Watch {
+	v.ticked = ticked
+	return v
+}
--- a/core/pkg/membership/membership.go
+++ b/core/pkg/membership/membership.go
@@ -15,6 +15,8 @@
 const (
 	// memberExpiries is the number of target expiries after which a silent balancer is gone.
 	memberExpiries = 3
+	// settleExpiries is the number of target expiries for which targets have time to turn to a new home.
+	settleExpiries = 2
 	// leaseExpiries is the duration of the lease in target expiries.
 	leaseExpiries = 1
 )
@@ -134,6 +136,9 @@
 	if w.Record().Roster().Serial() == 0 {
 		w = w.WithSince(now)
 	}
+	if !slices.Equal(w.Record().Roster().Members(), r.Members()) {
+		w = w.WithSettled(now)
+	}
 	w = w.WithRecord(w.Record().WithRoster(r))
 	w = w.WithReports(newerThan(r, w.Reports())...)
 	return w, []landing.Task{landing.Publish{}.WithRoster(r)}
@@ -152,6 +157,7 @@
 }
 
 func handleTick(w landing.Watch, now time.Time) (landing.Watch, []landing.Task) {
+	w = noticePause(w, now)
 	w = forgetSightings(w, now)
 	w = reportSilent(w, now)
 	if w.Busy() {
@@ -167,6 +173,14 @@
 	return write(w, now)
 }
 
+// noticePause notes when this balancer itself was paused: that it heard nobody then says nothing.
+func noticePause(w landing.Watch, now time.Time) landing.Watch {
+	if now.Sub(w.Ticked()) >= w.Expiry()/2 {
+		w = w.WithSettled(now)
+	}
+	return w.WithTicked(now)
+}
+
 func renewOrWrite(w landing.Watch, now time.Time) (landing.Watch, []landing.Task) {
 	due := lease.IsRenewalDue(w.Record().Lease(), w.Renewed(), now)
 	if due || hasChange(w, now) {
--- a/core/pkg/membership/membership_test.go
+++ b/core/pkg/membership/membership_test.go
@@ -52,7 +52,7 @@
 func TestDeadTargetStaysWhenSilenceIsNotReported(t *testing.T) {
 	is := is.New(t)
 	mutant := func(w landing.Watch, h landing.Happening) (landing.Watch, []landing.Task) {
-		next, tasks := Handle(w.WithSince(time.Unix(1<<40, 0)), h)
+		next, tasks := Handle(w.WithSettled(time.Unix(1<<40, 0)), h)
 		return next, tasks
 	}
 	is.True(firstFault(mutant) != "")
@@ -97,3 +97,31 @@
 	fmt.Printf("%T\n", tasks[0])
 	// Output: landing.Write
 }
+
+// leftByMistake returns the number of steps at which a target that sends heartbeats is shown as gone,
+// while one balancer after another dies and comes back.
+func leftByMistake(seed uint64) int {
+	w := newWorld(seed, Handle)
+	for range 12 {
+		w.startSidecar()
+	}
+	w.run(100, false)
+	mistakes := 0
+	for i := range 300 {
+		w.balancers[i/100].frozen = i%100 < 47
+		w.run(1, false)
+		for _, t := range w.object.Roster().Targets() {
+			if t.Phase() == landing.PhaseLeft {
+				mistakes++
+			}
+		}
+	}
+	return mistakes
+}
+
+func TestLivingTargetIsNeverShownAsGoneWhileBalancersComeAndGo(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		is.Equal(leftByMistake(seed), 0)
+	}
+}
--- a/core/pkg/membership/next.go
+++ b/core/pkg/membership/next.go
@@ -55,10 +55,10 @@
 	return members, !slices.Equal(members, w.Record().Roster().Members())
 }
 
-// keepUnheard adds members of the roster in force that a balancer which holds its
-// record only shortly has had no time to meet.
+// keepUnheard adds members of the roster in force that a balancer has had no time to meet since the
+// balancers last changed or since it was paused.
 func keepUnheard(w landing.Watch, members []landing.Member, now time.Time) []landing.Member {
-	if now.Sub(w.Since()) >= memberExpiries*w.Expiry() {
+	if now.Sub(w.Settled()) >= memberExpiries*w.Expiry() {
 		return members
 	}
 	for _, m := range w.Record().Roster().Members() {
@@ -83,9 +83,9 @@
 }
 
 // reportSilent reports as gone the targets whose home is this balancer and that it does not hear.
-// A balancer that holds its record only shortly waits, so that sidecars can turn to it first.
+// After a change of the balancers it waits, so that sidecars can turn to their new home first.
 func reportSilent(w landing.Watch, now time.Time) landing.Watch {
-	if now.Sub(w.Since()) < 2*w.Expiry() {
+	if now.Sub(w.Settled()) < settleExpiries*w.Expiry() {
 		return w
 	}
 	reports := w.Reports()
--- a/core/pkg/membership/world_test.go
+++ b/core/pkg/membership/world_test.go
@@ -12,6 +12,8 @@
 const (
 	step       = 100 * time.Millisecond
 	testExpiry = 2 * time.Second
+	// avoidTime is the time for which a sidecar does not ask a balancer that did not answer.
+	avoidTime = time.Second
 )
 
 // handler is the signature of Handle, so that a faulty one can take its place.
@@ -30,6 +32,13 @@
 	isDown    bool
 	isDeaf    bool
 	reverted  bool
+	avoided   map[avoidance]time.Time
+}
+
+// avoidance names a sidecar and a balancer that did not answer it.
+type avoidance struct {
+	sidecar  string
+	balancer string
 }
 
 // member is one balancer, and the tasks that it has not carried out yet.
@@ -46,6 +55,7 @@
 		handle:   h,
 		now:      time.Unix(1000, 0),
 		sidecars: map[string]landing.Target{},
+		avoided:  map[avoidance]time.Time{},
 	}
 	for i := range 3 {
 		self := landing.Member{}.WithInstance(fmt.Sprintf("balancer-%d", i)).WithIncarnation(1)
@@ -123,7 +133,12 @@
 		}
 		for _, home := range roster.Homes(members, name) {
 			m := byName[home.Instance()]
+			pair := avoidance{name, home.Instance()}
+			if w.now.Before(w.avoided[pair]) {
+				continue
+			}
 			if m.frozen || m.isolated {
+				w.avoided[pair] = w.now.Add(avoidTime)
 				continue
 			}
 			w.post(m, landing.Heard{}.WithTarget(t).WithNow(w.now))
--- a/experiment/pkg/scenario/flows_test.go
+++ b/experiment/pkg/scenario/flows_test.go
@@ -44,9 +44,12 @@
 // awaitProgress waits until each feed has more lines than it had, or has broken.
 func awaitProgress(t *testing.T, feeds []*traffic.Feed) {
 	t.Helper()
-	for _, f := range feeds {
-		before := f.Lines()
-		err := deployment.Await(func() bool { return f.Lines() > before || f.Err() != nil })
+	before := make([]int, len(feeds))
+	for i, f := range feeds {
+		before[i] = f.Lines()
+	}
+	for i, f := range feeds {
+		err := deployment.Await(func() bool { return f.Lines() > before[i] || f.Err() != nil })
 		if err != nil {
 			t.Fatalf("feed of %s stands still after %d lines", f.Instance(), f.Lines())
 		}
--- a/sidecar/pkg/home/home.go
+++ b/sidecar/pkg/home/home.go
@@ -13,8 +13,9 @@
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/keeper"
 )
 
-// avoidTime is the time for which a balancer that did not answer is asked last.
-const avoidTime = 10 * time.Second
+// avoidBeats is the number of heartbeats for which a balancer that did not answer is asked last. It is
+// short against the time that a balancer gives its new targets to turn to it.
+const avoidBeats = 2
 
 // Home sends heartbeats.
 type Home struct {
@@ -100,7 +101,7 @@
 	s := h.keeper.Snapshot()
 	var good, bad []string
 	for _, m := range roster.Homes(s.Members(), s.Target().Instance()) {
-		if time.Since(h.failed[m.Control()]) < avoidTime {
+		if time.Since(h.failed[m.Control()]) < avoidBeats*h.interval {
 			bad = append(bad, m.Control())
 		} else {
 			good = append(good, m.Control())
