--- /dev/null
+++ b/experiment/pkg/app/app.go
@@ -0,0 +1,53 @@
+// Package app chooses the measurements that the command line names, and runs them.
+package app
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/crocuslanding/crocuslanding/core/pkg/program"
+	"github.com/crocuslanding/crocuslanding/experiment/pkg/measure"
+)
+
+const usage = "usage: experiment [-out FOLDER] [balance] [changes] [download] [zone]   (all when none is named)"
+
+// Run runs the measurements and ends the process.
+func Run() {
+	out := flag.String("out", "out", "folder for plots")
+	flag.Usage = func() {
+		fmt.Fprintln(os.Stderr, usage)
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	names := flag.Args()
+	if len(names) == 0 {
+		names = []string{"changes", "balance", "download", "zone"}
+	}
+	if err := os.MkdirAll(*out, 0o755); err != nil {
+		program.Exit(err)
+	}
+	for _, name := range names {
+		if err := run(name, *out); err != nil {
+			program.Exit(err)
+		}
+	}
+	program.Exit(nil)
+}
+
+func run(name, folder string) error {
+	switch name {
+	case "balance":
+		return measure.Balance(os.Stdout)
+	case "changes":
+		return measure.Changes(os.Stdout, folder)
+	case "download":
+		return measure.Download(os.Stdout)
+	case "zone":
+		return measure.Zone(os.Stdout, folder)
+	default:
+		fmt.Fprintln(os.Stderr, usage)
+		os.Exit(program.StatusUsage)
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/pkg/measure/measure.go
@@ -0,0 +1,57 @@
+// Package measure holds the measurements of a deployment: one file each.
+package measure
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"path/filepath"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	columnGap  = 2
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// series is one named line of a plot.
+type series struct {
+	name   string
+	points plotter.XYs
+}
+
+func newTable(w io.Writer, title string) *tabwriter.Writer {
+	fmt.Fprintln(w, "\n== "+title)
+	return tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+}
+
+// writePlot writes the series as lines into an SVG file of the folder.
+func writePlot(folder, file, title, x, y string, all []series) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = y
+	p.Y.Min = 0
+	p.Legend.Top = true
+	colors := []color.Color{
+		color.RGBA{R: 0x1b, G: 0x5e, B: 0xa8, A: 0xff},
+		color.RGBA{R: 0xc2, G: 0x41, B: 0x0c, A: 0xff},
+		color.RGBA{R: 0x2e, G: 0x7d, B: 0x32, A: 0xff},
+	}
+	for i, s := range all {
+		line, err := plotter.NewLine(s.points)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		line.Color = colors[i%len(colors)]
+		p.Add(line)
+		p.Legend.Add(s.name, line)
+	}
+	return trace.Wrap(p.Save(plotWidth, plotHeight, filepath.Join(folder, file)))
+}
