Return of a zone: no refusal and no broken feed

Cause: (1) A sidecar that still had itself out reset every packet that reached it, also packets of flows that another sidecar held. (2) Busy sidecars passed a new flow on, and the last one of the chain refused it, being out, although the busy ones had room to queue. (3) The admission was warm when the zone came back, since it had not seen a restart. (4) A port used again within the 50 ms until an ended flow was forgotten met the old entry.

Ruled out: the admission (refused with 12 callers on 48 slots), the balancers (their counters show no refusal), the callers' own stack (20,323 requests without a zone change had none).

Change: out is a reason to pass a new flow on; a busy sidecar notes in the datagram that it would take the flow, and gets it back when no other does; the allowance begins anew when the upstream is taken out; an entry whose flow has ended counts as absent.

--- a/core/gen/codec/flow.go
+++ b/core/gen/codec/flow.go
@@ -253,6 +253,10 @@
 		return &landingpb.Step{Step: &landingpb.Step_Drop{Drop: EncodeDrop(v)}}
 	case landing.Replace:
 		return &landingpb.Step{Step: &landingpb.Step_Replace{Replace: EncodeReplace(v)}}
+	case landing.Defer:
+		return &landingpb.Step{Step: &landingpb.Step_Defer{Defer: EncodeDefer(v)}}
+	case landing.Recall:
+		return &landingpb.Step{Step: &landingpb.Step_Recall{Recall: EncodeRecall(v)}}
 	default:
 		return &landingpb.Step{}
 	}
@@ -279,6 +283,10 @@
 		return DecodeDrop(c.Drop)
 	case *landingpb.Step_Replace:
 		return DecodeReplace(c.Replace)
+	case *landingpb.Step_Defer:
+		return DecodeDefer(c.Defer)
+	case *landingpb.Step_Recall:
+		return DecodeRecall(c.Recall)
 	default:
 		return nil
 	}
@@ -368,6 +376,30 @@
 	return v
 }
 
+// EncodeDefer returns the message for v.
+func EncodeDefer(v landing.Defer) *landingpb.Defer {
+	m := &landingpb.Defer{}
+	return m
+}
+
+// DecodeDefer returns the value of m; the zero value when m is nil.
+func DecodeDefer(m *landingpb.Defer) landing.Defer {
+	v := landing.Defer{}
+	return v
+}
+
+// EncodeRecall returns the message for v.
+func EncodeRecall(v landing.Recall) *landingpb.Recall {
+	m := &landingpb.Recall{}
+	return m
+}
+
+// DecodeRecall returns the value of m; the zero value when m is nil.
+func DecodeRecall(m *landingpb.Recall) landing.Recall {
+	v := landing.Recall{}
+	return v
+}
+
 // EncodeReset returns the message for v.
 func EncodeReset(v landing.Reset) *landingpb.Reset {
 	m := &landingpb.Reset{}
@@ -403,6 +435,8 @@
 	m.More = v.More()
 	m.Final = v.Final()
 	m.Busy = v.Busy()
+	m.Deferred = v.Deferred()
+	m.Recalled = v.Recalled()
 	return m
 }
 
@@ -413,5 +447,7 @@
 	v = v.WithMore(m.GetMore())
 	v = v.WithFinal(m.GetFinal())
 	v = v.WithBusy(m.GetBusy())
+	v = v.WithDeferred(m.GetDeferred())
+	v = v.WithRecalled(m.GetRecalled())
 	return v
 }
--- a/core/gen/landing/flow.go
+++ b/core/gen/landing/flow.go
@@ -488,6 +488,18 @@
 
 func (Replace) isStep() {}
 
+// Defer sends the segment to the next sidecar and notes that this one would take the flow.
+type Defer struct {
+}
+
+func (Defer) isStep() {}
+
+// Recall sends the segment back to the sidecar that deferred it.
+type Recall struct {
+}
+
+func (Recall) isStep() {}
+
 // Reset answers the segment with a reset.
 type Reset struct {
 	reason Refusal
@@ -528,10 +540,12 @@
 
 // Position is where in its chain a segment has arrived.
 type Position struct {
-	next  bool
-	more  bool
-	final bool
-	busy  bool
+	next     bool
+	more     bool
+	final    bool
+	busy     bool
+	deferred bool
+	recalled bool
 }
 
 // Next returns the field of this name:
@@ -581,3 +595,27 @@
 	v.busy = busy
 	return v
 }
+
+// Deferred returns the field of this name:
+// Whether an earlier sidecar would have taken the new flow but was busy.
+func (v Position) Deferred() bool {
+	return v.deferred
+}
+
+// WithDeferred returns a copy with another deferred.
+func (v Position) WithDeferred(deferred bool) Position {
+	v.deferred = deferred
+	return v
+}
+
+// Recalled returns the field of this name:
+// Whether all later sidecars have passed the new flow up.
+func (v Position) Recalled() bool {
+	return v.recalled
+}
+
+// WithRecalled returns a copy with another recalled.
+func (v Position) WithRecalled(recalled bool) Position {
+	v.recalled = recalled
+	return v
+}
--- a/core/pkg/envelope/envelope.go
+++ b/core/pkg/envelope/envelope.go
@@ -35,7 +35,8 @@
 	offsetPart     = 14
 	offsetMore     = 15
 	offsetHome     = 16
-	offsetHomePort = 20
+	offsetDeferred = 22
+	offsetRecalled = 23
 )
 
 // ErrMalformed says that bytes are not a datagram of the fleet.
@@ -59,6 +60,9 @@
 	if count == 0 || count > MaxHops || int(b[offsetPosition]) >= count {
 		return Envelope{}, ErrMalformed
 	}
+	if int(b[offsetDeferred]) > count {
+		return Envelope{}, ErrMalformed
+	}
 	if headerBytes(b) != paddedBytes(count) || len(b) <= headerBytes(b) {
 		return Envelope{}, ErrMalformed
 	}
@@ -139,6 +143,31 @@
 	return e.Hop()
 }
 
+// IsDeferred says whether an earlier sidecar would have taken the new flow but was busy.
+func (e Envelope) IsDeferred() bool {
+	return e.b[offsetDeferred] != 0
+}
+
+// IsRecalled says whether all later sidecars have passed the new flow up.
+func (e Envelope) IsRecalled() bool {
+	return e.b[offsetRecalled] != 0
+}
+
+// Defer notes that the sidecar at the present position would take the new flow. The first one counts.
+func (e Envelope) Defer() {
+	if !e.IsDeferred() {
+		e.b[offsetDeferred] = e.b[offsetPosition] + 1
+	}
+}
+
+// Recall moves the position back to the sidecar that deferred the flow and returns its address.
+// IsDeferred must be true.
+func (e Envelope) Recall() netip.AddrPort {
+	e.b[offsetPosition] = e.b[offsetDeferred] - 1
+	e.b[offsetRecalled] = 1
+	return e.Hop()
+}
+
 // Home returns the address of the balancer that sent the datagram.
 func (e Envelope) Home() netip.AddrPort {
 	return addrPort(e.b[offsetHome:])
--- a/core/pkg/hold/hold.go
+++ b/core/pkg/hold/hold.go
@@ -29,24 +29,34 @@
 		return passOn(at)
 	}
 	if refusal == landing.RefusalUnspecified {
-		return takeOrPass(at)
+		return takeOrDefer(at)
 	}
 	if isFinal(refusal) {
 		return resets[refusal]
 	}
-	if at.Next() {
+	if at.Next() && !at.Recalled() {
 		return landing.Pass{}
 	}
+	if at.Deferred() && !at.Recalled() {
+		return landing.Recall{}
+	}
 	if at.More() {
 		return landing.Return{}
 	}
 	return resets[refusal]
 }
 
-// takeOrPass prefers a later sidecar while the upstream here is busy. The last one takes the flow.
-func takeOrPass(at landing.Position) landing.Step {
-	if at.Busy() && at.Next() {
-		return landing.Pass{}
+// takeOrDefer prefers a later sidecar while the upstream here is busy. When none takes the flow,
+// the first one that was merely busy does.
+func takeOrDefer(at landing.Position) landing.Step {
+	if !at.Busy() || at.Recalled() {
+		return landing.Take{}
+	}
+	if at.Next() {
+		return landing.Defer{}
+	}
+	if at.Deferred() {
+		return landing.Recall{}
 	}
 	return landing.Take{}
 }
--- a/core/pkg/hold/hold_test.go
+++ b/core/pkg/hold/hold_test.go
@@ -83,6 +83,52 @@
 	is.Equal(Decide(landing.Absent{}, landing.Segment{}, at, landing.RefusalUnspecified), landing.Step(landing.Return{}))
 }
 
+// tryChain offers a new flow to sidecars that are free ("f"), busy ("b") or refuse ("r"), and returns the
+// position of the one that takes it; -1 when it is refused.
+func tryChain(chain string) int {
+	opening := landing.Segment{}.WithOpening(true)
+	deferred := -1
+	isRecalled := false
+	for i := 0; ; {
+		refusal := landing.RefusalUnspecified
+		if chain[i] == 'r' {
+			refusal = landing.RefusalOut
+		}
+		at := landing.Position{}.
+			WithNext(i+1 < len(chain)).
+			WithBusy(chain[i] == 'b').
+			WithDeferred(deferred >= 0).
+			WithRecalled(isRecalled)
+		switch Decide(landing.Absent{}, opening, at, refusal).(type) {
+		case landing.Take:
+			return i
+		case landing.Defer:
+			if deferred < 0 {
+				deferred = i
+			}
+			i++
+		case landing.Pass:
+			i++
+		case landing.Recall:
+			i = deferred
+			isRecalled = true
+		default:
+			return -1
+		}
+	}
+}
+
+func TestNewFlowIsRefusedOnlyWhenEverySidecarRefuses(t *testing.T) {
+	for chain, want := range map[string]int{
+		"f": 0, "b": 0, "r": -1, "bf": 1, "rf": 1, "br": 0, "rb": 1, "bb": 0, "rr": -1, "rbbr": 1, "bbrf": 3, "rrbr": 2,
+	} {
+		t.Run(chain, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tryChain(chain), want)
+		})
+	}
+}
+
 func ExampleDecide() {
 	opening := landing.Segment{}.WithOpening(true)
 	at := landing.Position{}.WithNext(true)
--- a/core/pkg/hold/world_test.go
+++ b/core/pkg/hold/world_test.go
@@ -140,11 +140,11 @@
 	case landing.Both:
 		w.deliver(chain[position], s)
 		w.offer(s, chain, position+1)
-	case landing.Pass:
+	case landing.Pass, landing.Defer:
 		w.offer(s, chain, position+1)
 	case landing.Reset:
 		w.toCaller = append(w.toCaller, answer{from: chain[position], isReset: true, sequence: s.Acknowledged()})
-	case landing.Return, landing.Drop, landing.Replace:
+	case landing.Return, landing.Drop, landing.Replace, landing.Recall:
 	}
 }
 
--- a/experiment/pkg/scenario/zone_test.go
+++ b/experiment/pkg/scenario/zone_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/admission"
 	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
 	"github.com/crocuslanding/crocuslanding/core/pkg/object"
 	"github.com/crocuslanding/crocuslanding/core/pkg/platform"
@@ -124,3 +125,42 @@
 	}
 	return object.DecodeMarks(o.Value())
 }
+
+func TestReturnOfAZoneUnderLoadRefusesNothingAndBreaksNoFeed(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(6).WithCold(8, time.Second)
+	d := start(t, deployment.NewPlan(desk))
+	is.NoErr(takeZone(d, "khomas-b", true))
+	is.NoErr(deployment.Await(func() bool { return isOutEverywhere(d, "khomas-b") }))
+	feeds := openFeeds(t, d, desk, 30)
+	load := startLoad(d, desk, coldCallers)
+	for _, n := range d.Nodes() {
+		if n.Zone() == "khomas-b" {
+			n.Upstream().FallBack(1)
+		}
+	}
+
+	is.NoErr(takeZone(d, "khomas-b", false))
+	is.NoErr(deployment.Await(func() bool { return isWarmIn(d, "khomas-b") }))
+
+	for _, s := range load.Stop() {
+		is.Equal(s.Reason(), "")
+	}
+	awaitProgress(t, feeds)
+	for _, f := range feeds {
+		is.NoErr(f.Err())
+	}
+	for _, n := range d.Nodes() {
+		is.True(n.Upstream().Overshoot() <= maxOvershoot)
+	}
+}
+
+// isWarmIn says whether every upstream of the zone takes requests in all its slots.
+func isWarmIn(d *deployment.Deployment, zone string) bool {
+	for _, n := range d.Nodes() {
+		if n.Zone() == zone && !admission.IsWarm(n.Allowance()) {
+			return false
+		}
+	}
+	return true
+}
--- a/experiment/pkg/traffic/request.go
+++ b/experiment/pkg/traffic/request.go
@@ -57,7 +57,7 @@
 	}
 	resp, err := client.Do(r)
 	if err != nil {
-		return "", "connection"
+		return "", "connection: " + err.Error()
 	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/sidecar/pkg/app/app.go
+++ b/sidecar/pkg/app/app.go
@@ -83,7 +83,8 @@
 func New(c common.Common, s landing.SidecarSettings) (*Sidecar, error) {
 	k := keeper.New(c, newTarget(s, time.Now()))
 	g := gate.New(s.Slots(), s.Queue())
-	f, err := front.New(c, s, k.Snapshot, g.IsBusy)
+	takenOut := func() { g.Note(landing.Started{}.WithNow(time.Now())) }
+	f, err := front.New(c, s, k.Snapshot, g.IsBusy, takenOut)
 	if err != nil {
 		return nil, err
 	}
--- a/sidecar/pkg/flows/table.go
+++ b/sidecar/pkg/flows/table.go
@@ -56,6 +56,10 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	entry, found := sh.entries[s.Key()]
+	if found && hasEnded(entry, time.Now()) {
+		t.remove(sh, s.Key())
+		found = false
+	}
 	if !found {
 		entry = Entry{stage: landing.Absent{}}
 	}
@@ -65,7 +69,7 @@
 		t.add(sh, s.Key(), NewEntry(customer, s.Sequence(), time.Now()))
 	case landing.Complete:
 		sh.entries[s.Key()] = entry.WithStage(landing.Open{})
-	case landing.Deliver, landing.Pass, landing.Both, landing.Return, landing.Reset, landing.Drop, landing.Replace:
+	case landing.Deliver, landing.Pass, landing.Both, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall:
 	}
 	return step
 }
--- a/sidecar/pkg/front/front.go
+++ b/sidecar/pkg/front/front.go
@@ -34,6 +34,9 @@
 // Busy says whether a new flow had better go to another upstream.
 type Busy func() bool
 
+// TakenOut is called when the upstream is taken out, so that it is cold when it is put back.
+type TakenOut func()
+
 // Front takes and sends packets.
 type Front struct {
 	common      common.Common
@@ -42,6 +45,7 @@
 	connections int
 	source      Source
 	busy        Busy
+	takenOut    TakenOut
 	table       *flows.Table
 	stack       *netstack.Stack
 	misses      *misses
@@ -51,7 +55,7 @@
 
 // New returns a front that listens on the UDP address of these settings.
 // It returns an error when the address cannot be used.
-func New(c common.Common, s landing.SidecarSettings, source Source, busy Busy) (*Front, error) {
+func New(c common.Common, s landing.SidecarSettings, source Source, busy Busy, takenOut TakenOut) (*Front, error) {
 	address, err := netip.ParseAddrPort(s.Front())
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -73,6 +77,7 @@
 		connections: int(s.Connections()),
 		source:      source,
 		busy:        busy,
+		takenOut:    takenOut,
 		table:       flows.New(),
 		misses:      newMisses(),
 		done:        common.NewDone(),
@@ -102,9 +107,7 @@
 // Stop closes the socket, ends all flows and waits for the workers.
 func (f *Front) Stop() {
 	f.done.Close()
-	for _, e := range f.table.Entries() {
-		e.Conn().Reset()
-	}
+	f.resetAll()
 	_ = f.conn.Close()
 	f.done.Wait()
 	f.stack.Close()
@@ -129,21 +132,31 @@
 func (f *Front) reap() {
 	ticker := time.NewTicker(reapInterval)
 	defer ticker.Stop()
+	wasOut := false
 	for {
 		select {
 		case <-f.done.C():
 			return
 		case now := <-ticker.C:
 			f.table.RemoveEnded(now)
-			f.resetWhileOut()
+			wasOut = f.followOut(wasOut)
 		}
 	}
 }
 
-func (f *Front) resetWhileOut() {
-	if !f.source().IsOut() {
-		return
+// followOut resets all flows while the upstream is taken out, and says whether it is.
+func (f *Front) followOut(wasOut bool) bool {
+	isOut := f.source().IsOut()
+	if isOut {
+		f.resetAll()
 	}
+	if isOut && !wasOut {
+		f.takenOut()
+	}
+	return isOut
+}
+
+func (f *Front) resetAll() {
 	for _, e := range f.table.Entries() {
 		e.Conn().Reset()
 	}
--- a/sidecar/pkg/front/handle.go
+++ b/sidecar/pkg/front/handle.go
@@ -32,12 +32,11 @@
 }
 
 func (f *Front) decide(e envelope.Envelope, s landing.Segment, snapshot keeper.Snapshot) landing.Step {
-	if snapshot.IsOut() {
-		return landing.Reset{}.WithReason(landing.RefusalOut)
-	}
 	at := landing.Position{}.
 		WithNext(e.HasNext()).
-		WithMore(e.HasMore())
+		WithMore(e.HasMore()).
+		WithDeferred(e.IsDeferred()).
+		WithRecalled(e.IsRecalled())
 	if !s.Opening() {
 		at = at.WithFinal(f.mayReset(e, s))
 		return f.table.Decide(s, at, "", landing.RefusalUnspecified)
@@ -56,6 +55,9 @@
 		return "", refusal
 	}
 	customer := access.Customer().Name()
+	if snapshot.IsOut() {
+		return customer, landing.RefusalOut
+	}
 	if !snapshot.IsServing() || f.table.Len() >= f.connections {
 		return customer, landing.RefusalRoom
 	}
@@ -85,6 +87,12 @@
 	case landing.Both:
 		f.stack.Inject(e.Packet())
 		f.pass(e)
+	case landing.Defer:
+		e.Defer()
+		f.pass(e)
+	case landing.Recall:
+		f.common.Counters().Counter("recalled").Inc(1)
+		f.send(e.Bytes(), e.Recall())
 	case landing.Return:
 		f.send(e.Bytes(), e.Home())
 	case landing.Reset:
