Weights follow the measured speed of upstreams

Cause: weights were the slots, so the chains gave a slow upstream as many first offers as a quick one, and only its refusals while busy evened the use.

Change: a target's weight is the requests a second that it can serve, from the long average of its answers; it is announced when it differs by 15%.

--- a/core/gen/codec/notice.go
+++ b/core/gen/codec/notice.go
@@ -93,6 +93,8 @@
 		return &landingpb.Signal{Signal: &landingpb.Signal_Announced{Announced: EncodeAnnounced(v)}}
 	case landing.Stopping:
 		return &landingpb.Signal{Signal: &landingpb.Signal_Stopping{Stopping: EncodeStopping(v)}}
+	case landing.Weighed:
+		return &landingpb.Signal{Signal: &landingpb.Signal_Weighed{Weighed: EncodeWeighed(v)}}
 	default:
 		return &landingpb.Signal{}
 	}
@@ -109,6 +111,8 @@
 		return DecodeAnnounced(c.Announced)
 	case *landingpb.Signal_Stopping:
 		return DecodeStopping(c.Stopping)
+	case *landingpb.Signal_Weighed:
+		return DecodeWeighed(c.Weighed)
 	default:
 		return nil
 	}
@@ -169,3 +173,17 @@
 	v := landing.Stopping{}
 	return v
 }
+
+// EncodeWeighed returns the message for v.
+func EncodeWeighed(v landing.Weighed) *landingpb.Weighed {
+	m := &landingpb.Weighed{}
+	m.Weight = v.Weight()
+	return m
+}
+
+// DecodeWeighed returns the value of m; the zero value when m is nil.
+func DecodeWeighed(m *landingpb.Weighed) landing.Weighed {
+	v := landing.Weighed{}
+	v = v.WithWeight(m.GetWeight())
+	return v
+}
--- a/core/gen/landing/notice.go
+++ b/core/gen/landing/notice.go
@@ -169,3 +169,22 @@
 }
 
 func (Stopping) isSignal() {}
+
+// Weighed says that the speed of the upstream was measured.
+type Weighed struct {
+	weight uint32
+}
+
+func (Weighed) isSignal() {}
+
+// Weight returns the field of this name:
+// Requests a second that the upstream serves with all its slots.
+func (v Weighed) Weight() uint32 {
+	return v.weight
+}
+
+// WithWeight returns a copy with another weight.
+func (v Weighed) WithWeight(weight uint32) Weighed {
+	v.weight = weight
+	return v
+}
--- a/sidecar/pkg/app/app.go
+++ b/sidecar/pkg/app/app.go
@@ -18,6 +18,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/program"
 	"github.com/crocuslanding/crocuslanding/core/pkg/retry"
 	"github.com/crocuslanding/crocuslanding/core/pkg/settings"
+	"github.com/crocuslanding/crocuslanding/core/pkg/weight"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/front"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/gate"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/home"
@@ -33,6 +34,8 @@
 	// after the upstream has said that it leaves.
 	leaveTime     = 2 * time.Second
 	drainInterval = 100 * time.Millisecond
+	// weighInterval is the time between two looks at the speed of the upstream.
+	weighInterval = time.Second
 )
 
 // Run runs the program until it is asked to stop, and ends the process.
@@ -115,7 +118,7 @@
 		WithService(s.Service()).
 		WithZone(s.Zone()).
 		WithFront(s.Front()).
-		WithWeight(s.Slots()).
+		WithWeight(weight.Of(s.Slots(), 0)).
 		WithPhase(landing.PhaseServing).
 		WithIncarnation(uint64(now.UnixNano()))
 }
@@ -127,6 +130,22 @@
 	sc.front.Start(frontWorkers, sc.handle)
 	sc.local.Start()
 	sc.home.Start()
+	sc.done.Go(sc.weigh)
+}
+
+// weigh measures the speed of the upstream again and again.
+func (sc *Sidecar) weigh() {
+	ticker := time.NewTicker(weighInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-sc.done.C():
+			return
+		case <-ticker.C:
+			a := sc.gate.Allowance()
+			sc.keeper.Post(landing.Weighed{}.WithWeight(weight.Of(a.Slots(), a.Usual())))
+		}
+	}
 }
 
 // Drain takes no new flows and returns when the flows that are held have ended, or after
--- a/sidecar/pkg/keeper/keeper.go
+++ b/sidecar/pkg/keeper/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
+	"github.com/crocuslanding/crocuslanding/core/pkg/weight"
 )
 
 const signalBuffer = 64
@@ -89,6 +90,8 @@
 		s = k.announce(s, signal.Announcement())
 	case landing.Stopping:
 		s = withPhase(s, landing.PhaseDraining)
+	case landing.Weighed:
+		s = withWeight(s, signal.Weight())
 	}
 	k.snapshot.Store(&s)
 	if s.Target() != before {
@@ -150,3 +153,12 @@
 	}
 	return s.WithTarget(t.WithPhase(p).WithChange(t.Change() + 1))
 }
+
+// withWeight announces another weight only when it differs much, so that rosters stay the same.
+func withWeight(s Snapshot, measured uint32) Snapshot {
+	t := s.Target()
+	if !weight.IsChange(t.Weight(), measured) {
+		return s
+	}
+	return s.WithTarget(t.WithWeight(measured).WithChange(t.Change() + 1))
+}
