Plans: prompt refusals, survivors of a narrower plan, flows without a grant end

Cause: a caller without a plan waited 5 s for its own timeout, since the balancer dropped its first packet; a feed stayed open after its customer had lost the grant; a plan that named fewer zones cut the feeds held elsewhere.

Change: a refusal that is the same at every balancer with these lists is answered with a reset; sidecars end flows whose service is no longer granted at all; targets outside the plan's zones stand at the end of the chain, for what they hold.

--- a/balancer/pkg/front/worker.go
+++ b/balancer/pkg/front/worker.go
@@ -12,6 +12,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/core/pkg/route"
 )
 
 const (
@@ -104,10 +105,22 @@
 		return true
 	case landing.Refuse:
 		w.counters.Refused(v.Reason())
+		return s.Opening() && route.IsCertain(v.Reason()) && w.prepareReset(w.room[i][start:end], i, o)
 	}
 	return false
 }
 
+// prepareReset makes outgoing message o the reset of the caller's packet, back to where it came from.
+func (w *worker) prepareReset(b []byte, i, o int) bool {
+	reset, err := packet.NewReset(b)
+	if err != nil {
+		return false
+	}
+	w.out[o].Buffers[0] = reset
+	w.out[o].Addr = w.in[i].Addr
+	return true
+}
+
 // prepare writes the header in front of the packet, which lies from start to end of room.
 func (w *worker) prepare(c landing.Chain, part int, room []byte, start, end, o int) {
 	first := envelope.Write(room[:start], c, uint8(part), w.home)
--- a/core/pkg/chain/chain.go
+++ b/core/pkg/chain/chain.go
@@ -25,6 +25,8 @@
 	bucketsPerTarget = 128
 	maxBuckets       = 1 << 13
 	mantissaBits     = 53
+	// spareFactor makes the weight of a spare target so small that it comes after all others.
+	spareFactor = 1e-18
 )
 
 // Table gives the chain of each flow of one service. It is immutable.
@@ -58,11 +60,12 @@
 }
 
 // New returns the table of service over targets, which belong to the roster with this serial number.
-// Targets that have left or whose address cannot be read are passed over.
-func New(service string, roster uint64, targets []landing.Target) *Table {
+// Targets that have left or whose address cannot be read are passed over. The spare ones come after all
+// others: they are there for the flows that they hold and not for new ones.
+func New(service string, roster uint64, targets []landing.Target, isSpare func(landing.Target) bool) *Table {
 	t := &Table{service: service, roster: roster, targets: slices.Clone(targets)}
 	for _, target := range targets {
-		t.addEntrant(target)
+		t.addEntrant(target, isSpare(target))
 	}
 	t.fill()
 	return t
@@ -101,7 +104,7 @@
 	return v
 }
 
-func (t *Table) addEntrant(target landing.Target) {
+func (t *Table) addEntrant(target landing.Target, isSpare bool) {
 	front, err := netip.ParseAddrPort(target.Front())
 	if err != nil || target.Phase() == landing.PhaseLeft {
 		return
@@ -109,9 +112,13 @@
 	hop := landing.Hop{}.
 		WithAddress(packet.Number(front.Addr())).
 		WithPort(uint32(front.Port()))
+	weight := float64(max(target.Weight(), 1))
+	if isSpare {
+		weight *= spareFactor
+	}
 	t.entrants = append(t.entrants, entrant{
 		seed:   xxhash.Sum64String(target.Instance()),
-		weight: float64(max(target.Weight(), 1)),
+		weight: weight,
 		hop:    hop,
 		name:   target.Instance(),
 	})
--- a/core/pkg/chain/chain_test.go
+++ b/core/pkg/chain/chain_test.go
@@ -20,6 +20,8 @@
 	return targets
 }
 
+func noSpare(landing.Target) bool { return false }
+
 func newTarget(i int) landing.Target {
 	return landing.Target{}.
 		WithInstance(fmt.Sprintf("desk-%d", i)).
@@ -41,7 +43,7 @@
 	is := is.New(t)
 	targets := newTargets(0, 4)
 	targets[3] = targets[3].WithWeight(32)
-	table := New("desk", 1, targets)
+	table := New("desk", 1, targets, noSpare)
 	random := rand.New(rand.NewPCG(1, 1))
 	counts := map[string]int{}
 	const flows = 100_000
@@ -55,8 +57,8 @@
 
 func TestAnotherTargetMovesOnlyItsOwnFlows(t *testing.T) {
 	is := is.New(t)
-	before := New("desk", 1, newTargets(0, 9)[:8])
-	after := New("desk", 2, newTargets(0, 9))
+	before := New("desk", 1, newTargets(0, 9)[:8], noSpare)
+	after := New("desk", 2, newTargets(0, 9), noSpare)
 	random := rand.New(rand.NewPCG(2, 2))
 	for range 1000 {
 		k := newKey(random)
@@ -71,7 +73,7 @@
 
 func TestPartsOfAChainNameEveryTargetOnce(t *testing.T) {
 	is := is.New(t)
-	table := New("desk", 1, newTargets(0, 21))
+	table := New("desk", 1, newTargets(0, 21), noSpare)
 	k := newKey(rand.New(rand.NewPCG(3, 3)))
 	seen := map[uint32]bool{}
 	for part := 0; ; part++ {
@@ -89,9 +91,19 @@
 	is.Equal(len(seen), 21)
 }
 
+func TestSpareTargetsComeLast(t *testing.T) {
+	is := is.New(t)
+	table := New("desk", 1, newTargets(0, 8), func(t landing.Target) bool { return t.Instance() < "desk-6" })
+	random := rand.New(rand.NewPCG(5, 5))
+	for range 1000 {
+		order := table.Instances(newKey(random))
+		is.True(order[0] >= "desk-6" && order[1] >= "desk-6")
+	}
+}
+
 func TestNoTargetRefuses(t *testing.T) {
 	is := is.New(t)
-	table := New("desk", 1, nil)
+	table := New("desk", 1, nil, noSpare)
 	is.Equal(table.Verdict(landing.Key{}), refuseZone)
 }
 
@@ -99,7 +111,7 @@
 func brokenOverChanges(seed uint64, flows, changes int, isFound func(*Table, landing.Key, string) bool) int {
 	random := rand.New(rand.NewPCG(seed, seed))
 	targets := newTargets(0, 8)
-	table := New("desk", 1, targets)
+	table := New("desk", 1, targets, noSpare)
 	holders := map[landing.Key]string{}
 	for range flows {
 		k := newKey(random)
@@ -110,7 +122,7 @@
 		j := random.IntN(len(targets))
 		gone := targets[j].Instance()
 		targets[j] = newTarget(100 + i)
-		table = New("desk", uint64(i+2), targets)
+		table = New("desk", uint64(i+2), targets, noSpare)
 		for k, holder := range holders {
 			if holder == gone || !isFound(table, k, holder) {
 				if holder != gone {
@@ -139,7 +151,7 @@
 }
 
 func ExampleTable_Instances() {
-	table := New("desk", 1, newTargets(0, 3))
+	table := New("desk", 1, newTargets(0, 3), noSpare)
 	k := landing.Key{}.WithSource(1).WithSport(5000).WithDestination(2).WithDport(80)
 	fmt.Println(len(table.Instances(k)))
 	// Output: 3
@@ -148,7 +160,7 @@
 func BenchmarkVerdict(b *testing.B) {
 	for _, count := range []int{4, 16, 64} {
 		b.Run(fmt.Sprintf("targets=%d", count), func(b *testing.B) {
-			table := New("desk", 1, newTargets(0, count))
+			table := New("desk", 1, newTargets(0, count), noSpare)
 			k := newKey(rand.New(rand.NewPCG(1, 1)))
 			b.ReportAllocs()
 			for b.Loop() {
@@ -165,7 +177,7 @@
 			targets := newTargets(0, count)
 			b.ReportAllocs()
 			for b.Loop() {
-				_ = New("desk", 1, targets)
+				_ = New("desk", 1, targets, noSpare)
 			}
 		})
 	}
--- a/core/pkg/route/route.go
+++ b/core/pkg/route/route.go
@@ -100,6 +100,12 @@
 	return t.Verdict(k), t.Instances(k)
 }
 
+// IsCertain says whether a new flow that is refused for this reason is refused by every balancer with these
+// lists, so that the caller is told at once. A refusal for want of a roster can differ elsewhere.
+func IsCertain(r landing.Refusal) bool {
+	return r == landing.RefusalCaller || r == landing.RefusalService || r == landing.RefusalPlan
+}
+
 func (v *View) find(k landing.Key) (*chain.Table, landing.Refusal) {
 	if v.index == nil {
 		return nil, landing.RefusalUnready
@@ -131,18 +137,21 @@
 
 // buildTable keeps the old table when the targets are the same as before.
 func (v *View) buildTable(old *chain.Table, g landing.Grant, of []landing.Target) *chain.Table {
-	targets := v.eligible(g, of)
+	targets := v.inUse(of)
 	if old != nil && old.IsOver(targets) {
 		return old.WithRoster(v.roster.Serial())
 	}
-	return chain.New(g.Service(), v.roster.Serial(), targets)
+	return chain.New(g.Service(), v.roster.Serial(), targets, func(t landing.Target) bool {
+		return !slices.Contains(g.Zones(), t.Zone())
+	})
 }
 
-// eligible returns those targets of the grant's service that are in its zones and not taken out.
-func (v *View) eligible(g landing.Grant, of []landing.Target) []landing.Target {
+// inUse returns the targets that are not taken out. Those outside the grant's zones may still hold flows
+// from before a change of the plan.
+func (v *View) inUse(of []landing.Target) []landing.Target {
 	var targets []landing.Target
 	for _, t := range of {
-		if slices.Contains(g.Zones(), t.Zone()) && !mark.IsOut(v.marks, t) {
+		if !mark.IsOut(v.marks, t) {
 			targets = append(targets, t)
 		}
 	}
--- a/experiment/pkg/measure/changes.go
+++ b/experiment/pkg/measure/changes.go
@@ -48,14 +48,14 @@
 	for i := range targets {
 		targets[i] = newChangeTarget(i)
 	}
-	flows := openTracked(random, chain.New("desk", 1, targets))
+	flows := openTracked(random, newChainTable(1, targets))
 	points := make(plotter.XYs, changeCount)
 	broken := 0
 	for i := range changeCount {
 		j := random.IntN(changeTargets)
 		gone := targets[j].Instance()
 		targets[j] = newChangeTarget(changeTargets + i)
-		broken += follow(flows, chain.New("desk", uint64(i+2), targets), gone, isFound)
+		broken += follow(flows, newChainTable(uint64(i+2), targets), gone, isFound)
 		points[i] = plotter.XY{X: float64(i + 1), Y: float64(broken)}
 	}
 	return points
@@ -96,3 +96,7 @@
 		WithWeight(8).
 		WithPhase(landing.PhaseServing)
 }
+
+func newChainTable(roster uint64, targets []landing.Target) *chain.Table {
+	return chain.New("desk", roster, targets, func(landing.Target) bool { return false })
+}
--- /dev/null
+++ b/experiment/pkg/scenario/plan_test.go
@@ -0,0 +1,162 @@
+package scenario
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/experiment/pkg/deployment"
+	"github.com/crocuslanding/crocuslanding/experiment/pkg/traffic"
+	"github.com/crocuslanding/crocuslanding/landingctl/pkg/config"
+)
+
+const grantedFlows = 10
+
+// applyLists puts lists into force and waits until they are so everywhere.
+func applyLists(t *testing.T, d *deployment.Deployment, edit func(landing.Lists) landing.Lists) {
+	t.Helper()
+	client := d.NewPlatformClient()
+	defer client.Close()
+	base, err := config.Read(context.Background(), client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	root, err := config.Write(context.Background(), client, base, edit(base.Lists()), "test", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := deployment.Await(func() bool { return allHave(d, root.Serial()) }); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// withGrant returns the lists with another grant of the first plan.
+func withGrant(l landing.Lists, edit func(landing.Grant) landing.Grant) landing.Lists {
+	plans := l.Plans()
+	grants := plans[0].Grants()
+	grants[0] = edit(grants[0])
+	plans[0] = plans[0].WithGrants(grants...)
+	return l.WithPlans(plans...)
+}
+
+func TestCustomerHoldsAsManyFlowsAsItsPlanGrantsOverAllUpstreams(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(4)
+	d := start(t, deployment.NewPlan(desk))
+	applyLists(t, d, func(l landing.Lists) landing.Lists {
+		return withGrant(l, func(g landing.Grant) landing.Grant { return g.WithFlows(grantedFlows) })
+	})
+
+	var feeds []*traffic.Feed
+	refused := 0
+	for range 2 * grantedFlows {
+		f, err := traffic.OpenFeed(d.Client(0), desk.Address())
+		if err != nil {
+			refused++
+			continue
+		}
+		defer f.Close()
+		feeds = append(feeds, f)
+	}
+	is.Equal(len(feeds), grantedFlows)
+	is.Equal(refused, grantedFlows)
+
+	other, err := traffic.OpenFeed(d.Client(1), desk.Address())
+	is.NoErr(err)
+	other.Close()
+}
+
+func TestNewFlowsReachOnlyTheZonesOfThePlanAndOldOnesSurvive(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(6)
+	d := start(t, deployment.NewPlan(desk))
+	feeds := openFeeds(t, d, desk, 24)
+	applyLists(t, d, func(l landing.Lists) landing.Lists {
+		return withGrant(l, func(g landing.Grant) landing.Grant { return g.WithZones("khomas-c") })
+	})
+	for range 20 {
+		ctx, cancel := traffic.Timeout(5 * time.Second)
+		instance, _ := traffic.Ping(ctx, d.Client(0), desk.Address())
+		cancel()
+		is.True(instance == "desk-2" || instance == "desk-5")
+	}
+	awaitProgress(t, feeds)
+	for _, f := range feeds {
+		is.NoErr(f.Err())
+	}
+}
+
+func TestCallerWithoutAPlanIsRefusedAndCounted(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(1)
+	d := start(t, deployment.NewPlan(desk))
+	stranger := d.Client(9)
+	ctx, cancel := traffic.Timeout(5 * time.Second)
+	defer cancel()
+	begin := time.Now()
+	instance, _ := traffic.Ping(ctx, stranger, desk.Address())
+	is.Equal(instance, "")
+	is.True(time.Since(begin) < time.Second)
+	counted := int64(0)
+	for _, b := range d.Balancers() {
+		counted += b.Counters().Counter("refused." + landing.RefusalCaller.String()).Count()
+	}
+	is.True(counted > 0)
+}
+
+func TestFeedOfACustomerWhoLosesTheGrantIsEnded(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(2)
+	d := start(t, deployment.NewPlan(desk))
+	feeds := openFeeds(t, d, desk, 4)
+	applyLists(t, d, func(l landing.Lists) landing.Lists {
+		customers := l.Customers()
+		return l.WithCustomers(customers[1])
+	})
+	for i, f := range feeds {
+		if i%2 == 0 {
+			is.NoErr(deployment.Await(func() bool { return f.Err() != nil }))
+			continue
+		}
+		awaitProgress(t, []*traffic.Feed{f})
+		is.NoErr(f.Err())
+	}
+}
+
+func TestPacketForAServiceNeverReachesAnotherWhenAnAddressMoves(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(2)
+	store := deployment.NewService("store", 2, 2, landing.KindRequests)
+	d := start(t, deployment.NewPlan(desk, store))
+	applyLists(t, d, func(l landing.Lists) landing.Lists {
+		services := l.Services()
+		a, b := services[0].Address(), services[1].Address()
+		services[0] = services[0].WithAddress(b)
+		services[1] = services[1].WithAddress(a)
+		return l.WithServices(services...)
+	})
+	for range 20 {
+		is.Equal(serviceOf(d, pingOnce(d.Client(0), desk.Address())), store.Name())
+		is.Equal(serviceOf(d, pingOnce(d.Client(0), store.Address())), desk.Name())
+	}
+}
+
+func pingOnce(client *http.Client, address string) string {
+	ctx, cancel := traffic.Timeout(5 * time.Second)
+	defer cancel()
+	instance, _ := traffic.Ping(ctx, client, address)
+	return instance
+}
+
+func serviceOf(d *deployment.Deployment, instance string) string {
+	for _, n := range d.Nodes() {
+		if n.Instance() == instance {
+			return n.Service()
+		}
+	}
+	return ""
+}
--- a/sidecar/pkg/flows/entry.go
+++ b/sidecar/pkg/flows/entry.go
@@ -9,15 +9,21 @@
 
 // Entry is what a sidecar knows of one flow that it holds. It is immutable.
 type Entry struct {
+	key      landing.Key
 	stage    landing.Stage
 	customer string
 	conn     *netstack.Conn
 	since    time.Time
 }
 
-// NewEntry returns the entry of a flow of this customer, opened by a segment with this sequence number.
-func NewEntry(customer string, initial uint32, now time.Time) Entry {
-	return Entry{stage: landing.Taken{}.WithInitial(initial), customer: customer, since: now}
+// NewEntry returns the entry of flow k of this customer, opened by a segment with this sequence number.
+func NewEntry(k landing.Key, customer string, initial uint32, now time.Time) Entry {
+	return Entry{key: k, stage: landing.Taken{}.WithInitial(initial), customer: customer, since: now}
+}
+
+// Key returns the key of the flow.
+func (e Entry) Key() landing.Key {
+	return e.key
 }
 
 // Since returns the time at which the flow was taken.
--- a/sidecar/pkg/flows/table.go
+++ b/sidecar/pkg/flows/table.go
@@ -66,7 +66,7 @@
 	step := hold.Decide(entry.Stage(), s, at, refusal)
 	switch step.(type) {
 	case landing.Take:
-		t.add(sh, s.Key(), NewEntry(customer, s.Sequence(), time.Now()))
+		t.add(sh, s.Key(), NewEntry(s.Key(), customer, s.Sequence(), time.Now()))
 	case landing.Complete:
 		sh.entries[s.Key()] = entry.WithStage(landing.Open{})
 	case landing.Deliver, landing.Pass, landing.Both, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall:
--- a/sidecar/pkg/front/front.go
+++ b/sidecar/pkg/front/front.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
-	"time"
 
 	"github.com/gravitational/trace"
 	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
@@ -25,7 +24,6 @@
 	socketBufferBytes = 4 << 20
 	datagramBytes     = envelope.MaxHeaderBytes + packet.MaxBytes + 1
 	maxHandshakes     = 4096
-	reapInterval      = 50 * time.Millisecond
 )
 
 // Source returns the newest control state.
@@ -107,7 +105,7 @@
 // Stop closes the socket, ends all flows and waits for the workers.
 func (f *Front) Stop() {
 	f.done.Close()
-	f.resetAll()
+	f.resetWhere(func(flows.Entry) bool { return true })
 	_ = f.conn.Close()
 	f.done.Wait()
 	f.stack.Close()
@@ -128,40 +126,6 @@
 	}
 }
 
-// reap forgets flows that have ended, and ends all flows while the upstream is taken out.
-func (f *Front) reap() {
-	ticker := time.NewTicker(reapInterval)
-	defer ticker.Stop()
-	wasOut := false
-	for {
-		select {
-		case <-f.done.C():
-			return
-		case now := <-ticker.C:
-			f.table.RemoveEnded(now)
-			wasOut = f.followOut(wasOut)
-		}
-	}
-}
-
-// followOut resets all flows while the upstream is taken out, and says whether it is.
-func (f *Front) followOut(wasOut bool) bool {
-	isOut := f.source().IsOut()
-	if isOut {
-		f.resetAll()
-	}
-	if isOut && !wasOut {
-		f.takenOut()
-	}
-	return isOut
-}
-
-func (f *Front) resetAll() {
-	for _, e := range f.table.Entries() {
-		e.Conn().Reset()
-	}
-}
-
 // sendAnswer sends a packet of the stack to the fabric.
 func (f *Front) sendAnswer(b []byte) {
 	if s, err := packet.ParseAnswer(b); err == nil && s.Opening() {
