Silent connections: ended in a stated time, also under writes

Cause: a feed whose packets the fabric drops stayed open at the upstream for more than 30 s. The library's user timeout starts anew with each write, and its keepalive probes only a flow without open data. gRPC pings would have been answered with 'too many pings', and a call that failed left its silent connection in the pool.

Ruled out: the options (they were set), the fabric's memory (no line came after the cut).

Change: the sidecar notes when each flow was last heard and resets one that is silent for longer than all probes of its keepalive; one rule gives the probes for callers, upstreams and the kernel; servers accept the pings; a client is dropped after a failed call.

--- a/balancer/pkg/app/app.go
+++ b/balancer/pkg/app/app.go
@@ -93,8 +93,7 @@
 	}
 	l := loader.New()
 	pool := control.NewPool(insecure.NewCredentials())
-	server := grpc.NewServer()
-	landingpb.RegisterControlServer(server, control.NewServer(serve.New(c, k, l)))
+	server := control.NewGRPCServer(insecure.NewCredentials(), serve.New(c, k, l))
 	return &Balancer{
 		settings: s,
 		keeper:   k,
--- a/balancer/pkg/gossip/gossip.go
+++ b/balancer/pkg/gossip/gossip.go
@@ -124,6 +124,7 @@
 		WithMarks(s.View().Marks())
 	news, err := client.Gossip(g.ctx, x)
 	if err != nil {
+		g.pool.Drop(address)
 		g.common.Counters().Counter("retried.gossip").Inc(1)
 		return
 	}
--- a/core/pkg/chain/chain_test.go
+++ b/core/pkg/chain/chain_test.go
@@ -12,9 +12,9 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 )
 
-func newTargets(first, count int) []landing.Target {
+func newTargets(count int) []landing.Target {
 	var targets []landing.Target
-	for i := first; i < first+count; i++ {
+	for i := range count {
 		targets = append(targets, newTarget(i))
 	}
 	return targets
@@ -41,7 +41,7 @@
 
 func TestSharesFollowWeights(t *testing.T) {
 	is := is.New(t)
-	targets := newTargets(0, 4)
+	targets := newTargets(4)
 	targets[3] = targets[3].WithWeight(32)
 	table := New("desk", 1, targets, noSpare)
 	random := rand.New(rand.NewPCG(1, 1))
@@ -57,8 +57,8 @@
 
 func TestAnotherTargetMovesOnlyItsOwnFlows(t *testing.T) {
 	is := is.New(t)
-	before := New("desk", 1, newTargets(0, 9)[:8], noSpare)
-	after := New("desk", 2, newTargets(0, 9), noSpare)
+	before := New("desk", 1, newTargets(9)[:8], noSpare)
+	after := New("desk", 2, newTargets(9), noSpare)
 	random := rand.New(rand.NewPCG(2, 2))
 	for range 1000 {
 		k := newKey(random)
@@ -73,7 +73,7 @@
 
 func TestPartsOfAChainNameEveryTargetOnce(t *testing.T) {
 	is := is.New(t)
-	table := New("desk", 1, newTargets(0, 21), noSpare)
+	table := New("desk", 1, newTargets(21), noSpare)
 	k := newKey(rand.New(rand.NewPCG(3, 3)))
 	seen := map[uint32]bool{}
 	for part := 0; ; part++ {
@@ -93,7 +93,7 @@
 
 func TestSpareTargetsComeLast(t *testing.T) {
 	is := is.New(t)
-	table := New("desk", 1, newTargets(0, 8), func(t landing.Target) bool { return t.Instance() < "desk-6" })
+	table := New("desk", 1, newTargets(8), func(t landing.Target) bool { return t.Instance() < "desk-6" })
 	random := rand.New(rand.NewPCG(5, 5))
 	for range 1000 {
 		order := table.Instances(newKey(random))
@@ -110,7 +110,7 @@
 // holders follows flows over many changes of the roster and counts those whose holder is not found.
 func brokenOverChanges(seed uint64, flows, changes int, isFound func(*Table, landing.Key, string) bool) int {
 	random := rand.New(rand.NewPCG(seed, seed))
-	targets := newTargets(0, 8)
+	targets := newTargets(8)
 	table := New("desk", 1, targets, noSpare)
 	holders := map[landing.Key]string{}
 	for range flows {
@@ -151,7 +151,7 @@
 }
 
 func ExampleTable_Instances() {
-	table := New("desk", 1, newTargets(0, 3), noSpare)
+	table := New("desk", 1, newTargets(3), noSpare)
 	k := landing.Key{}.WithSource(1).WithSport(5000).WithDestination(2).WithDport(80)
 	fmt.Println(len(table.Instances(k)))
 	// Output: 3
@@ -160,7 +160,7 @@
 func BenchmarkVerdict(b *testing.B) {
 	for _, count := range []int{4, 16, 64} {
 		b.Run(fmt.Sprintf("targets=%d", count), func(b *testing.B) {
-			table := New("desk", 1, newTargets(0, count), noSpare)
+			table := New("desk", 1, newTargets(count), noSpare)
 			k := newKey(rand.New(rand.NewPCG(1, 1)))
 			b.ReportAllocs()
 			for b.Loop() {
@@ -174,7 +174,7 @@
 func BenchmarkNew(b *testing.B) {
 	for _, count := range []int{4, 16, 64} {
 		b.Run(fmt.Sprintf("targets=%d", count), func(b *testing.B) {
-			targets := newTargets(0, count)
+			targets := newTargets(count)
 			b.ReportAllocs()
 			for b.Loop() {
 				_ = New("desk", 1, targets, noSpare)
--- a/core/pkg/control/client.go
+++ b/core/pkg/control/client.go
@@ -43,7 +43,7 @@
 func NewClient(address string, creds credentials.TransportCredentials) (*Client, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(creds),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
--- a/core/pkg/control/pool.go
+++ b/core/pkg/control/pool.go
@@ -33,6 +33,17 @@
 	return c, nil
 }
 
+// Drop closes the client for this address after a failed call, since its connection may have gone
+// silent for good. The next call to Client makes a new one.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.clients[address]; c != nil {
+		c.Close()
+		delete(p.clients, address)
+	}
+}
+
 // Keep closes the clients whose address is not among these.
 func (p *Pool) Keep(addresses map[string]bool) {
 	p.mu.Lock()
--- a/core/pkg/control/server.go
+++ b/core/pkg/control/server.go
@@ -5,6 +5,9 @@
 
 	"github.com/go-kit/kit/endpoint"
 	kitgrpc "github.com/go-kit/kit/transport/grpc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/codec"
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
@@ -30,6 +33,17 @@
 	}
 }
 
+// NewGRPCServer returns a gRPC server that serves s to clients with these credentials.
+func NewGRPCServer(creds credentials.TransportCredentials, s Service) *grpc.Server {
+	server := grpc.NewServer(
+		grpc.Creds(creds),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+	)
+	landingpb.RegisterControlServer(server, NewServer(s))
+	return server
+}
+
 // Announce serves the call of this name.
 func (s *Server) Announce(ctx context.Context, m *landingpb.Heartbeat) (*landingpb.News, error) {
 	_, answer, err := s.announce.ServeGRPC(ctx, m)
--- a/core/pkg/hold/hold_test.go
+++ b/core/pkg/hold/hold_test.go
@@ -112,7 +112,7 @@
 		case landing.Recall:
 			i = deferred
 			isRecalled = true
-		default:
+		case landing.Reset, landing.Drop, landing.Return, landing.Deliver, landing.Complete, landing.Both, landing.Replace:
 			return -1
 		}
 	}
--- a/core/pkg/netstack/conn.go
+++ b/core/pkg/netstack/conn.go
@@ -11,10 +11,9 @@
 	"gvisor.dev/gvisor/pkg/tcpip/network/ipv4"
 	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
 	"gvisor.dev/gvisor/pkg/waiter"
-)
 
-// keepaliveProbes is the number of unanswered probes after which a flow is ended.
-const keepaliveProbes = 3
+	"github.com/crocuslanding/crocuslanding/core/pkg/probe"
+)
 
 // Conn is one flow of the stack.
 type Conn struct {
@@ -76,10 +75,10 @@
 	c.endpoint.SocketOptions().SetKeepAlive(true)
 	first := tcpip.KeepaliveIdleOption(idle)
 	_ = c.endpoint.SetSockOpt(&first)
-	next := tcpip.KeepaliveIntervalOption(max(idle/keepaliveProbes, time.Second))
+	next := tcpip.KeepaliveIntervalOption(probe.Interval(idle))
 	_ = c.endpoint.SetSockOpt(&next)
-	_ = c.endpoint.SetSockOptInt(tcpip.KeepaliveCountOption, keepaliveProbes)
-	timeout := tcpip.TCPUserTimeoutOption(idle + keepaliveProbes*time.Duration(next))
+	_ = c.endpoint.SetSockOptInt(tcpip.KeepaliveCountOption, probe.Count)
+	timeout := tcpip.TCPUserTimeoutOption(probe.Longest(idle))
 	_ = c.endpoint.SetSockOpt(&timeout)
 }
 
--- a/experiment/pkg/deployment/deployment.go
+++ b/experiment/pkg/deployment/deployment.go
@@ -178,6 +178,10 @@
 // RemoveBalancer stops a balancer. The fabric stops using it only afterwards, so packets are lost.
 func (d *Deployment) RemoveBalancer(b *Balancer) {
 	b.Stop()
+	d.forgetBalancer(b)
+}
+
+func (d *Deployment) forgetBalancer(b *Balancer) {
 	for i, other := range d.balancers {
 		if other == b {
 			d.balancers = append(d.balancers[:i:i], d.balancers[i+1:]...)
@@ -187,6 +191,12 @@
 	d.aimFabric()
 }
 
+// StopBalancer stops a balancer as planned: the fabric stops using it first.
+func (d *Deployment) StopBalancer(b *Balancer) {
+	d.forgetBalancer(b)
+	b.Stop()
+}
+
 func (d *Deployment) aimFabric() {
 	var fronts []string
 	for _, b := range d.balancers {
@@ -276,4 +286,3 @@
 func (d *Deployment) common(instance string) common.Common {
 	return common.New(common.NewLogger(d.out, instance, 0), counter.New())
 }
-
--- a/experiment/pkg/deployment/node.go
+++ b/experiment/pkg/deployment/node.go
@@ -11,8 +11,10 @@
 )
 
 const (
+	// Keepalive is the idle time after which flows are probed.
+	Keepalive = time.Second
+
 	connections = 2000
-	keepalive   = time.Second
 	drainTime   = 20 * time.Second
 )
 
@@ -86,7 +88,7 @@
 		WithHeartbeat(heartbeatInterval).
 		WithQueue(d.plan.patience).
 		WithDeadline(d.plan.deadline).
-		WithKeepalive(keepalive).
+		WithKeepalive(Keepalive).
 		WithDrain(drainTime)
 	c := d.common(instance)
 	side, err := sidecar.New(c, settings)
--- a/experiment/pkg/deployment/port.go
+++ b/experiment/pkg/deployment/port.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return false
 	}
-	defer tcp.Close()
+	defer func() { _ = tcp.Close() }()
 	udp, err := net.ListenPacket("udp4", address)
 	if err != nil {
 		return false
--- a/experiment/pkg/measure/changes.go
+++ b/experiment/pkg/measure/changes.go
@@ -29,7 +29,7 @@
 // another joins, with the whole chain and with the first hop of the newest roster only.
 // A flow whose own target left counts for neither.
 func Changes(w io.Writer, folder string) error {
-	withChain := countBroken(func(order []string, holder string) bool { return slices.Contains(order, holder) })
+	withChain := countBroken(slices.Contains)
 	firstHop := countBroken(func(order []string, holder string) bool { return order[0] == holder })
 	t := newTable(w, fmt.Sprintf("broken flows over %d roster changes, %d open flows, %d targets", changeCount, changeFlows, changeTargets))
 	fmt.Fprintln(t, "WAY\tBROKEN FLOWS")
--- a/sidecar/pkg/app/app.go
+++ b/sidecar/pkg/app/app.go
@@ -193,6 +193,11 @@
 	return sc.keeper.Snapshot()
 }
 
+// Flows returns the number of flows that the sidecar holds.
+func (sc *Sidecar) Flows() int {
+	return sc.front.Table().Len()
+}
+
 // Allowance returns the state of the admission.
 func (sc *Sidecar) Allowance() landing.Allowance {
 	return sc.gate.Allowance()
--- a/sidecar/pkg/flows/entry.go
+++ b/sidecar/pkg/flows/entry.go
@@ -14,11 +14,12 @@
 	customer string
 	conn     *netstack.Conn
 	since    time.Time
+	heard    time.Time
 }
 
 // NewEntry returns the entry of flow k of this customer, opened by a segment with this sequence number.
 func NewEntry(k landing.Key, customer string, initial uint32, now time.Time) Entry {
-	return Entry{key: k, stage: landing.Taken{}.WithInitial(initial), customer: customer, since: now}
+	return Entry{key: k, stage: landing.Taken{}.WithInitial(initial), customer: customer, since: now, heard: now}
 }
 
 // Key returns the key of the flow.
@@ -47,6 +48,17 @@
 	return e.customer
 }
 
+// Heard returns the time of the last segment from the caller, to the accuracy of Table.Tick.
+func (e Entry) Heard() time.Time {
+	return e.heard
+}
+
+// WithHeard returns a copy with another time of the last segment.
+func (e Entry) WithHeard(t time.Time) Entry {
+	e.heard = t
+	return e
+}
+
 // Conn returns the connection; nil before the handshake is complete.
 func (e Entry) Conn() *netstack.Conn {
 	return e.conn
--- a/sidecar/pkg/flows/table.go
+++ b/sidecar/pkg/flows/table.go
@@ -23,6 +23,7 @@
 	shards [shardCount]shard
 	size   atomic.Int64
 	ledger *ledger
+	now    atomic.Pointer[time.Time]
 }
 
 type shard struct {
@@ -33,12 +34,18 @@
 // New returns an empty table.
 func New() *Table {
 	t := &Table{ledger: newLedger()}
+	t.Tick(time.Now())
 	for i := range t.shards {
 		t.shards[i].entries = map[landing.Key]Entry{}
 	}
 	return t
 }
 
+// Tick sets the present time.
+func (t *Table) Tick(now time.Time) {
+	t.now.Store(&now)
+}
+
 // Len returns the number of flows.
 func (t *Table) Len() int {
 	return int(t.size.Load())
@@ -55,18 +62,11 @@
 	sh := t.shardOf(s.Key())
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	entry, found := sh.entries[s.Key()]
-	if found && hasEnded(entry, time.Now()) {
-		t.remove(sh, s.Key())
-		found = false
-	}
-	if !found {
-		entry = Entry{stage: landing.Absent{}}
-	}
+	entry := t.present(sh, s.Key())
 	step := hold.Decide(entry.Stage(), s, at, refusal)
 	switch step.(type) {
 	case landing.Take:
-		t.add(sh, s.Key(), NewEntry(s.Key(), customer, s.Sequence(), time.Now()))
+		t.add(sh, s.Key(), NewEntry(s.Key(), customer, s.Sequence(), *t.now.Load()))
 	case landing.Complete:
 		sh.entries[s.Key()] = entry.WithStage(landing.Open{})
 	case landing.Deliver, landing.Pass, landing.Both, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall:
@@ -74,6 +74,24 @@
 	return step
 }
 
+// present returns the entry of flow k, heard now; one in stage Absent when the flow is not held.
+func (t *Table) present(sh *shard, k landing.Key) Entry {
+	now := *t.now.Load()
+	entry, found := sh.entries[k]
+	if !found {
+		return Entry{stage: landing.Absent{}}
+	}
+	if hasEnded(entry, now) {
+		t.remove(sh, k)
+		return Entry{stage: landing.Absent{}}
+	}
+	if entry.Heard() != now {
+		entry = entry.WithHeard(now)
+		sh.entries[k] = entry
+	}
+	return entry
+}
+
 // NoteAnswer notes the sidecar's part of the handshake, s, that the stack sends to the caller.
 func (t *Table) NoteAnswer(s landing.Segment) {
 	sh := t.shardOf(s.Key())
--- a/sidecar/pkg/front/front.go
+++ b/sidecar/pkg/front/front.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
@@ -16,6 +17,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
 	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/core/pkg/probe"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/flows"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/keeper"
 )
@@ -41,6 +43,7 @@
 	conn        *net.UDPConn
 	fabric      netip.AddrPort
 	connections int
+	silence     time.Duration
 	source      Source
 	busy        Busy
 	takenOut    TakenOut
@@ -73,6 +76,7 @@
 		conn:        conn,
 		fabric:      fabric,
 		connections: int(s.Connections()),
+		silence:     probe.Longest(s.Keepalive()),
 		source:      source,
 		busy:        busy,
 		takenOut:    takenOut,
--- a/sidecar/pkg/front/reap.go
+++ b/sidecar/pkg/front/reap.go
@@ -21,7 +21,9 @@
 		case <-f.done.C():
 			return
 		case now := <-ticker.C:
+			f.table.Tick(now)
 			f.table.RemoveEnded(now)
+			f.resetWhere(func(e flows.Entry) bool { return now.Sub(e.Heard()) > f.silence })
 			before = f.follow(before)
 		}
 	}
--- a/sidecar/pkg/home/home.go
+++ b/sidecar/pkg/home/home.go
@@ -123,6 +123,7 @@
 		WithDigest(h.keeper.Snapshot().Digest())
 	news, err := client.Announce(h.ctx, heartbeat)
 	if err != nil {
+		h.pool.Drop(address)
 		return false
 	}
 	h.keeper.Post(landing.Answer{}.WithNews(news))
--- a/sidecar/pkg/requests/requests_test.go
+++ b/sidecar/pkg/requests/requests_test.go
@@ -52,7 +52,7 @@
 }
 
 func (u *rawUpstream) serve(c net.Conn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
--- a/sidecar/pkg/requests/upstream.go
+++ b/sidecar/pkg/requests/upstream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/probe"
 )
 
 const copyBytes = 32 << 10
@@ -34,7 +35,7 @@
 }
 
 func newUpstream(s landing.SidecarSettings) *upstream {
-	dialer := &net.Dialer{Timeout: s.Deadline(), KeepAlive: s.Keepalive()}
+	dialer := &net.Dialer{Timeout: s.Deadline(), KeepAliveConfig: probe.Config(s.Keepalive())}
 	return &upstream{
 		address:  s.Upstream(),
 		deadline: s.Deadline(),
--- a/sidecar/pkg/stream/stream.go
+++ b/sidecar/pkg/stream/stream.go
@@ -11,6 +11,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
+	"github.com/crocuslanding/crocuslanding/core/pkg/probe"
 	"github.com/crocuslanding/crocuslanding/core/pkg/splice"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/flows"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/gate"
@@ -76,6 +77,6 @@
 	}
 	h.gate.Leave(landing.Finished{}.WithNow(time.Now()).WithLatency(time.Since(start)))
 	tcpConn := conn.(*net.TCPConn)
-	_ = tcpConn.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: h.keepalive, Interval: h.keepalive, Count: 3})
+	_ = tcpConn.SetKeepAliveConfig(probe.Config(h.keepalive))
 	return splice.NewTCP(tcpConn), landing.RefusalUnspecified
 }
--- a/standin/pkg/fabric/fabric.go
+++ b/standin/pkg/fabric/fabric.go
@@ -24,6 +24,7 @@
 	common    common.Common
 	conn      *net.UDPConn
 	stack     *netstack.Stack
+	memory    *memory
 	listeners []*listener
 	done      *common.Done
 
@@ -47,6 +48,7 @@
 	f := &Fabric{
 		common: c,
 		conn:   conn,
+		memory: newMemory(),
 		done:   common.NewDone(),
 		random: rand.New(rand.NewPCG(s.Seed(), s.Seed())),
 	}
@@ -115,8 +117,17 @@
 	f.stack.Close()
 }
 
+// Forget makes the fabric lose track of all flows that are open: their packets are dropped in both
+// directions, while new flows pass.
+func (f *Fabric) Forget() {
+	f.memory.forget()
+}
+
 // spray sends the packet to a balancer chosen at random.
 func (f *Fabric) spray(b []byte) {
+	if s, err := packet.Parse(b); err == nil && f.memory.isForgotten(s.Key(), s.Opening()) {
+		return
+	}
 	to, ok := f.choose()
 	if !ok {
 		return
@@ -147,6 +158,9 @@
 			f.common.Counters().Counter("read_failed").Inc(1)
 			continue
 		}
+		if s, err := packet.ParseAnswer(b[:n]); err == nil && f.memory.isForgotten(s.Key(), false) {
+			continue
+		}
 		f.stack.Inject(b[:n])
 	}
 }
