Datagrams between balancers and sidecars carry a keyed tag

Cause: any process that reached a sidecar's UDP address could put packets into a flow.

Weighed: HMAC-SHA256 (several hundred ns a packet), GMAC (needs a nonce that never repeats over 1,500 senders), SipHash over the header and the first 64 bytes of the packet. SipHash was taken, from a library.

Change: keys are an object of the platform, spread like the lists. landingctl rotate accepts the new key, uses it, and drops the old one, and waits after each step until every balancer and sidecar has it in force.

Seen failing first: a forged datagram was parsed before its tag was looked at.

--- a/balancer/pkg/app/app.go
+++ b/balancer/pkg/app/app.go
@@ -23,6 +23,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/control"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/loader"
 	"github.com/crocuslanding/crocuslanding/core/pkg/membership"
 	"github.com/crocuslanding/crocuslanding/core/pkg/platform"
@@ -82,7 +83,10 @@
 		WithControl(s.Control()).
 		WithIncarnation(uint64(now.UnixNano()))
 	k := keeper.New(c, membership.New(self, s.Region(), s.Expiry(), now))
-	f, err := front.New(c, s.Front(), func() *route.View { return k.Snapshot().View() })
+	f, err := front.New(c, s.Front(), func() (*route.View, *envelope.Keys) {
+		s := k.Snapshot()
+		return s.View(), s.Keys()
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/balancer/pkg/front/front.go
+++ b/balancer/pkg/front/front.go
@@ -9,14 +9,15 @@
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/route"
 )
 
 // socketBufferBytes is the size asked for the socket's buffers, which take up bursts.
 const socketBufferBytes = 4 << 20
 
-// Source returns the newest view.
-type Source func() *route.View
+// Source returns the newest view and keys.
+type Source func() (*route.View, *envelope.Keys)
 
 // Front reads and sends packets with several workers.
 type Front struct {
--- a/balancer/pkg/front/front_test.go
+++ b/balancer/pkg/front/front_test.go
@@ -71,7 +71,7 @@
 func newFront(t testing.TB, v *route.View) *Front {
 	t.Helper()
 	c := common.New(logr.Discard(), counter.New())
-	f, err := New(c, "127.0.0.1:0", func() *route.View { return v })
+	f, err := New(c, "127.0.0.1:0", func() (*route.View, *envelope.Keys) { return v, envelope.NewKeys(landing.Keyring{}) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/balancer/pkg/front/worker.go
+++ b/balancer/pkg/front/worker.go
@@ -82,6 +82,7 @@
 
 // route routes message i and says whether it became outgoing message o.
 func (w *worker) route(i, o int) bool {
+	view, keys := w.source()
 	start := envelope.MaxHeaderBytes
 	end := start + w.in[i].N
 	part := 0
@@ -91,6 +92,10 @@
 			w.counters.Refused(landing.RefusalMalformed)
 			return false
 		}
+		if !e.IsSealed(keys) {
+			w.counters.Refused(landing.RefusalTag)
+			return false
+		}
 		part = int(e.Part()) + 1
 		start = end - len(e.Packet())
 	}
@@ -99,9 +104,9 @@
 		w.counters.Refused(landing.RefusalMalformed)
 		return false
 	}
-	switch v := w.source().RoutePart(s.Key(), part).(type) {
+	switch v := view.RoutePart(s.Key(), part).(type) {
 	case landing.Forward:
-		w.prepare(v.Chain(), part, w.room[i], start, end, o)
+		w.prepare(v.Chain(), part, w.room[i][:end], start, o, keys)
 		return true
 	case landing.Refuse:
 		w.counters.Refused(v.Reason())
@@ -121,10 +126,10 @@
 	return true
 }
 
-// prepare writes the header in front of the packet, which lies from start to end of room.
-func (w *worker) prepare(c landing.Chain, part int, room []byte, start, end, o int) {
-	first := envelope.Write(room[:start], c, uint8(part), w.home)
-	w.out[o].Buffers[0] = room[first:end]
+// prepare makes outgoing message o of the packet, which begins at start of room.
+func (w *worker) prepare(c landing.Chain, part int, room []byte, start, o int, keys *envelope.Keys) {
+	first := envelope.Write(room, start, c, uint8(part), w.home, keys)
+	w.out[o].Buffers[0] = room[first:]
 	w.out[o].Addr = w.addressOf(c.HopsAt(0))
 }
 
--- a/balancer/pkg/gossip/gossip.go
+++ b/balancer/pkg/gossip/gossip.go
@@ -135,6 +135,9 @@
 	if news.Marks().MarksLen() > 0 {
 		g.keeper.Post(landing.Marked{}.WithMarks(news.Marks()))
 	}
+	if news.Keyring().Serial() > 0 {
+		g.keeper.Post(landing.Keyed{}.WithKeyring(news.Keyring()))
+	}
 	if news.Roster().Serial() > 0 {
 		record := landing.Record{}.WithRoster(news.Roster())
 		g.keeper.Post(landing.Read{}.WithRecord(record).WithPeer(true).WithNow(time.Now()))
--- a/balancer/pkg/keeper/keeper.go
+++ b/balancer/pkg/keeper/keeper.go
@@ -99,6 +99,8 @@
 		s = k.adopt(s, n)
 	case landing.Marked:
 		s = k.mark(s, n)
+	case landing.Keyed:
+		s = k.key(s, n)
 	}
 	k.snapshot.Store(&s)
 }
@@ -146,3 +148,12 @@
 	k.common.Log().Info("marks in force", "digest", mark.Digest(merged))
 	return s.WithView(s.View().WithMarks(merged))
 }
+
+// key takes a newer keyring; an older one is refused.
+func (k *Keeper) key(s Snapshot, n landing.Keyed) Snapshot {
+	if n.Keyring().Serial() <= s.Keyring().Serial() {
+		return s
+	}
+	k.common.Log().Info("keyring in force", "serial", n.Keyring().Serial(), "signing", n.Keyring().Signing())
+	return s.WithKeyring(n.Keyring())
+}
--- a/balancer/pkg/keeper/snapshot.go
+++ b/balancer/pkg/keeper/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
 	"github.com/crocuslanding/crocuslanding/core/pkg/route"
 )
@@ -11,11 +12,13 @@
 	view  *route.View
 	watch landing.Watch
 	root  landing.Root
+	ring  landing.Keyring
+	keys  *envelope.Keys
 }
 
 // NewSnapshot returns the snapshot of a balancer that knows nothing yet.
 func NewSnapshot(w landing.Watch) Snapshot {
-	return Snapshot{view: route.New(), watch: w}
+	return Snapshot{view: route.New(), watch: w, keys: envelope.NewKeys(landing.Keyring{})}
 }
 
 // View returns the view that packets are routed by.
@@ -51,6 +54,23 @@
 	return s
 }
 
+// Keyring returns the keyring in force.
+func (s Snapshot) Keyring() landing.Keyring {
+	return s.ring
+}
+
+// WithKeyring returns a copy with another keyring.
+func (s Snapshot) WithKeyring(r landing.Keyring) Snapshot {
+	s.ring = r
+	s.keys = envelope.NewKeys(r)
+	return s
+}
+
+// Keys returns the keys of the keyring in force.
+func (s Snapshot) Keys() *envelope.Keys {
+	return s.keys
+}
+
 // Roster returns the roster in force.
 func (s Snapshot) Roster() landing.Roster {
 	return s.view.Roster()
@@ -61,5 +81,6 @@
 	return landing.Digest{}.
 		WithRoot(s.root.Serial()).
 		WithRoster(s.Roster().Serial()).
-		WithMarks(mark.Digest(s.view.Marks()))
+		WithMarks(mark.Digest(s.view.Marks())).
+		WithKeys(s.ring.Serial())
 }
--- a/balancer/pkg/serve/serve.go
+++ b/balancer/pkg/serve/serve.go
@@ -35,7 +35,7 @@
 		s.common.Counters().Refused(landing.RefusalMalformed)
 		return landing.News{}, trace.BadParameter("heartbeat without instance, service or zone")
 	}
-	s.keeper.Post(landing.Heard{}.WithTarget(t).WithNow(time.Now()))
+	s.keeper.Post(landing.Heard{}.WithTarget(t).WithKeys(h.Digest().Keys()).WithNow(time.Now()))
 	snapshot := s.keeper.Snapshot()
 	news := newsFor(snapshot, h.Digest())
 	weights, place := roster.Weights(snapshot.Roster(), t.Service(), t.Instance())
@@ -74,13 +74,23 @@
 		WithRoster(snapshot.Roster()).
 		WithMarks(snapshot.View().Marks()).
 		WithHolder(snapshot.Watch().Record().Lease().Holder()).
-		WithCounters(s.common.Counters().Values()...)
+		WithCounters(s.common.Counters().Values()...).
+		WithKeys(lowestKeys(snapshot))
 	if q.Caller() == "" {
 		return report, nil
 	}
 	return explain(report, snapshot, q)
 }
 
+// lowestKeys returns the lowest serial number of the keyring among the balancer and its sidecars.
+func lowestKeys(s keeper.Snapshot) uint64 {
+	lowest := s.Keyring().Serial()
+	for _, sighting := range s.Watch().Sightings() {
+		lowest = min(lowest, sighting.Keys())
+	}
+	return lowest
+}
+
 func newsFor(s keeper.Snapshot, theirs landing.Digest) landing.News {
 	ours := s.Digest()
 	news := landing.News{}.WithDigest(ours)
@@ -90,6 +100,9 @@
 	if ours.Roster() > theirs.Roster() {
 		news = news.WithRoster(s.Roster())
 	}
+	if ours.Keys() > theirs.Keys() {
+		news = news.WithKeyring(s.Keyring())
+	}
 	if ours.Marks() != theirs.Marks() {
 		news = news.WithMarks(s.View().Marks())
 	}
--- a/balancer/pkg/store/store.go
+++ b/balancer/pkg/store/store.go
@@ -57,6 +57,7 @@
 	s.done.Go(func() { s.watch(object.Record(s.region), s.takeRecord) })
 	s.done.Go(func() { s.watch(object.Root, s.takeRoot) })
 	s.done.Go(func() { s.watch(object.Marks, s.takeMarks) })
+	s.done.Go(func() { s.watch(object.Keys, s.takeKeyring) })
 	s.done.Go(s.runTasks)
 	s.done.Go(s.saveMarks)
 }
@@ -127,6 +128,16 @@
 	return nil
 }
 
+func (s *Store) takeKeyring(o platform.Object) error {
+	r, err := object.DecodeKeyring(o.Value())
+	if err != nil {
+		s.common.Counters().Refused(landing.RefusalMalformed)
+		return err
+	}
+	s.keeper.Post(landing.Keyed{}.WithKeyring(r))
+	return nil
+}
+
 func (s *Store) runTasks() {
 	for {
 		select {
--- a/core/gen/codec/control.go
+++ b/core/gen/codec/control.go
@@ -14,6 +14,7 @@
 	m.Root = v.Root()
 	m.Roster = v.Roster()
 	m.Marks = v.Marks()
+	m.Keys = v.Keys()
 	return m
 }
 
@@ -23,6 +24,7 @@
 	v = v.WithRoot(m.GetRoot())
 	v = v.WithRoster(m.GetRoster())
 	v = v.WithMarks(m.GetMarks())
+	v = v.WithKeys(m.GetKeys())
 	return v
 }
 
@@ -83,6 +85,7 @@
 	}
 	m.Place = v.Place()
 	m.Change = v.Change()
+	m.Keyring = EncodeKeyring(v.Keyring())
 	return m
 }
 
@@ -105,6 +108,7 @@
 	v = v.WithWeights(weights...)
 	v = v.WithPlace(m.GetPlace())
 	v = v.WithChange(m.GetChange())
+	v = v.WithKeyring(DecodeKeyring(m.GetKeyring()))
 	return v
 }
 
@@ -181,6 +185,7 @@
 	for i := range v.ChainLen() {
 		m.Chain = append(m.Chain, v.ChainAt(i))
 	}
+	m.Keys = v.Keys()
 	return m
 }
 
@@ -203,6 +208,7 @@
 		chain = append(chain, e)
 	}
 	v = v.WithChain(chain...)
+	v = v.WithKeys(m.GetKeys())
 	return v
 }
 
--- a/core/gen/codec/lists.go
+++ b/core/gen/codec/lists.go
@@ -258,3 +258,43 @@
 	v = v.WithLine(m.GetLine())
 	return v
 }
+
+// EncodeSecret returns the message for v.
+func EncodeSecret(v landing.Secret) *landingpb.Secret {
+	m := &landingpb.Secret{}
+	m.Number = v.Number()
+	m.Key = v.Key()
+	return m
+}
+
+// DecodeSecret returns the value of m; the zero value when m is nil.
+func DecodeSecret(m *landingpb.Secret) landing.Secret {
+	v := landing.Secret{}
+	v = v.WithNumber(m.GetNumber())
+	v = v.WithKey(m.GetKey())
+	return v
+}
+
+// EncodeKeyring returns the message for v.
+func EncodeKeyring(v landing.Keyring) *landingpb.Keyring {
+	m := &landingpb.Keyring{}
+	m.Serial = v.Serial()
+	m.Signing = v.Signing()
+	for i := range v.SecretsLen() {
+		m.Secrets = append(m.Secrets, EncodeSecret(v.SecretsAt(i)))
+	}
+	return m
+}
+
+// DecodeKeyring returns the value of m; the zero value when m is nil.
+func DecodeKeyring(m *landingpb.Keyring) landing.Keyring {
+	v := landing.Keyring{}
+	v = v.WithSerial(m.GetSerial())
+	v = v.WithSigning(m.GetSigning())
+	var secrets []landing.Secret
+	for _, e := range m.GetSecrets() {
+		secrets = append(secrets, DecodeSecret(e))
+	}
+	v = v.WithSecrets(secrets...)
+	return v
+}
--- a/core/gen/codec/membership.go
+++ b/core/gen/codec/membership.go
@@ -67,6 +67,7 @@
 	m := &landingpb.Heard{}
 	m.Target = EncodeTarget(v.Target())
 	m.Now = timestamppb.New(v.Now())
+	m.Keys = v.Keys()
 	return m
 }
 
@@ -75,6 +76,7 @@
 	v := landing.Heard{}
 	v = v.WithTarget(DecodeTarget(m.GetTarget()))
 	v = v.WithNow(m.GetNow().AsTime())
+	v = v.WithKeys(m.GetKeys())
 	return v
 }
 
@@ -231,6 +233,7 @@
 	m := &landingpb.Sighting{}
 	m.Target = EncodeTarget(v.Target())
 	m.At = timestamppb.New(v.At())
+	m.Keys = v.Keys()
 	return m
 }
 
@@ -239,6 +242,7 @@
 	v := landing.Sighting{}
 	v = v.WithTarget(DecodeTarget(m.GetTarget()))
 	v = v.WithAt(m.GetAt().AsTime())
+	v = v.WithKeys(m.GetKeys())
 	return v
 }
 
--- a/core/gen/codec/notice.go
+++ b/core/gen/codec/notice.go
@@ -25,6 +25,8 @@
 		return &landingpb.Notice{Notice: &landingpb.Notice_Adopted{Adopted: EncodeAdopted(v)}}
 	case landing.Marked:
 		return &landingpb.Notice{Notice: &landingpb.Notice_Marked{Marked: EncodeMarked(v)}}
+	case landing.Keyed:
+		return &landingpb.Notice{Notice: &landingpb.Notice_Keyed{Keyed: EncodeKeyed(v)}}
 	default:
 		return &landingpb.Notice{}
 	}
@@ -47,6 +49,8 @@
 		return DecodeAdopted(c.Adopted)
 	case *landingpb.Notice_Marked:
 		return DecodeMarked(c.Marked)
+	case *landingpb.Notice_Keyed:
+		return DecodeKeyed(c.Keyed)
 	default:
 		return nil
 	}
@@ -68,6 +72,20 @@
 	return v
 }
 
+// EncodeKeyed returns the message for v.
+func EncodeKeyed(v landing.Keyed) *landingpb.Keyed {
+	m := &landingpb.Keyed{}
+	m.Keyring = EncodeKeyring(v.Keyring())
+	return m
+}
+
+// DecodeKeyed returns the value of m; the zero value when m is nil.
+func DecodeKeyed(m *landingpb.Keyed) landing.Keyed {
+	v := landing.Keyed{}
+	v = v.WithKeyring(DecodeKeyring(m.GetKeyring()))
+	return v
+}
+
 // EncodeMarked returns the message for v.
 func EncodeMarked(v landing.Marked) *landingpb.Marked {
 	m := &landingpb.Marked{}
--- a/core/gen/codec/settings.go
+++ b/core/gen/codec/settings.go
@@ -9,6 +9,24 @@
 	durationpb "google.golang.org/protobuf/types/known/durationpb"
 )
 
+// EncodeIdentity returns the message for v.
+func EncodeIdentity(v landing.Identity) *landingpb.Identity {
+	m := &landingpb.Identity{}
+	m.Certificate = v.Certificate()
+	m.Key = v.Key()
+	m.Authority = v.Authority()
+	return m
+}
+
+// DecodeIdentity returns the value of m; the zero value when m is nil.
+func DecodeIdentity(m *landingpb.Identity) landing.Identity {
+	v := landing.Identity{}
+	v = v.WithCertificate(m.GetCertificate())
+	v = v.WithKey(m.GetKey())
+	v = v.WithAuthority(m.GetAuthority())
+	return v
+}
+
 // EncodeBalancerSettings returns the message for v.
 func EncodeBalancerSettings(v landing.BalancerSettings) *landingpb.BalancerSettings {
 	m := &landingpb.BalancerSettings{}
@@ -26,6 +44,7 @@
 	m.Gossip = durationpb.New(v.Gossip())
 	m.Expiry = durationpb.New(v.Expiry())
 	m.Verbosity = v.Verbosity()
+	m.Identity = EncodeIdentity(v.Identity())
 	return m
 }
 
@@ -48,6 +67,7 @@
 	v = v.WithGossip(m.GetGossip().AsDuration())
 	v = v.WithExpiry(m.GetExpiry().AsDuration())
 	v = v.WithVerbosity(m.GetVerbosity())
+	v = v.WithIdentity(DecodeIdentity(m.GetIdentity()))
 	return v
 }
 
@@ -74,6 +94,7 @@
 	m.Keepalive = durationpb.New(v.Keepalive())
 	m.Drain = durationpb.New(v.Drain())
 	m.Verbosity = v.Verbosity()
+	m.Identity = EncodeIdentity(v.Identity())
 	return m
 }
 
@@ -102,6 +123,7 @@
 	v = v.WithKeepalive(m.GetKeepalive().AsDuration())
 	v = v.WithDrain(m.GetDrain().AsDuration())
 	v = v.WithVerbosity(m.GetVerbosity())
+	v = v.WithIdentity(DecodeIdentity(m.GetIdentity()))
 	return v
 }
 
--- a/core/gen/landing/control.go
+++ b/core/gen/landing/control.go
@@ -11,6 +11,7 @@
 	root   uint64
 	roster uint64
 	marks  uint64
+	keys   uint64
 }
 
 // Root returns the field of this name:
@@ -49,6 +50,18 @@
 	return v
 }
 
+// Keys returns the field of this name:
+// Serial number of the keyring.
+func (v Digest) Keys() uint64 {
+	return v.keys
+}
+
+// WithKeys returns a copy with another keys.
+func (v Digest) WithKeys(keys uint64) Digest {
+	v.keys = keys
+	return v
+}
+
 // Heartbeat is sent by a sidecar to its home balancer.
 type Heartbeat struct {
 	target Target
@@ -155,6 +168,7 @@
 	weights []uint32
 	place   uint32
 	change  uint64
+	keyring Keyring
 }
 
 // Digest returns the field of this name:
@@ -273,6 +287,18 @@
 	return v
 }
 
+// Keyring returns the field of this name:
+// The newer keyring, if any.
+func (v News) Keyring() Keyring {
+	return v.keyring
+}
+
+// WithKeyring returns a copy with another keyring.
+func (v News) WithKeyring(keyring Keyring) News {
+	v.keyring = keyring
+	return v
+}
+
 // Want asks for chunks of the lists.
 type Want struct {
 	hashes []string
@@ -380,6 +406,7 @@
 	counters []Counter
 	verdict  string
 	chain    []string
+	keys     uint64
 }
 
 // Instance returns the field of this name:
@@ -498,6 +525,18 @@
 	return v
 }
 
+// Keys returns the field of this name:
+// Lowest serial number of the keyring among the balancer and the sidecars that it is home to.
+func (v Report) Keys() uint64 {
+	return v.keys
+}
+
+// WithKeys returns a copy with another keys.
+func (v Report) WithKeys(keys uint64) Report {
+	v.keys = keys
+	return v
+}
+
 // Counter is one counter.
 type Counter struct {
 	name  string
--- a/core/gen/landing/flow.go
+++ b/core/gen/landing/flow.go
@@ -45,6 +45,8 @@
 	RefusalShare Refusal = 15
 	// The tag of the datagram is wrong.
 	RefusalTag Refusal = 16
+	// The peer of a control connection is not authenticated.
+	RefusalPeer Refusal = 17
 )
 
 // String returns the name of the value in lower case.
@@ -84,6 +86,8 @@
 		return "share"
 	case RefusalTag:
 		return "tag"
+	case RefusalPeer:
+		return "peer"
 	default:
 		return "invalid"
 	}
--- a/core/gen/landing/lists.go
+++ b/core/gen/landing/lists.go
@@ -600,3 +600,86 @@
 	v.line = line
 	return v
 }
+
+// Secret is one key for the tags of datagrams.
+type Secret struct {
+	number uint32
+	key    []byte
+}
+
+// Number returns the field of this name:
+// Number of the key; 0 stands for datagrams without a tag.
+func (v Secret) Number() uint32 {
+	return v.number
+}
+
+// WithNumber returns a copy with another number.
+func (v Secret) WithNumber(number uint32) Secret {
+	v.number = number
+	return v
+}
+
+// Key returns the field of this name:
+// The key, 16 bytes; empty for number 0.
+func (v Secret) Key() []byte {
+	return v.key
+}
+
+// WithKey returns a copy with another key.
+func (v Secret) WithKey(key []byte) Secret {
+	v.key = key
+	return v
+}
+
+// Keyring is the keys for the tags of datagrams between balancers and sidecars.
+type Keyring struct {
+	serial  uint64
+	signing uint32
+	secrets []Secret
+}
+
+// Serial returns the field of this name:
+// Serial number, one higher with each change.
+func (v Keyring) Serial() uint64 {
+	return v.serial
+}
+
+// WithSerial returns a copy with another serial.
+func (v Keyring) WithSerial(serial uint64) Keyring {
+	v.serial = serial
+	return v
+}
+
+// Signing returns the field of this name:
+// Number of the key that tags are made with.
+func (v Keyring) Signing() uint32 {
+	return v.signing
+}
+
+// WithSigning returns a copy with another signing.
+func (v Keyring) WithSigning(signing uint32) Keyring {
+	v.signing = signing
+	return v
+}
+
+// Secrets returns a copy of the list of this name:
+// The keys that are accepted.
+func (v Keyring) Secrets() []Secret {
+	return slices.Clone(v.secrets)
+}
+
+// SecretsLen returns the number of elements of Secrets.
+func (v Keyring) SecretsLen() int {
+	return len(v.secrets)
+}
+
+// SecretsAt returns element i of Secrets, counted from 0.
+func (v Keyring) SecretsAt(i int) Secret {
+	return v.secrets[i]
+}
+
+// WithSecrets returns a copy with other secrets.
+func (v Keyring) WithSecrets(secrets ...Secret) Keyring {
+	v.secrets = slices.Clone(secrets)
+	return v
+}
--- a/core/gen/landing/membership.go
+++ b/core/gen/landing/membership.go
@@ -48,6 +48,7 @@
 type Heard struct {
 	target Target
 	now    time.Time
+	keys   uint64
 }
 
 func (Heard) isHappening() {}
@@ -78,6 +79,18 @@
 	return v
 }
 
+// Keys returns the field of this name:
+// Serial number of the keyring that the sidecar has in force.
+func (v Heard) Keys() uint64 {
+	return v.keys
+}
+
+// WithKeys returns a copy with another keys.
+func (v Heard) WithKeys(keys uint64) Heard {
+	v.keys = keys
+	return v
+}
+
 // Met says that a balancer sent what it knows.
 type Met struct {
 	member  Member
@@ -344,6 +357,7 @@
 type Sighting struct {
 	target Target
 	at     time.Time
+	keys   uint64
 }
 
 // Target returns the field of this name:
@@ -370,6 +384,18 @@
 	return v
 }
 
+// Keys returns the field of this name:
+// Serial number of the keyring that the sidecar has in force.
+func (v Sighting) Keys() uint64 {
+	return v.keys
+}
+
+// WithKeys returns a copy with another keys.
+func (v Sighting) WithKeys(keys uint64) Sighting {
+	v.keys = keys
+	return v
+}
+
 // Encounter is a balancer and when it was last met.
 type Encounter struct {
 	member Member
--- a/core/gen/landing/notice.go
+++ b/core/gen/landing/notice.go
@@ -70,6 +70,25 @@
 	return v
 }
 
+// Keyed says that a keyring was received.
+type Keyed struct {
+	keyring Keyring
+}
+
+func (Keyed) isNotice() {}
+
+// Keyring returns the field of this name:
+// The keyring.
+func (v Keyed) Keyring() Keyring {
+	return v.keyring
+}
+
+// WithKeyring returns a copy with another keyring.
+func (v Keyed) WithKeyring(keyring Keyring) Keyed {
+	v.keyring = keyring
+	return v
+}
+
 // Marked says that marks were received.
 type Marked struct {
 	marks Marks
--- a/core/gen/landing/settings.go
+++ b/core/gen/landing/settings.go
@@ -7,6 +7,50 @@
 	time "time"
 )
 
+// Identity names the files with which a process proves who it is to other processes.
+// They are read again when they change.
+type Identity struct {
+	certificate string
+	key         string
+	authority   string
+}
+
+// Certificate returns the field of this name:
+// Path of the certificate in PEM.
+func (v Identity) Certificate() string {
+	return v.certificate
+}
+
+// WithCertificate returns a copy with another certificate.
+func (v Identity) WithCertificate(certificate string) Identity {
+	v.certificate = certificate
+	return v
+}
+
+// Key returns the field of this name:
+// Path of the private key in PEM.
+func (v Identity) Key() string {
+	return v.key
+}
+
+// WithKey returns a copy with another key.
+func (v Identity) WithKey(key string) Identity {
+	v.key = key
+	return v
+}
+
+// Authority returns the field of this name:
+// Path of the certificates of the authorities that are trusted, in PEM.
+func (v Identity) Authority() string {
+	return v.authority
+}
+
+// WithAuthority returns a copy with another authority.
+func (v Identity) WithAuthority(authority string) Identity {
+	v.authority = authority
+	return v
+}
+
 // BalancerSettings configure one balancer process.
 type BalancerSettings struct {
 	instance  string
@@ -21,6 +65,7 @@
 	gossip    time.Duration
 	expiry    time.Duration
 	verbosity uint32
+	identity  Identity
 }
 
 // Instance returns the field of this name:
@@ -177,6 +222,18 @@
 	return v
 }
 
+// Identity returns the field of this name:
+// Identity for control connections. Empty: control connections are neither encrypted nor authenticated.
+func (v BalancerSettings) Identity() Identity {
+	return v.identity
+}
+
+// WithIdentity returns a copy with another identity.
+func (v BalancerSettings) WithIdentity(identity Identity) BalancerSettings {
+	v.identity = identity
+	return v
+}
+
 // SidecarSettings configure one sidecar process, which stands beside one upstream.
 type SidecarSettings struct {
 	instance    string
@@ -197,6 +254,7 @@
 	keepalive   time.Duration
 	drain       time.Duration
 	verbosity   uint32
+	identity    Identity
 }
 
 // Instance returns the field of this name:
@@ -425,6 +483,18 @@
 	return v
 }
 
+// Identity returns the field of this name:
+// Identity for control connections. Empty: control connections are neither encrypted nor authenticated.
+func (v SidecarSettings) Identity() Identity {
+	return v.identity
+}
+
+// WithIdentity returns a copy with another identity.
+func (v SidecarSettings) WithIdentity(identity Identity) SidecarSettings {
+	v.identity = identity
+	return v
+}
+
 // PlatformSettings configure the stand-in for the platform's object API.
 type PlatformSettings struct {
 	listen string
--- a/core/pkg/counter/counter.go
+++ b/core/pkg/counter/counter.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	refusalCount  = int(landing.RefusalTag) + 1
+	refusalCount  = int(landing.RefusalPeer) + 1
 	refusalPrefix = "refused."
 )
 
--- a/core/pkg/envelope/envelope.go
+++ b/core/pkg/envelope/envelope.go
@@ -23,7 +23,7 @@
 
 	wordBytes      = 4
 	hopBytes       = 6
-	fixedBytes     = 24
+	fixedBytes     = 36
 	lengthMask     = 0x1f
 	protocolIPv4   = 4
 	offsetProtocol = 1
@@ -37,6 +37,8 @@
 	offsetHome     = 16
 	offsetDeferred = 22
 	offsetRecalled = 23
+	offsetKey      = 24
+	offsetTag      = 28
 )
 
 // ErrMalformed says that bytes are not a datagram of the fleet.
@@ -74,13 +76,13 @@
 	return len(b) > 0 && b[0]&^lengthMask == 0
 }
 
-// Write writes the header for chain c, part number part, into the end of room, and returns
-// the header's first index in room. Home is the balancer that is asked for the next part.
-// The packet is expected to follow directly after room, which has MaxHeaderBytes or more.
-func Write(room []byte, c landing.Chain, part uint8, home netip.AddrPort) int {
+// Write writes the header for chain c, part number part, in front of the packet, which begins at
+// index packet of b, and returns the header's first index. Home is the balancer that is asked for the next
+// part. There must be MaxHeaderBytes in front of the packet. The datagram is sealed with keys.
+func Write(b []byte, packet int, c landing.Chain, part uint8, home netip.AddrPort, keys *Keys) int {
 	count := min(c.HopsLen(), MaxHops)
-	start := len(room) - paddedBytes(count)
-	h := room[start:]
+	start := packet - paddedBytes(count)
+	h := b[start:]
 	clear(h[:fixedBytes])
 	h[0] = byte(paddedBytes(count)/wordBytes - 1)
 	h[offsetProtocol] = protocolIPv4
@@ -97,6 +99,7 @@
 		binary.BigEndian.PutUint32(hop, c.HopsAt(i).Address())
 		binary.BigEndian.PutUint16(hop[wordBytes:], uint16(c.HopsAt(i).Port()))
 	}
+	Envelope{b: h}.Seal(keys)
 	return start
 }
 
--- a/core/pkg/envelope/envelope_test.go
+++ b/core/pkg/envelope/envelope_test.go
@@ -21,9 +21,8 @@
 }
 
 func write(c landing.Chain, payload []byte) []byte {
-	room := make([]byte, MaxHeaderBytes, MaxHeaderBytes+len(payload))
-	first := Write(room, c, 3, home)
-	return append(room, payload...)[first:]
+	b := append(make([]byte, MaxHeaderBytes), payload...)
+	return b[Write(b, MaxHeaderBytes, c, 3, home, NewKeys(landing.Keyring{})):]
 }
 
 func TestWhatWasWrittenIsRead(t *testing.T) {
--- a/core/pkg/hold/hold.go
+++ b/core/pkg/hold/hold.go
@@ -117,7 +117,7 @@
 )
 
 func newDrops() []landing.Step {
-	list := make([]landing.Step, landing.RefusalTag+1)
+	list := make([]landing.Step, landing.RefusalPeer+1)
 	for i := range list {
 		list[i] = landing.Drop{}.WithReason(landing.Refusal(i))
 	}
@@ -125,7 +125,7 @@
 }
 
 func newResets() []landing.Step {
-	list := make([]landing.Step, landing.RefusalTag+1)
+	list := make([]landing.Step, landing.RefusalPeer+1)
 	for i := range list {
 		list[i] = landing.Reset{}.WithReason(landing.Refusal(i))
 	}
--- a/core/pkg/membership/membership.go
+++ b/core/pkg/membership/membership.go
@@ -75,7 +75,7 @@
 }
 
 func handleHeard(w landing.Watch, h landing.Heard) (landing.Watch, []landing.Task) {
-	s := landing.Sighting{}.WithTarget(h.Target()).WithAt(h.Now())
+	s := landing.Sighting{}.WithTarget(h.Target()).WithKeys(h.Keys()).WithAt(h.Now())
 	sightings := w.Sightings()
 	i, found := slices.BinarySearchFunc(sightings, s, compareSightings)
 	switch {
--- a/core/pkg/object/object.go
+++ b/core/pkg/object/object.go
@@ -20,6 +20,8 @@
 	Root = "root"
 	// Marks is the name of the object that holds all marks.
 	Marks = "marks"
+	// Keys is the name of the object that holds the keyring.
+	Keys = "keys"
 
 	chunkPrefix  = "chunk-"
 	pastPrefix   = "past-"
@@ -95,6 +97,20 @@
 	return codec.DecodeMarks(m), nil
 }
 
+// EncodeKeyring returns the encoding of the keyring.
+func EncodeKeyring(r landing.Keyring) []byte {
+	return encode(codec.EncodeKeyring(r))
+}
+
+// DecodeKeyring returns the keyring encoded in b; trace.BadParameter when b holds none.
+func DecodeKeyring(b []byte) (landing.Keyring, error) {
+	m := &landingpb.Keyring{}
+	if err := decode(b, m); err != nil {
+		return landing.Keyring{}, err
+	}
+	return codec.DecodeKeyring(m), nil
+}
+
 // EncodeRecord returns the encoding of the record.
 func EncodeRecord(r landing.Record) []byte {
 	return encode(codec.EncodeRecord(r))
--- /dev/null
+++ b/experiment/pkg/scenario/keys_test.go
@@ -0,0 +1,54 @@
+package scenario
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/experiment/pkg/deployment"
+	"github.com/crocuslanding/crocuslanding/landingctl/pkg/command"
+)
+
+func TestKeysRotateUnderLoadAndForgedDatagramsAreDropped(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(3)
+	d := start(t, deployment.NewPlan(desk))
+	feeds := openFeeds(t, d, desk, 12)
+	load := startLoad(d, desk, 8)
+	is.NoErr(landingctl(d, command.Rotate, "-wait", "10s"))
+	is.NoErr(landingctl(d, command.Rotate, "-wait", "10s"))
+	for _, s := range load.Stop() {
+		is.Equal(s.Reason(), "")
+	}
+	awaitProgress(t, feeds)
+	for _, f := range feeds {
+		is.NoErr(f.Err())
+	}
+
+	n := d.Nodes()[0]
+	refused := n.Counters().Counter("refused." + landing.RefusalTag.String())
+	is.Equal(refused.Count(), int64(0))
+	is.NoErr(sendForged(n.Snapshot().Target().Front(), desk.Name()))
+	is.NoErr(deployment.Await(func() bool { return refused.Count() == 1 }))
+}
+
+// sendForged sends a datagram as a balancer of a fleet without keys would.
+func sendForged(to, service string) error {
+	conn, err := net.DialTimeout("udp4", to, time.Second)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	c := landing.Chain{}.
+		WithService(service).
+		WithHops(landing.Hop{}.WithAddress(1).WithPort(1))
+	b := make([]byte, 2*envelope.MaxHeaderBytes)
+	home := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	first := envelope.Write(b, envelope.MaxHeaderBytes, c, 0, home, envelope.NewKeys(landing.Keyring{}))
+	_, err = conn.Write(b[first:])
+	return err
+}
--- a/landingctl/pkg/text/text.go
+++ b/landingctl/pkg/text/text.go
@@ -11,6 +11,7 @@
   upstream out|back INSTANCE    take an upstream out, or put it back
   status                        show the state of the fleet
   explain CALLER SERVICE        show where a flow goes, or why it is refused
+  rotate                        replace the key for the tags of datagrams
   history                       show the changes of the lists, newest first
 
 Example: landingctl zone -balancers 127.0.0.1:21010 -platform 127.0.0.1:21000 out khomas-a
--- a/sidecar/pkg/front/handle.go
+++ b/sidecar/pkg/front/handle.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
@@ -17,18 +18,22 @@
 		f.common.Counters().Refused(landing.RefusalMalformed)
 		return
 	}
+	snapshot := f.source()
+	if !e.IsSealed(snapshot.Keys()) {
+		f.common.Counters().Refused(landing.RefusalTag)
+		return
+	}
 	s, err := packet.Parse(e.Packet())
 	if err != nil {
 		f.common.Counters().Refused(landing.RefusalMalformed)
 		return
 	}
-	snapshot := f.source()
 	if e.Service() != envelope.ServiceTag(snapshot.Target().Service()) {
 		f.common.Counters().Refused(landing.RefusalForeign)
 		return
 	}
 	f.noteRoster(e.Roster())
-	f.carryOut(f.decide(e, s, snapshot), e, s)
+	f.carryOut(f.decide(e, s, snapshot), e, s, snapshot.Keys())
 }
 
 func (f *Front) decide(e envelope.Envelope, s landing.Segment, snapshot keeper.Snapshot) landing.Step {
@@ -78,23 +83,23 @@
 	return hold.MayReset(f.misses.first(s.Key(), now), now, e.Roster(), f.newest.Load())
 }
 
-func (f *Front) carryOut(step landing.Step, e envelope.Envelope, s landing.Segment) {
+func (f *Front) carryOut(step landing.Step, e envelope.Envelope, s landing.Segment, keys *envelope.Keys) {
 	switch step := step.(type) {
 	case landing.Take, landing.Deliver, landing.Complete:
 		f.stack.Inject(e.Packet())
 	case landing.Pass:
-		f.pass(e)
+		f.pass(e, keys)
 	case landing.Both:
 		f.stack.Inject(e.Packet())
-		f.pass(e)
+		f.pass(e, keys)
 	case landing.Defer:
 		e.Defer()
-		f.pass(e)
+		f.pass(e, keys)
 	case landing.Recall:
 		f.common.Counters().Counter("recalled").Inc(1)
-		f.send(e.Bytes(), e.Recall())
+		f.forward(e, e.Recall(), keys)
 	case landing.Return:
-		f.send(e.Bytes(), e.Home())
+		f.forward(e, e.Home(), keys)
 	case landing.Reset:
 		f.reset(e, step.Reason())
 	case landing.Drop:
@@ -104,9 +109,15 @@
 	}
 }
 
-func (f *Front) pass(e envelope.Envelope) {
+func (f *Front) pass(e envelope.Envelope, keys *envelope.Keys) {
 	f.common.Counters().Counter("passed").Inc(1)
-	f.send(e.Bytes(), e.Advance())
+	f.forward(e, e.Advance(), keys)
+}
+
+// forward seals the changed datagram and sends it on.
+func (f *Front) forward(e envelope.Envelope, to netip.AddrPort, keys *envelope.Keys) {
+	e.Seal(keys)
+	f.send(e.Bytes(), to)
 }
 
 func (f *Front) reset(e envelope.Envelope, reason landing.Refusal) {
--- a/sidecar/pkg/keeper/keeper.go
+++ b/sidecar/pkg/keeper/keeper.go
@@ -117,6 +117,7 @@
 	if n.Change() >= s.Target().Change() && n.Change() > 0 {
 		s = s.WithTarget(s.Target().WithChange(n.Change() + 1))
 	}
+	s = k.key(s, n.Keyring())
 	merged := mark.Merge(s.Marks(), n.Marks())
 	if mark.Digest(merged) != mark.Digest(s.Marks()) {
 		s = s.WithMarks(merged)
@@ -162,3 +163,12 @@
 	}
 	return s.WithTarget(t.WithWeight(measured).WithChange(t.Change() + 1))
 }
+
+// key takes a newer keyring; an older one is refused.
+func (k *Keeper) key(s Snapshot, r landing.Keyring) Snapshot {
+	if r.Serial() <= s.Keyring().Serial() {
+		return s
+	}
+	k.common.Log().Info("keyring in force", "serial", r.Serial(), "signing", r.Signing())
+	return s.WithKeyring(r)
+}
--- a/sidecar/pkg/keeper/snapshot.go
+++ b/sidecar/pkg/keeper/snapshot.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
 	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
 )
@@ -18,11 +19,13 @@
 	place   int
 	members []landing.Member
 	roster  uint64
+	ring    landing.Keyring
+	keys    *envelope.Keys
 }
 
 // NewSnapshot returns the snapshot of a sidecar that knows nothing but its target.
 func NewSnapshot(t landing.Target) Snapshot {
-	return Snapshot{target: t, place: -1}
+	return Snapshot{target: t, place: -1, keys: envelope.NewKeys(landing.Keyring{})}
 }
 
 // Target returns the target as it is announced.
@@ -89,12 +92,30 @@
 	return s
 }
 
+// Keyring returns the keyring in force.
+func (s Snapshot) Keyring() landing.Keyring {
+	return s.ring
+}
+
+// WithKeyring returns a copy with another keyring.
+func (s Snapshot) WithKeyring(r landing.Keyring) Snapshot {
+	s.ring = r
+	s.keys = envelope.NewKeys(r)
+	return s
+}
+
+// Keys returns the keys of the keyring in force.
+func (s Snapshot) Keys() *envelope.Keys {
+	return s.keys
+}
+
 // Digest returns the versions in force.
 func (s Snapshot) Digest() landing.Digest {
 	return landing.Digest{}.
 		WithRoot(s.root.Serial()).
 		WithRoster(s.roster).
-		WithMarks(mark.Digest(s.marks))
+		WithMarks(mark.Digest(s.marks)).
+		WithKeys(s.ring.Serial())
 }
 
 // IsOut says whether the upstream or its availability zone is taken out.
