Mutual TLS on control connections, and metrics over HTTP

Cause: whoever reached a control address could announce an upstream or set marks; the metrics addresses of the settings were not served.

Change: certificate, key and authority come from files that the settings name and are read again when they change; a peer without a certificate of the fleet gets nothing and is counted. Names are not checked, since processes are reached by IP. Counters are served in the Prometheus format.

--- a/balancer/pkg/app/app.go
+++ b/balancer/pkg/app/app.go
@@ -10,7 +10,6 @@
 
 	"github.com/gravitational/trace"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/crocuslanding/crocuslanding/balancer/pkg/front"
 	"github.com/crocuslanding/crocuslanding/balancer/pkg/gossip"
@@ -24,11 +23,13 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/control"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/core/pkg/identity"
 	"github.com/crocuslanding/crocuslanding/core/pkg/loader"
 	"github.com/crocuslanding/crocuslanding/core/pkg/membership"
 	"github.com/crocuslanding/crocuslanding/core/pkg/platform"
 	"github.com/crocuslanding/crocuslanding/core/pkg/program"
 	"github.com/crocuslanding/crocuslanding/core/pkg/route"
+	"github.com/crocuslanding/crocuslanding/core/pkg/scrape"
 	"github.com/crocuslanding/crocuslanding/core/pkg/settings"
 )
 
@@ -69,6 +70,7 @@
 	store    *store.Store
 	gossip   *gossip.Gossip
 	pool     *control.Pool
+	scrape   *scrape.Server
 	listener net.Listener
 	grpc     *grpc.Server
 	done     *common.Done
@@ -76,6 +78,10 @@
 
 // New returns a balancer whose sockets are open. It returns an error when an address cannot be used.
 func New(c common.Common, s landing.BalancerSettings) (*Balancer, error) {
+	creds, err := identity.New(s.Identity(), c.Counters())
+	if err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	self := landing.Member{}.
 		WithInstance(s.Instance()).
@@ -95,9 +101,15 @@
 		f.Stop()
 		return nil, trace.Wrap(err)
 	}
+	metrics, err := scrape.New(s.Metrics(), c.Counters())
+	if err != nil {
+		f.Stop()
+		_ = listener.Close()
+		return nil, err
+	}
 	l := loader.New()
-	pool := control.NewPool(insecure.NewCredentials())
-	server := control.NewGRPCServer(insecure.NewCredentials(), serve.New(c, k, l))
+	pool := control.NewPool(creds)
+	server := control.NewGRPCServer(creds, serve.New(c, k, l))
 	return &Balancer{
 		settings: s,
 		keeper:   k,
@@ -105,6 +117,7 @@
 		store:    store.New(c, platform.New(s.Platform()), k, l, s.Region()),
 		gossip:   gossip.New(c, k, l, pool, s.Peers(), s.Gossip()),
 		pool:     pool,
+		scrape:   metrics,
 		listener: listener,
 		grpc:     server,
 		done:     common.NewDone(),
@@ -114,6 +127,7 @@
 // Start starts all parts.
 func (b *Balancer) Start() {
 	b.keeper.Start()
+	b.scrape.Start()
 	b.store.Start()
 	b.gossip.Start()
 	b.done.Go(func() { _ = b.grpc.Serve(b.listener) })
@@ -128,6 +142,7 @@
 	b.done.Wait()
 	b.store.Stop()
 	b.pool.Close()
+	b.scrape.Stop()
 	b.keeper.Stop()
 }
 
--- a/core/pkg/scrape/scrape.go
+++ b/core/pkg/scrape/scrape.go
@@ -30,8 +30,12 @@
 	done     *common.Done
 }
 
-// New returns a server on this TCP address. It returns an error when the address cannot be used.
+// New returns a server on this TCP address; one that serves nothing when the address is empty.
+// It returns an error when the address cannot be used.
 func New(address string, counters *counter.Set) (*Server, error) {
+	if address == "" {
+		return &Server{done: common.NewDone()}, nil
+	}
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -48,12 +52,17 @@
 
 // Start starts the server.
 func (s *Server) Start() {
-	s.done.Go(func() { _ = s.http.Serve(s.listener) })
+	if s.http != nil {
+		s.done.Go(func() { _ = s.http.Serve(s.listener) })
+	}
 }
 
 // Stop ends all connections and waits for the server.
 func (s *Server) Stop() {
-	_ = s.http.Close()
+	if s.http != nil {
+		_ = s.http.Close()
+		_ = s.listener.Close()
+	}
 	s.done.Wait()
 }
 
--- a/landingctl/pkg/command/options.go
+++ b/landingctl/pkg/command/options.go
@@ -10,8 +10,11 @@
 	"strings"
 	"time"
 
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/identity"
 	"github.com/crocuslanding/crocuslanding/core/pkg/platform"
 	"github.com/crocuslanding/crocuslanding/core/pkg/program"
 	"github.com/crocuslanding/crocuslanding/landingctl/pkg/fleet"
@@ -55,6 +58,7 @@
 	port      uint
 	dryRun    bool
 	json      bool
+	creds     credentials.TransportCredentials
 	args      []string
 }
 
@@ -71,9 +75,19 @@
 	flags.UintVar(&o.port, "port", 0, text.Port)
 	flags.BoolVar(&o.dryRun, "dry-run", false, text.DryRun)
 	flags.BoolVar(&o.json, "json", false, text.JSON)
+	certificate := flags.String("certificate", "", text.Certificate)
+	key := flags.String("key", "", text.Key)
+	authority := flags.String("authority", "", text.Authority)
 	if err := flags.Parse(args); err != nil {
 		return o, false
 	}
+	id := landing.Identity{}.WithCertificate(*certificate).WithKey(*key).WithAuthority(*authority)
+	creds, err := identity.New(id, counter.New())
+	if err != nil {
+		io.WriteString(e.errOut, err.Error()+"\n")
+		return o, false
+	}
+	o.creds = creds
 	o.args = flags.Args()
 	if len(o.args) != arguments {
 		io.WriteString(e.errOut, text.Usage)
@@ -101,7 +115,7 @@
 			seeds = append(seeds, s)
 		}
 	}
-	return fleet.New(seeds, insecure.NewCredentials())
+	return fleet.New(seeds, o.creds)
 }
 
 // fail prints err and returns the status for a failure.
--- a/landingctl/pkg/text/text.go
+++ b/landingctl/pkg/text/text.go
@@ -30,4 +30,8 @@
 	Author    = "name of the operator, kept with the change"
 	Base      = "serial number that the lists in force must have; 0 for any"
 	Port      = "port of the caller"
+
+	Certificate = "path of the operator's certificate, in PEM; empty for connections without TLS"
+	Key         = "path of the operator's private key, in PEM"
+	Authority   = "path of the certificates of the fleet's authorities, in PEM"
 )
--- a/sidecar/pkg/app/app.go
+++ b/sidecar/pkg/app/app.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"google.golang.org/grpc/credentials/insecure"
 	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/codec"
@@ -15,8 +14,10 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/control"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/identity"
 	"github.com/crocuslanding/crocuslanding/core/pkg/program"
 	"github.com/crocuslanding/crocuslanding/core/pkg/retry"
+	"github.com/crocuslanding/crocuslanding/core/pkg/scrape"
 	"github.com/crocuslanding/crocuslanding/core/pkg/settings"
 	"github.com/crocuslanding/crocuslanding/core/pkg/weight"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/front"
@@ -77,6 +78,7 @@
 	home     *home.Home
 	pool     *control.Pool
 	local    *local.Server
+	scrape   *scrape.Server
 	requests *requests.Handler
 	stream   *stream.Handler
 	done     *common.Done
@@ -84,6 +86,10 @@
 
 // New returns a sidecar whose sockets are open. It returns an error when an address cannot be used.
 func New(c common.Common, s landing.SidecarSettings) (*Sidecar, error) {
+	creds, err := identity.New(s.Identity(), c.Counters())
+	if err != nil {
+		return nil, err
+	}
 	k := keeper.New(c, newTarget(s, time.Now()))
 	g := gate.New(s.Slots(), s.Queue())
 	takenOut := func() { g.Note(landing.Started{}.WithNow(time.Now())) }
@@ -91,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pool := control.NewPool(insecure.NewCredentials())
+	pool := control.NewPool(creds)
 	sc := &Sidecar{
 		common:   c,
 		settings: s,
@@ -109,6 +115,12 @@
 		f.Stop()
 		return nil, err
 	}
+	sc.scrape, err = scrape.New(s.Metrics(), c.Counters())
+	if err != nil {
+		f.Stop()
+		sc.local.Stop()
+		return nil, err
+	}
 	return sc, nil
 }
 
@@ -129,6 +141,7 @@
 	sc.requests.Start()
 	sc.front.Start(frontWorkers, sc.handle)
 	sc.local.Start()
+	sc.scrape.Start()
 	sc.home.Start()
 	sc.done.Go(sc.weigh)
 }
@@ -180,6 +193,7 @@
 
 func (sc *Sidecar) stopParts() {
 	sc.local.Stop()
+	sc.scrape.Stop()
 	sc.done.Close()
 	sc.done.Wait()
 	sc.requests.Stop()
--- a/sidecar/pkg/local/local.go
+++ b/sidecar/pkg/local/local.go
@@ -57,6 +57,7 @@
 // Stop ends all connections and waits for the server.
 func (s *Server) Stop() {
 	_ = s.http.Close()
+	_ = s.listener.Close()
 	s.done.Wait()
 }
 
