--- a/balancer/pkg/serve/serve.go
+++ b/balancer/pkg/serve/serve.go
@@ -16,6 +16,9 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/roster"
 )
 
+// homesTold is the number of balancers that a sidecar is told of: its home and those that follow.
+const homesTold = 5
+
 // Server implements control.Service for a balancer.
 type Server struct {
 	common common.Common
@@ -46,9 +49,12 @@
 	if found && present.Phase() == landing.PhaseLeft && present.Incarnation() == t.Incarnation() {
 		news = news.WithChange(present.Change())
 	}
-	return news.
-		WithRoster(landing.Roster{}).
-		WithMembers(snapshot.Roster().Members()...), nil
+	news = news.WithRoster(landing.Roster{})
+	if h.Digest().Roster() == snapshot.Roster().Serial() {
+		return news, nil
+	}
+	homes := roster.Homes(snapshot.Roster().Members(), t.Instance())
+	return news.WithMembers(homes[:min(len(homes), homesTold)]...), nil
 }
 
 // Gossip takes what a peer knows and returns what is news to it.
--- a/core/gen/codec/membership.go
+++ b/core/gen/codec/membership.go
@@ -285,6 +285,9 @@
 	m.Renewed = timestamppb.New(v.Renewed())
 	m.Settled = timestamppb.New(v.Settled())
 	m.Ticked = timestamppb.New(v.Ticked())
+	for i := range v.HomedLen() {
+		m.Homed = append(m.Homed, v.HomedAt(i))
+	}
 	return m
 }
 
@@ -317,5 +320,10 @@
 	v = v.WithRenewed(m.GetRenewed().AsTime())
 	v = v.WithSettled(m.GetSettled().AsTime())
 	v = v.WithTicked(m.GetTicked().AsTime())
+	var homed []string
+	for _, e := range m.GetHomed() {
+		homed = append(homed, e)
+	}
+	v = v.WithHomed(homed...)
 	return v
 }
--- a/core/gen/landing/membership.go
+++ b/core/gen/landing/membership.go
@@ -442,6 +442,7 @@
 	renewed    time.Time
 	settled    time.Time
 	ticked     time.Time
+	homed      []string
 }
 
 // Self returns the field of this name:
@@ -642,3 +643,25 @@
 	v.ticked = ticked
 	return v
 }
+
+// Homed returns a copy of the list of this name:
+// Instance names of the targets whose home is this balancer.
+func (v Watch) Homed() []string {
+	return slices.Clone(v.homed)
+}
+
+// HomedLen returns the number of elements of Homed.
+func (v Watch) HomedLen() int {
+	return len(v.homed)
+}
+
+// HomedAt returns element i of Homed, counted from 0.
+func (v Watch) HomedAt(i int) string {
+	return v.homed[i]
+}
+
+// WithHomed returns a copy with other homed.
+func (v Watch) WithHomed(homed ...string) Watch {
+	v.homed = slices.Clone(homed)
+	return v
+}
--- a/core/pkg/membership/membership.go
+++ b/core/pkg/membership/membership.go
@@ -140,6 +140,7 @@
 		w = w.WithSettled(now)
 	}
 	w = w.WithRecord(w.Record().WithRoster(r))
+	w = w.WithHomed(homedHere(w)...)
 	w = w.WithReports(newerThan(r, w.Reports())...)
 	return w, []landing.Task{landing.Publish{}.WithRoster(r)}
 }
--- a/core/pkg/membership/next.go
+++ b/core/pkg/membership/next.go
@@ -89,8 +89,9 @@
 		return w
 	}
 	reports := w.Reports()
-	for _, t := range w.Record().Roster().Targets() {
-		if t.Phase() == landing.PhaseLeft || isSighted(w, t.Instance()) || !isHome(w, t.Instance()) {
+	for i := range w.HomedLen() {
+		t, found := roster.Find(w.Record().Roster(), w.HomedAt(i))
+		if !found || t.Phase() == landing.PhaseLeft || isSighted(w, t.Instance()) {
 			continue
 		}
 		reports, _ = roster.MergeTargets(reports, []landing.Target{t.WithPhase(landing.PhaseLeft)})
@@ -104,9 +105,19 @@
 	return found
 }
 
-func isHome(w landing.Watch, instance string) bool {
-	homes := roster.Homes(w.Record().Roster().Members(), instance)
-	return len(homes) > 0 && homes[0].Instance() == w.Self().Instance()
+// homedHere returns the instance names of the targets whose home is this balancer.
+func homedHere(w landing.Watch) []string {
+	r := w.Record().Roster()
+	members := r.Members()
+	var names []string
+	for i := range r.TargetsLen() {
+		name := r.TargetsAt(i).Instance()
+		home, found := roster.Home(members, name)
+		if found && home.Instance() == w.Self().Instance() {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 func compareNames(a, b string) int {
--- a/core/pkg/roster/roster.go
+++ b/core/pkg/roster/roster.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"sort"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,8 +25,8 @@
 
 // Find returns the target of this instance.
 func Find(r landing.Roster, instance string) (landing.Target, bool) {
-	i, found := search(r.Targets(), instance)
-	if !found {
+	i := sort.Search(r.TargetsLen(), func(i int) bool { return r.TargetsAt(i).Instance() >= instance })
+	if i == r.TargetsLen() || r.TargetsAt(i).Instance() != instance {
 		return landing.Target{}, false
 	}
 	return r.TargetsAt(i), true
@@ -88,6 +89,22 @@
 	return ordered
 }
 
+// Home returns the first of Homes; false when there are no members.
+func Home(members []landing.Member, instance string) (landing.Member, bool) {
+	best := -1
+	highest := uint64(0)
+	for i, m := range members {
+		h := pairHash(m.Instance(), instance)
+		if best < 0 || h > highest {
+			best, highest = i, h
+		}
+	}
+	if best < 0 {
+		return landing.Member{}, false
+	}
+	return members[best], true
+}
+
 func pairHash(member, instance string) uint64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:], xxhash.Sum64String(member))
--- a/experiment/pkg/app/app.go
+++ b/experiment/pkg/app/app.go
@@ -10,7 +10,7 @@
 	"github.com/crocuslanding/crocuslanding/experiment/pkg/measure"
 )
 
-const usage = "usage: experiment [-out FOLDER] [balance] [changes] [download] [zone]   (all when none is named)"
+const usage = "usage: experiment [-out FOLDER] [balance] [capacity] [changes] [download] [zone]   (all when none is named)"
 
 // Run runs the measurements and ends the process.
 func Run() {
@@ -22,7 +22,7 @@
 	flag.Parse()
 	names := flag.Args()
 	if len(names) == 0 {
-		names = []string{"changes", "balance", "download", "zone"}
+		names = []string{"changes", "balance", "capacity", "download", "zone"}
 	}
 	if err := os.MkdirAll(*out, 0o755); err != nil {
 		program.Exit(err)
@@ -39,6 +39,8 @@
 	switch name {
 	case "balance":
 		return measure.Balance(os.Stdout)
+	case "capacity":
+		return measure.Capacity(os.Stdout)
 	case "changes":
 		return measure.Changes(os.Stdout, folder)
 	case "download":
--- a/standin/pkg/upstream/handlers.go
+++ b/standin/pkg/upstream/handlers.go
@@ -18,6 +18,8 @@
 	feedInterval     = 100 * time.Millisecond
 	announceInterval = 200 * time.Millisecond
 	announceTimeout  = time.Second
+	startTries       = 1000
+	leaveTries       = 5
 	instanceHeader   = "Upstream-Instance"
 	hashHeader       = "Pack-Hash"
 )
@@ -101,14 +103,14 @@
 	fmt.Fprintln(w, s.ledger.count(r.PathValue("id")))
 }
 
-// announce tells the sidecar about the condition until it answers or the server stops.
-func (s *Server) announce(c landing.Condition) {
+// announce tells the sidecar about the condition until it answers, the tries are used up or the server stops.
+func (s *Server) announce(c landing.Condition, tries int) {
 	if s.settings.Sidecar() == "" {
 		return
 	}
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
-	for !s.announceOnce(c) {
+	for ; tries > 0 && !s.announceOnce(c); tries-- {
 		select {
 		case <-ticker.C:
 		case <-s.done.C():
--- a/standin/pkg/upstream/upstream.go
+++ b/standin/pkg/upstream/upstream.go
@@ -67,7 +67,7 @@
 // Start starts the server and announces it to its sidecar.
 func (s *Server) Start() {
 	s.done.Go(func() { _ = s.http.Serve(s.listener) })
-	s.done.Go(func() { s.announce(landing.ConditionStarted) })
+	s.done.Go(func() { s.announce(landing.ConditionStarted, startTries) })
 }
 
 // FallBack lets the server fall back into cold start without a word: it serves this number of
@@ -76,9 +76,9 @@
 	s.slots.fallBack(cold, time.Now())
 }
 
-// Leave announces that the server leaves.
+// Leave announces that the server leaves. A sidecar that does not answer is not waited for long.
 func (s *Server) Leave() {
-	s.announce(landing.ConditionLeaving)
+	s.announce(landing.ConditionLeaving, leaveTries)
 }
 
 // Stop waits for open requests, then ends the server.
