Frozen holder: check the fence right after the lease is taken

The test now looks one step after the lease was taken; with the write left out it fails, with it it passes.

--- a/core/pkg/membership/membership_test.go
+++ b/core/pkg/membership/membership_test.go
@@ -71,8 +71,10 @@
 	}
 	holder.frozen = true
 	known := holder.watch.Version()
-	w.run(100, false)
-	is.True(!lease.IsHeldBy(w.lease, holder.watch.Self()))
+	for lease.IsHeldBy(w.lease, holder.watch.Self()) {
+		w.run(1, false)
+	}
+	w.run(1, false)
 	version := w.version
 
 	holder.frozen = false
