Scenarios: stream services, chains of more than one part, ports used again

Cause: stream services and the second part of a chain were built and never run end to end; the reuse of a port was tested in the decision only.

--- a/core/pkg/netstack/conn.go
+++ b/core/pkg/netstack/conn.go
@@ -31,9 +31,9 @@
 	return &Conn{TCPConn: gonet.NewTCPConn(&queue, e), endpoint: e}, nil
 }
 
-// Dial opens a flow from one address to another.
+// Dial opens a flow from one address to another. Port 0 stands for a port that the stack chooses.
 // It returns trace.ConnectionProblem when the flow is refused or ctx ends first.
-func (s *Stack) Dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (*Conn, error) {
+func (s *Stack) Dial(ctx context.Context, from, to netip.AddrPort) (*Conn, error) {
 	var queue waiter.Queue
 	e, terr := s.stack.NewEndpoint(tcp.ProtocolNumber, ipv4.ProtocolNumber, &queue)
 	if terr != nil {
@@ -46,11 +46,11 @@
 	return &Conn{TCPConn: gonet.NewTCPConn(&queue, e), endpoint: e}, nil
 }
 
-func connect(ctx context.Context, e tcpip.Endpoint, queue *waiter.Queue, from netip.Addr, to netip.AddrPort) error {
+func connect(ctx context.Context, e tcpip.Endpoint, queue *waiter.Queue, from, to netip.AddrPort) error {
 	entry, ready := waiter.NewChannelEntry(waiter.WritableEvents)
 	queue.EventRegister(&entry)
 	defer queue.EventUnregister(&entry)
-	local := tcpip.FullAddress{NIC: interfaceID, Addr: tcpip.AddrFrom4(from.As4())}
+	local := tcpip.FullAddress{NIC: interfaceID, Addr: tcpip.AddrFrom4(from.Addr().As4()), Port: from.Port()}
 	if err := e.Bind(local); err != nil {
 		return trace.ConnectionProblem(nil, "bind: %s", err)
 	}
--- a/experiment/pkg/deployment/deployment.go
+++ b/experiment/pkg/deployment/deployment.go
@@ -253,7 +253,12 @@
 
 // Client returns an HTTP client of this customer's, whose connections go through the fabric.
 func (d *Deployment) Client(customer int) *http.Client {
-	caller := d.plan.Caller(customer)
+	return d.ClientFrom(customer, 0)
+}
+
+// ClientFrom returns an HTTP client as Client does, whose connections all come from this port.
+func (d *Deployment) ClientFrom(customer int, port uint16) *http.Client {
+	caller := netip.AddrPortFrom(d.plan.Caller(customer), port)
 	return &http.Client{Transport: &http.Transport{
 		DisableCompression: true,
 		DisableKeepAlives:  true,
--- a/sidecar/pkg/front/handle.go
+++ b/sidecar/pkg/front/handle.go
@@ -99,6 +99,7 @@
 		f.common.Counters().Counter("recalled").Inc(1)
 		f.forward(e, e.Recall(), keys)
 	case landing.Return:
+		f.common.Counters().Counter("returned").Inc(1)
 		f.forward(e, e.Home(), keys)
 	case landing.Reset:
 		f.reset(e, step.Reason())
--- a/standin/pkg/fabric/listener.go
+++ b/standin/pkg/fabric/listener.go
@@ -69,7 +69,7 @@
 func (l *listener) carry(client splice.TCP) {
 	ctx, cancel := context.WithTimeout(l.ctx, dialTime)
 	defer cancel()
-	flow, err := l.stack.Dial(ctx, l.caller, l.service)
+	flow, err := l.stack.Dial(ctx, netip.AddrPortFrom(l.caller, 0), l.service)
 	if err != nil {
 		client.Reset()
 		return
