--- a/balancer/pkg/front/front_test.go
+++ b/balancer/pkg/front/front_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/ipv4"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
@@ -83,7 +84,7 @@
 func TestPacketIsSentAlongItsChainAndReturnedOnesGetTheNextPart(t *testing.T) {
 	is := is.New(t)
 	sidecar := newConn(t)
-	f := newFront(t, newView(sidecar, envelope.MaxHops+3))
+	f := newFront(t, newView(sidecar, chain.MaxHops+3))
 	to := f.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	_, err := sidecar.WriteToUDPAddrPort(newPacket(1, 200), to)
 	is.NoErr(err)
--- a/balancer/pkg/front/worker.go
+++ b/balancer/pkg/front/worker.go
@@ -9,6 +9,7 @@
 	"golang.org/x/net/ipv4"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
@@ -141,7 +142,7 @@
 	if len(w.addresses) >= maxAddresses {
 		clear(w.addresses)
 	}
-	a := net.UDPAddrFromAddrPort(netip.AddrPortFrom(packet.Address(h.Address()), uint16(h.Port())))
+	a := net.UDPAddrFromAddrPort(netip.AddrPortFrom(address.FromNumber(h.Address()), uint16(h.Port())))
 	w.addresses[key] = a
 	return a
 }
--- a/balancer/pkg/serve/serve.go
+++ b/balancer/pkg/serve/serve.go
@@ -10,9 +10,9 @@
 
 	"github.com/crocuslanding/crocuslanding/balancer/pkg/keeper"
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/loader"
-	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
 	"github.com/crocuslanding/crocuslanding/core/pkg/roster"
 )
 
@@ -125,9 +125,9 @@
 		return report, trace.BadParameter("service: %v", err)
 	}
 	key := landing.Key{}.
-		WithSource(packet.Number(caller)).
+		WithSource(address.Number(caller)).
 		WithSport(q.Port()).
-		WithDestination(packet.Number(service.Addr())).
+		WithDestination(address.Number(service.Addr())).
 		WithDport(uint32(service.Port()))
 	verdict, chain := s.View().Explain(key)
 	switch v := verdict.(type) {
--- a/core/pkg/chain/chain.go
+++ b/core/pkg/chain/chain.go
@@ -17,10 +17,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
-	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
-	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 )
 
+// MaxHops is the number of sidecars in one part of a chain.
+const MaxHops = 8
+
 const (
 	bucketsPerTarget = 128
 	maxBuckets       = 1 << 13
@@ -48,12 +50,6 @@
 	name   string
 }
 
-// head is the first targets of an order, by their index.
-type head struct {
-	targets [envelope.MaxHops]uint16
-	count   int
-}
-
 type scored struct {
 	index uint16
 	score float64
@@ -110,7 +106,7 @@
 		return
 	}
 	hop := landing.Hop{}.
-		WithAddress(packet.Number(front.Addr())).
+		WithAddress(address.Number(front.Addr())).
 		WithPort(uint32(front.Port()))
 	weight := float64(max(target.Weight(), 1))
 	if isSpare {
@@ -168,31 +164,6 @@
 	return e.weight / -math.Log(fraction)
 }
 
-// head returns the first targets of the order of bucket.
-func (t *Table) head(bucket uint64) head {
-	h := head{}
-	var scores [envelope.MaxHops]float64
-	for i, e := range t.entrants {
-		h.insert(&scores, uint16(i), score(e, bucket))
-	}
-	return h
-}
-
-// insert puts the target with this index at its place by score, if it is among the first.
-func (h *head) insert(scores *[envelope.MaxHops]float64, index uint16, score float64) {
-	if h.count == envelope.MaxHops && score <= scores[h.count-1] {
-		return
-	}
-	i := min(h.count, envelope.MaxHops-1)
-	for ; i > 0 && scores[i-1] < score; i-- {
-		scores[i] = scores[i-1]
-		h.targets[i] = h.targets[i-1]
-	}
-	scores[i] = score
-	h.targets[i] = index
-	h.count = min(h.count+1, envelope.MaxHops)
-}
-
 // chainOf returns the first part of the chain for the order that begins with h.
 func (t *Table) chainOf(h head) landing.Chain {
 	hops := make([]landing.Hop, 0, h.count)
@@ -208,8 +179,8 @@
 
 // part returns the chain that holds part number part of the order.
 func (t *Table) part(order []scored, part int) landing.Chain {
-	first := min(part*envelope.MaxHops, len(order))
-	last := min(first+envelope.MaxHops, len(order))
+	first := min(part*MaxHops, len(order))
+	last := min(first+MaxHops, len(order))
 	hops := make([]landing.Hop, 0, last-first)
 	for _, s := range order[first:last] {
 		hops = append(hops, t.entrants[s.index].hop)
--- a/core/pkg/chain/chain_test.go
+++ b/core/pkg/chain/chain_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
-	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 )
 
 func newTargets(count int) []landing.Target {
@@ -86,7 +85,7 @@
 		if !forward.Chain().More() {
 			break
 		}
-		is.Equal(forward.Chain().HopsLen(), envelope.MaxHops)
+		is.Equal(forward.Chain().HopsLen(), MaxHops)
 	}
 	is.Equal(len(seen), 21)
 }
--- a/core/pkg/envelope/envelope.go
+++ b/core/pkg/envelope/envelope.go
@@ -9,17 +9,16 @@
 	"encoding/binary"
 	"net/netip"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
+	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
 )
 
 const (
-	// MaxHops is the number of sidecars that one datagram can name.
-	MaxHops = 8
 	// MaxHeaderBytes is the length of the longest header.
-	MaxHeaderBytes = fixedBytes + MaxHops*hopBytes
+	MaxHeaderBytes = fixedBytes + chain.MaxHops*hopBytes
 
 	wordBytes      = 4
 	hopBytes       = 6
@@ -59,7 +58,7 @@
 		return Envelope{}, ErrMalformed
 	}
 	count := int(b[offsetCount])
-	if count == 0 || count > MaxHops || int(b[offsetPosition]) >= count {
+	if count == 0 || count > chain.MaxHops || int(b[offsetPosition]) >= count {
 		return Envelope{}, ErrMalformed
 	}
 	if int(b[offsetDeferred]) > count {
@@ -80,13 +79,13 @@
 // index packet of b, and returns the header's first index. Home is the balancer that is asked for the next
 // part. There must be MaxHeaderBytes in front of the packet. The datagram is sealed with keys.
 func Write(b []byte, packet int, c landing.Chain, part uint8, home netip.AddrPort, keys *Keys) int {
-	count := min(c.HopsLen(), MaxHops)
+	count := min(c.HopsLen(), chain.MaxHops)
 	start := packet - paddedBytes(count)
 	h := b[start:]
 	clear(h[:fixedBytes])
 	h[0] = byte(paddedBytes(count)/wordBytes - 1)
 	h[offsetProtocol] = protocolIPv4
-	binary.BigEndian.PutUint32(h[offsetService:], ServiceTag(c.Service()))
+	binary.BigEndian.PutUint32(h[offsetService:], plan.ServiceTag(c.Service()))
 	binary.BigEndian.PutUint32(h[offsetRoster:], uint32(c.Roster()))
 	h[offsetCount] = byte(count)
 	h[offsetPart] = part
@@ -103,11 +102,6 @@
 	return start
 }
 
-// ServiceTag returns the number that stands for a service in datagrams.
-func ServiceTag(service string) uint32 {
-	return uint32(xxhash.Sum64String(service))
-}
-
 // Service returns the tag of the service.
 func (e Envelope) Service() uint32 {
 	return binary.BigEndian.Uint32(e.b[offsetService:])
--- a/core/pkg/envelope/envelope_test.go
+++ b/core/pkg/envelope/envelope_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
 )
 
 var home = netip.MustParseAddrPort("127.0.0.1:9000")
@@ -27,7 +28,7 @@
 
 func TestWhatWasWrittenIsRead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		hops := rapid.IntRange(1, MaxHops).Draw(t, "hops")
+		hops := rapid.IntRange(1, chain.MaxHops).Draw(t, "hops")
 		payload := rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "payload")
 		e, err := Open(write(newChain(hops), payload))
 		if err != nil {
@@ -55,7 +56,7 @@
 
 func FuzzOpen(f *testing.F) {
 	f.Add(write(newChain(1), []byte{0x45}))
-	f.Add(write(newChain(MaxHops), []byte{0x45}))
+	f.Add(write(newChain(chain.MaxHops), []byte{0x45}))
 	f.Add([]byte{0x05, 4})
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		e, err := Open(b)
--- a/core/pkg/lists/check.go
+++ b/core/pkg/lists/check.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
-	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
 )
 
 // Report takes the faults that Check finds, with the place of each, such as customers[2].plan.
@@ -31,7 +31,7 @@
 		if s.Kind() == landing.KindUnspecified {
 			report(place+".kind", "must be KIND_STREAM or KIND_REQUESTS")
 		}
-		tag := envelope.ServiceTag(s.Name())
+		tag := plan.ServiceTag(s.Name())
 		if other, ok := tags[tag]; ok && other != s.Name() {
 			report(place+".name", "has the same tag as "+other+"; choose another name")
 		}
--- a/core/pkg/packet/packet.go
+++ b/core/pkg/packet/packet.go
@@ -3,7 +3,6 @@
 
 import (
 	"encoding/binary"
-	"net/netip"
 
 	"github.com/gravitational/trace"
 
@@ -107,19 +106,3 @@
 	}
 	return t, nil
 }
-
-// Address returns the IPv4 address a as netip.Addr.
-func Address(a uint32) netip.Addr {
-	var b [wordBytes]byte
-	binary.BigEndian.PutUint32(b[:], a)
-	return netip.AddrFrom4(b)
-}
-
-// Number returns the IPv4 address a as a number; 0 when a is not IPv4.
-func Number(a netip.Addr) uint32 {
-	if !a.Is4() {
-		return 0
-	}
-	b := a.As4()
-	return binary.BigEndian.Uint32(b[:])
-}
--- a/core/pkg/plan/plan.go
+++ b/core/pkg/plan/plan.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
-	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 )
 
 // Index finds customers, services and grants. It is immutable.
@@ -99,7 +99,7 @@
 	if err != nil {
 		return
 	}
-	x.doorways[doorway{packet.Number(a.Addr()), uint32(a.Port())}] = place
+	x.doorways[doorway{address.Number(a.Addr()), uint32(a.Port())}] = place
 }
 
 func (x *Index) addGrants(p landing.Plan, place uint32, services map[string]uint32) {
@@ -123,7 +123,7 @@
 		if err != nil || !p.Addr().Is4() {
 			continue
 		}
-		first := packet.Number(p.Masked().Addr())
+		first := address.Number(p.Masked().Addr())
 		last := first | uint32(1<<(p.Addr().BitLen()-p.Bits())-1)
 		x.ranges = append(x.ranges, callerRange{first, last, place, plan})
 	}
--- a/experiment/pkg/scenario/more_test.go
+++ b/experiment/pkg/scenario/more_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
-	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
 	"github.com/crocuslanding/crocuslanding/experiment/pkg/deployment"
 	"github.com/crocuslanding/crocuslanding/experiment/pkg/traffic"
 )
@@ -53,7 +53,7 @@
 
 func TestFlowsAreFoundPastTheFirstPartOfTheChain(t *testing.T) {
 	is := is.New(t)
-	desk := newDesk(envelope.MaxHops + 4)
+	desk := newDesk(chain.MaxHops + 4)
 	d := start(t, deployment.NewPlan(desk))
 	feeds := openFeeds(t, d, desk, 48)
 	awaitProgress(t, feeds)
--- a/sidecar/pkg/app/app.go
+++ b/sidecar/pkg/app/app.go
@@ -30,13 +30,8 @@
 )
 
 const (
-	frontWorkers = 2
-	// leaveTime is the time in which callers on open connections still get one answer
-	// after the upstream has said that it leaves.
-	leaveTime     = 2 * time.Second
+	frontWorkers  = 2
 	drainInterval = 100 * time.Millisecond
-	// weighInterval is the time between two looks at the speed of the upstream.
-	weighInterval = time.Second
 )
 
 // Run runs the program until it is asked to stop, and ends the process.
@@ -146,21 +141,6 @@
 	sc.done.Go(sc.weigh)
 }
 
-// weigh measures the speed of the upstream again and again.
-func (sc *Sidecar) weigh() {
-	ticker := time.NewTicker(weighInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-sc.done.C():
-			return
-		case <-ticker.C:
-			a := sc.gate.Allowance()
-			sc.keeper.Post(landing.Weighed{}.WithWeight(weight.Of(a.Slots(), a.Usual())))
-		}
-	}
-}
-
 // Drain takes no new flows and returns when the flows that are held have ended, or after
 // the longest time for which a planned stop waits.
 func (sc *Sidecar) Drain() {
@@ -234,27 +214,3 @@
 		sc.stream.Handle(r, k)
 	}
 }
-
-// take takes an announcement of the upstream.
-func (sc *Sidecar) take(a landing.Announcement) {
-	sc.keeper.Post(landing.Announced{}.WithAnnouncement(a))
-	switch a.State() {
-	case landing.ConditionStarted:
-		sc.gate.Note(landing.Started{}.WithNow(time.Now()))
-	case landing.ConditionLeaving:
-		sc.requests.CloseSoon()
-		sc.done.Go(sc.leave)
-	case landing.ConditionUnspecified:
-	}
-}
-
-// leave stops admitting requests once callers on open connections had time for one more.
-func (sc *Sidecar) leave() {
-	timer := time.NewTimer(leaveTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		sc.gate.Note(landing.Leaving{})
-	case <-sc.done.C():
-	}
-}
--- a/sidecar/pkg/front/handle.go
+++ b/sidecar/pkg/front/handle.go
@@ -8,6 +8,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
 	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/keeper"
 )
 
@@ -28,7 +29,7 @@
 		f.common.Counters().Refused(landing.RefusalMalformed)
 		return
 	}
-	if e.Service() != envelope.ServiceTag(snapshot.Target().Service()) {
+	if e.Service() != plan.ServiceTag(snapshot.Target().Service()) {
 		f.common.Counters().Refused(landing.RefusalForeign)
 		return
 	}
