Logic that stood twice: the control thread, sockets, diff and apply

Both keepers had the same loop on a locked thread, three places opened a UDP socket with the same buffers, and diff and apply prepared a change alike. Each now stands once (common.Thread, socket.Listen, prepareChange).

--- a/balancer/pkg/front/front.go
+++ b/balancer/pkg/front/front.go
@@ -6,16 +6,12 @@
 	"net"
 	"net/netip"
 
-	"github.com/gravitational/trace"
-
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/route"
+	"github.com/crocuslanding/crocuslanding/core/pkg/socket"
 )
 
-// socketBufferBytes is the size asked for the socket's buffers, which take up bursts.
-const socketBufferBytes = 4 << 20
-
 // Source returns the newest view and keys.
 type Source func() (*route.View, *envelope.Keys)
 
@@ -31,17 +27,12 @@
 // New returns a front that listens on this UDP address, an IP and port.
 // It returns an error when the address cannot be used.
 func New(c common.Common, address string, source Source) (*Front, error) {
-	a, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	conn, err := socket.Listen(address)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
-	_ = conn.SetReadBuffer(socketBufferBytes)
-	_ = conn.SetWriteBuffer(socketBufferBytes)
-	return &Front{common: c, conn: conn, address: a, source: source, done: common.NewDone()}, nil
+	home := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return &Front{common: c, conn: conn, address: home, source: source, done: common.NewDone()}, nil
 }
 
 // Start starts this number of workers.
--- a/balancer/pkg/front/front_test.go
+++ b/balancer/pkg/front/front_test.go
@@ -20,6 +20,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
 	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
 	"github.com/crocuslanding/crocuslanding/core/pkg/route"
+	"github.com/crocuslanding/crocuslanding/core/pkg/socket"
 )
 
 const (
@@ -29,11 +30,10 @@
 
 func newConn(t testing.TB) *net.UDPConn {
 	t.Helper()
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	conn, err := socket.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = conn.SetReadBuffer(socketBufferBytes)
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
--- a/balancer/pkg/keeper/keeper.go
+++ b/balancer/pkg/keeper/keeper.go
@@ -1,9 +1,8 @@
 // Package keeper is the control thread of a balancer. It owns all control state: it takes
-// events from one channel and publishes an immutable snapshot.
+// events in order and publishes an immutable snapshot.
 package keeper
 
 import (
-	"runtime"
 	"sync/atomic"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
@@ -21,19 +20,17 @@
 // Keeper is the control thread.
 type Keeper struct {
 	common   common.Common
-	notices  chan landing.Notice
+	thread   *common.Thread
 	tasks    chan landing.Task
 	snapshot atomic.Pointer[Snapshot]
-	done     *common.Done
 }
 
-// New returns a keeper that starts from this state. Run must be called.
+// New returns a keeper that starts from this state. Start must be called.
 func New(c common.Common, w landing.Watch) *Keeper {
 	k := &Keeper{
-		common:  c,
-		notices: make(chan landing.Notice, noticeBuffer),
-		tasks:   make(chan landing.Task, taskBuffer),
-		done:    common.NewDone(),
+		common: c,
+		thread: common.NewThread(noticeBuffer),
+		tasks:  make(chan landing.Task, taskBuffer),
 	}
 	s := NewSnapshot(w)
 	k.snapshot.Store(&s)
@@ -42,13 +39,12 @@
 
 // Start starts the control thread.
 func (k *Keeper) Start() {
-	k.done.Go(k.run)
+	k.thread.Start()
 }
 
 // Stop stops the control thread and waits for its end.
 func (k *Keeper) Stop() {
-	k.done.Close()
-	k.done.Wait()
+	k.thread.Stop()
 }
 
 // Snapshot returns the newest snapshot.
@@ -63,23 +59,7 @@
 
 // Post hands an event to the control thread. It waits while the thread is behind.
 func (k *Keeper) Post(n landing.Notice) {
-	select {
-	case k.notices <- n:
-	case <-k.done.C():
-	}
-}
-
-func (k *Keeper) run() {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	for {
-		select {
-		case <-k.done.C():
-			return
-		case n := <-k.notices:
-			k.handle(n)
-		}
-	}
+	k.thread.Post(func() { k.handle(n) })
 }
 
 func (k *Keeper) handle(n landing.Notice) {
--- a/landingctl/pkg/command/lists.go
+++ b/landingctl/pkg/command/lists.go
@@ -32,58 +32,64 @@
 
 // Diff shows what a file would change.
 func Diff(e Env, args []string) int {
-	o, ok := e.parse("diff", args, 1)
-	if !ok {
-		return program.StatusUsage
+	c, status := e.prepareChange("diff", args)
+	if status != program.StatusOK {
+		return status
 	}
-	next, d, ok := e.readLists(o.args[0])
-	if !ok {
-		return program.StatusUsage
+	e.printDiff(c.base.Lists(), c.next)
+	return program.StatusOK
+}
+
+// Apply puts the lists in a file into force.
+func Apply(e Env, args []string) int {
+	c, status := e.prepareChange("apply", args)
+	if status != program.StatusOK {
+		return status
+	}
+	if c.options.base != 0 && c.base.Root().Serial() != c.options.base {
+		return e.conflict(c)
+	}
+	e.printDiff(c.base.Lists(), c.next)
+	if c.options.dryRun {
+		return program.StatusOK
+	}
+	root, err := config.Write(e.ctx, c.options.client(), c.base, c.next, c.options.author, time.Now())
+	if trace.IsCompareFailed(err) {
+		return e.conflict(c)
 	}
-	base, err := config.Read(e.ctx, o.client())
 	if err != nil {
 		return e.fail(err)
 	}
-	if !e.checkChange(base, next, d) {
-		return program.StatusUsage
-	}
-	e.printDiff(base.Lists(), next)
-	return program.StatusOK
+	fmt.Fprintf(e.out, "accepted as %d\n", root.Serial())
+	return e.awaitRoot(c.options, root.Serial())
 }
 
-// Apply puts the lists in a file into force.
-func Apply(e Env, args []string) int {
-	o, ok := e.parse("apply", args, 1)
+// change is a change of the lists that is without findings.
+type change struct {
+	options options
+	base    config.Config
+	next    landing.Lists
+}
+
+// prepareChange reads the lists in a file and those in force. Any status but StatusOK
+// says that the reason was printed.
+func (e Env) prepareChange(name string, args []string) (change, int) {
+	o, ok := e.parse(name, args, 1)
 	if !ok {
-		return program.StatusUsage
+		return change{}, program.StatusUsage
 	}
 	next, d, ok := e.readLists(o.args[0])
 	if !ok {
-		return program.StatusUsage
+		return change{}, program.StatusUsage
 	}
 	base, err := config.Read(e.ctx, o.client())
 	if err != nil {
-		return e.fail(err)
+		return change{}, e.fail(err)
 	}
 	if !e.checkChange(base, next, d) {
-		return program.StatusUsage
+		return change{}, program.StatusUsage
 	}
-	if o.base != 0 && base.Root().Serial() != o.base {
-		return e.conflict(o, next)
-	}
-	e.printDiff(base.Lists(), next)
-	if o.dryRun {
-		return program.StatusOK
-	}
-	root, err := config.Write(e.ctx, o.client(), base, next, o.author, time.Now())
-	if trace.IsCompareFailed(err) {
-		return e.conflict(o, next)
-	}
-	if err != nil {
-		return e.fail(err)
-	}
-	fmt.Fprintf(e.out, "accepted as %d\n", root.Serial())
-	return e.awaitRoot(o, root.Serial())
+	return change{options: o, base: base, next: next}, program.StatusOK
 }
 
 // History shows the changes of the lists.
@@ -140,14 +146,14 @@
 }
 
 // conflict shows the change of the other operator against this one's.
-func (e Env) conflict(o options, next landing.Lists) int {
-	now, err := config.Read(e.ctx, o.client())
+func (e Env) conflict(c change) int {
+	now, err := config.Read(e.ctx, c.options.client())
 	if err != nil {
 		return e.fail(err)
 	}
 	fmt.Fprintf(e.errOut, "refused: %s put version %d into force at %s\n", now.Root().Author(), now.Root().Serial(), now.Root().Made().Format(time.RFC3339))
 	fmt.Fprintln(e.errOut, "your lists against it:")
-	for _, line := range lists.Diff(now.Lists(), next) {
+	for _, line := range lists.Diff(now.Lists(), c.next) {
 		fmt.Fprintln(e.errOut, line)
 	}
 	return StatusConflict
--- a/sidecar/pkg/front/front.go
+++ b/sidecar/pkg/front/front.go
@@ -18,14 +18,14 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
 	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
 	"github.com/crocuslanding/crocuslanding/core/pkg/probe"
+	"github.com/crocuslanding/crocuslanding/core/pkg/socket"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/flows"
 	"github.com/crocuslanding/crocuslanding/sidecar/pkg/keeper"
 )
 
 const (
-	socketBufferBytes = 4 << 20
-	datagramBytes     = envelope.MaxHeaderBytes + packet.MaxBytes + 1
-	maxHandshakes     = 4096
+	datagramBytes = envelope.MaxHeaderBytes + packet.MaxBytes + 1
+	maxHandshakes = 4096
 )
 
 // Source returns the newest control state.
@@ -57,20 +57,14 @@
 // New returns a front that listens on the UDP address of these settings.
 // It returns an error when the address cannot be used.
 func New(c common.Common, s landing.SidecarSettings, source Source, busy Busy, takenOut TakenOut) (*Front, error) {
-	address, err := netip.ParseAddrPort(s.Front())
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
 	fabric, err := netip.ParseAddrPort(s.Fabric())
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	conn, err := socket.Listen(s.Front())
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
-	_ = conn.SetReadBuffer(socketBufferBytes)
-	_ = conn.SetWriteBuffer(socketBufferBytes)
 	f := &Front{
 		common:      c,
 		conn:        conn,
--- a/sidecar/pkg/keeper/keeper.go
+++ b/sidecar/pkg/keeper/keeper.go
@@ -1,9 +1,8 @@
 // Package keeper is the control thread of a sidecar. It owns all control state: it takes
-// events from one channel and publishes an immutable snapshot.
+// events in order and publishes an immutable snapshot.
 package keeper
 
 import (
-	"runtime"
 	"sync/atomic"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
@@ -17,19 +16,17 @@
 // Keeper is the control thread.
 type Keeper struct {
 	common   common.Common
-	signals  chan landing.Signal
+	thread   *common.Thread
 	snapshot atomic.Pointer[Snapshot]
 	changed  chan struct{}
-	done     *common.Done
 }
 
 // New returns a keeper for this target.
 func New(c common.Common, t landing.Target) *Keeper {
 	k := &Keeper{
 		common:  c,
-		signals: make(chan landing.Signal, signalBuffer),
+		thread:  common.NewThread(signalBuffer),
 		changed: make(chan struct{}, 1),
-		done:    common.NewDone(),
 	}
 	s := NewSnapshot(t)
 	k.snapshot.Store(&s)
@@ -38,13 +35,12 @@
 
 // Start starts the control thread.
 func (k *Keeper) Start() {
-	k.done.Go(k.run)
+	k.thread.Start()
 }
 
 // Stop stops the control thread and waits for its end.
 func (k *Keeper) Stop() {
-	k.done.Close()
-	k.done.Wait()
+	k.thread.Stop()
 }
 
 // Snapshot returns the newest snapshot.
@@ -59,23 +55,7 @@
 
 // Post hands an event to the control thread. It waits while the thread is behind.
 func (k *Keeper) Post(s landing.Signal) {
-	select {
-	case k.signals <- s:
-	case <-k.done.C():
-	}
-}
-
-func (k *Keeper) run() {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	for {
-		select {
-		case <-k.done.C():
-			return
-		case s := <-k.signals:
-			k.handle(s)
-		}
-	}
+	k.thread.Post(func() { k.handle(s) })
 }
 
 func (k *Keeper) handle(signal landing.Signal) {
--- a/standin/pkg/fabric/fabric.go
+++ b/standin/pkg/fabric/fabric.go
@@ -9,16 +9,13 @@
 	"net/netip"
 	"sync"
 
-	"github.com/gravitational/trace"
-
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/netstack"
 	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/core/pkg/socket"
 )
 
-const socketBufferBytes = 4 << 20
-
 // Fabric is the stand-in.
 type Fabric struct {
 	common    common.Common
@@ -35,16 +32,10 @@
 
 // New returns a fabric with these settings. It returns an error when an address cannot be used.
 func New(c common.Common, s landing.FabricSettings) (*Fabric, error) {
-	address, err := netip.ParseAddrPort(s.Front())
+	conn, err := socket.Listen(s.Front())
 	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
-	_ = conn.SetReadBuffer(socketBufferBytes)
-	_ = conn.SetWriteBuffer(socketBufferBytes)
 	f := &Fabric{
 		common: c,
 		conn:   conn,
