Rosters travel as what changed

Weighed: smaller targets (half the bytes, the same slope); the platform's object in chunks (still read by everybody).

Change: balancers keep the last eight rosters and send a peer what changed since its own; only three balancers of a region watch the roster at the platform.

Seven balancers of which three watch agree after each of four joins and a kill (3.4 s in all).

The three that watch still exceed the budget past 1,480 targets.

--- a/balancer/pkg/gossip/gossip.go
+++ b/balancer/pkg/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/control"
 	"github.com/crocuslanding/crocuslanding/core/pkg/loader"
 	"github.com/crocuslanding/crocuslanding/core/pkg/membership"
+	"github.com/crocuslanding/crocuslanding/core/pkg/roster"
 )
 
 // roundsPerHolder is the number of rounds after which the holder of the lease is met in any case.
@@ -131,6 +132,14 @@
 	g.take(client, news)
 }
 
+// rosterOf returns the roster that the news make of the present one; false when they bring none.
+func rosterOf(news landing.News, present landing.Roster) (landing.Roster, bool) {
+	if news.Delta().Serial() > 0 {
+		return roster.Apply(present, news.Delta())
+	}
+	return news.Roster(), news.Roster().Serial() > 0
+}
+
 func (g *Gossip) take(client *control.Client, news landing.News) {
 	if news.Marks().MarksLen() > 0 {
 		g.keeper.Post(landing.Marked{}.WithMarks(news.Marks()))
@@ -138,8 +147,8 @@
 	if news.Keyring().Serial() > 0 {
 		g.keeper.Post(landing.Keyed{}.WithKeyring(news.Keyring()))
 	}
-	if news.Roster().Serial() > 0 {
-		g.keeper.Post(landing.Read{}.WithRoster(news.Roster()).WithPeer(true).WithNow(time.Now()))
+	if r, isNew := rosterOf(news, g.keeper.Snapshot().Roster()); isNew {
+		g.keeper.Post(landing.Read{}.WithRoster(r).WithPeer(true).WithNow(time.Now()))
 	}
 	if news.Root().Serial() <= g.keeper.Snapshot().Root().Serial() {
 		return
--- a/balancer/pkg/keeper/keeper.go
+++ b/balancer/pkg/keeper/keeper.go
@@ -103,7 +103,7 @@
 	switch t := t.(type) {
 	case landing.Publish:
 		k.common.Log().Info("roster in force", "serial", t.Roster().Serial(), "targets", t.Roster().TargetsLen(), "balancers", t.Roster().MembersLen())
-		return s.WithView(s.View().WithRoster(t.Roster()))
+		return s.WithRoster(t.Roster())
 	case landing.Write:
 		k.tasks <- t
 	case landing.Reread:
--- a/balancer/pkg/keeper/snapshot.go
+++ b/balancer/pkg/keeper/snapshot.go
@@ -7,10 +7,14 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/route"
 )
 
+// pastRosters is the number of rosters that are kept, so that peers are sent only what changed since theirs.
+const pastRosters = 8
+
 // Snapshot is the control state that the other goroutines read. It is immutable.
 type Snapshot struct {
 	view  *route.View
 	watch landing.Watch
+	past  []landing.Roster
 	root  landing.Root
 	ring  landing.Keyring
 	keys  *envelope.Keys
@@ -32,6 +36,23 @@
 	return s
 }
 
+// WithRoster returns a copy with another roster in force. The ones before it are kept for a while.
+func (s Snapshot) WithRoster(r landing.Roster) Snapshot {
+	s.past = append([]landing.Roster{s.Roster()}, s.past[:min(len(s.past), pastRosters-1)]...)
+	s.view = s.view.WithRoster(r)
+	return s
+}
+
+// Past returns a roster that was in force not long ago; false when it is not kept.
+func (s Snapshot) Past(serial uint64) (landing.Roster, bool) {
+	for _, r := range s.past {
+		if r.Serial() == serial && serial > 0 {
+			return r, true
+		}
+	}
+	return landing.Roster{}, false
+}
+
 // Watch returns the state of the membership.
 func (s Snapshot) Watch() landing.Watch {
 	return s.watch
--- a/balancer/pkg/serve/serve.go
+++ b/balancer/pkg/serve/serve.go
@@ -49,7 +49,7 @@
 	if found && present.Phase() == landing.PhaseLeft && present.Incarnation() == t.Incarnation() {
 		news = news.WithChange(present.Change())
 	}
-	news = news.WithRoster(landing.Roster{})
+	news = news.WithRoster(landing.Roster{}).WithDelta(landing.Delta{})
 	if h.Digest().Roster() == snapshot.Roster().Serial() {
 		return news, nil
 	}
@@ -104,7 +104,7 @@
 		news = news.WithRoot(s.Root())
 	}
 	if ours.Roster() > theirs.Roster() {
-		news = news.WithRoster(s.Roster())
+		news = withRoster(news, s, theirs.Roster())
 	}
 	if ours.Keys() > theirs.Keys() {
 		news = news.WithKeyring(s.Keyring())
@@ -115,6 +115,15 @@
 	return news
 }
 
+// withRoster adds what changed since the roster with this serial number, or else the whole roster.
+func withRoster(news landing.News, s keeper.Snapshot, serial uint64) landing.News {
+	past, found := s.Past(serial)
+	if !found {
+		return news.WithRoster(s.Roster())
+	}
+	return news.WithDelta(roster.Diff(past, s.Roster()))
+}
+
 func explain(report landing.Report, s keeper.Snapshot, q landing.Query) (landing.Report, error) {
 	caller, err := netip.ParseAddr(q.Caller())
 	if err != nil {
--- a/balancer/pkg/store/store.go
+++ b/balancer/pkg/store/store.go
@@ -18,11 +18,16 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/mark"
 	"github.com/crocuslanding/crocuslanding/core/pkg/object"
 	"github.com/crocuslanding/crocuslanding/core/pkg/platform"
+	"github.com/crocuslanding/crocuslanding/core/pkg/roster"
 )
 
 const (
 	pauseAfterFailure = 300 * time.Millisecond
 	marksInterval     = time.Second
+	// pauseWhileUnwanted is the time between two looks whether an object must be watched.
+	pauseWhileUnwanted = time.Second
+	// rosterWatchers is the number of balancers of a region that watch its roster at the platform.
+	rosterWatchers = 3
 )
 
 // Store keeps the control thread and the platform in step.
@@ -54,7 +59,7 @@
 
 // Start starts the watches and the tasks.
 func (s *Store) Start() {
-	s.done.Go(func() { s.watch(object.Roster(s.region), s.takeRoster) })
+	s.done.Go(func() { s.watchWhile(s.isRosterWatcher, object.Roster(s.region), s.takeRoster) })
 	s.done.Go(func() { s.watch(object.Lease(s.region), s.takeLease) })
 	s.done.Go(func() { s.watch(object.Root, s.takeRoot) })
 	s.done.Go(func() { s.watch(object.Marks, s.takeMarks) })
@@ -71,11 +76,36 @@
 	s.client.Close()
 }
 
+// isRosterWatcher says whether this balancer watches the roster at the platform. Only the first few of a
+// region do; the others are told by gossip what changed, which is far less than the whole roster.
+func (s *Store) isRosterWatcher() bool {
+	snapshot := s.keeper.Snapshot()
+	order := roster.Homes(snapshot.Roster().Members(), object.Roster(s.region))
+	if snapshot.Roster().Serial() == 0 || len(order) == 0 {
+		return true
+	}
+	for _, m := range order[:min(len(order), rosterWatchers)] {
+		if m.Instance() == snapshot.Watch().Self().Instance() {
+			return true
+		}
+	}
+	return false
+}
+
 // watch reads the object of this name whenever it changes, and hands it to take.
-// When take fails the same version is read again.
 func (s *Store) watch(name string, take func(platform.Object) error) {
+	s.watchWhile(func() bool { return true }, name, take)
+}
+
+// watchWhile watches as long as isWanted says so, and asks it again and again.
+// When take fails the same version is read again.
+func (s *Store) watchWhile(isWanted func() bool, name string, take func(platform.Object) error) {
 	after := uint64(0)
 	for s.ctx.Err() == nil {
+		if !isWanted() {
+			s.pause(pauseWhileUnwanted)
+			continue
+		}
 		o, err := s.client.Watch(s.ctx, name, after)
 		if err == nil {
 			err = take(o)
--- a/core/gen/codec/control.go
+++ b/core/gen/codec/control.go
@@ -86,6 +86,7 @@
 	m.Place = v.Place()
 	m.Change = v.Change()
 	m.Keyring = EncodeKeyring(v.Keyring())
+	m.Delta = EncodeDelta(v.Delta())
 	return m
 }
 
@@ -109,6 +110,7 @@
 	v = v.WithPlace(m.GetPlace())
 	v = v.WithChange(m.GetChange())
 	v = v.WithKeyring(DecodeKeyring(m.GetKeyring()))
+	v = v.WithDelta(DecodeDelta(m.GetDelta()))
 	return v
 }
 
--- a/core/gen/codec/roster.go
+++ b/core/gen/codec/roster.go
@@ -125,3 +125,45 @@
 	v = v.WithHeard(m.GetHeard().AsTime())
 	return v
 }
+
+// EncodeDelta returns the message for v.
+func EncodeDelta(v landing.Delta) *landingpb.Delta {
+	m := &landingpb.Delta{}
+	m.Base = v.Base()
+	m.Serial = v.Serial()
+	for i := range v.TargetsLen() {
+		m.Targets = append(m.Targets, EncodeTarget(v.TargetsAt(i)))
+	}
+	for i := range v.GoneLen() {
+		m.Gone = append(m.Gone, v.GoneAt(i))
+	}
+	m.Regrouped = v.Regrouped()
+	for i := range v.MembersLen() {
+		m.Members = append(m.Members, EncodeMember(v.MembersAt(i)))
+	}
+	return m
+}
+
+// DecodeDelta returns the value of m; the zero value when m is nil.
+func DecodeDelta(m *landingpb.Delta) landing.Delta {
+	v := landing.Delta{}
+	v = v.WithBase(m.GetBase())
+	v = v.WithSerial(m.GetSerial())
+	var targets []landing.Target
+	for _, e := range m.GetTargets() {
+		targets = append(targets, DecodeTarget(e))
+	}
+	v = v.WithTargets(targets...)
+	var gone []string
+	for _, e := range m.GetGone() {
+		gone = append(gone, e)
+	}
+	v = v.WithGone(gone...)
+	v = v.WithRegrouped(m.GetRegrouped())
+	var members []landing.Member
+	for _, e := range m.GetMembers() {
+		members = append(members, DecodeMember(e))
+	}
+	v = v.WithMembers(members...)
+	return v
+}
--- a/core/gen/landing/control.go
+++ b/core/gen/landing/control.go
@@ -169,6 +169,7 @@
 	place   uint32
 	change  uint64
 	keyring Keyring
+	delta   Delta
 }
 
 // Digest returns the field of this name:
@@ -196,7 +197,7 @@
 }
 
 // Roster returns the field of this name:
-// The newer roster, if any.
+// The newer roster, if any and if its delta is not given.
 func (v News) Roster() Roster {
 	return v.roster
 }
@@ -299,6 +300,18 @@
 	return v
 }
 
+// Delta returns the field of this name:
+// What changed since the roster of the sender.
+func (v News) Delta() Delta {
+	return v.delta
+}
+
+// WithDelta returns a copy with another delta.
+func (v News) WithDelta(delta Delta) News {
+	v.delta = delta
+	return v
+}
+
 // Want asks for chunks of the lists.
 type Want struct {
 	hashes []string
--- a/core/gen/landing/roster.go
+++ b/core/gen/landing/roster.go
@@ -363,3 +363,115 @@
 	v.heard = heard
 	return v
 }
+
+// Delta is what changed between two rosters of a region.
+type Delta struct {
+	base      uint64
+	serial    uint64
+	targets   []Target
+	gone      []string
+	regrouped bool
+	members   []Member
+}
+
+// Base returns the field of this name:
+// Serial number of the roster before.
+func (v Delta) Base() uint64 {
+	return v.base
+}
+
+// WithBase returns a copy with another base.
+func (v Delta) WithBase(base uint64) Delta {
+	v.base = base
+	return v
+}
+
+// Serial returns the field of this name:
+// Serial number of the roster after.
+func (v Delta) Serial() uint64 {
+	return v.serial
+}
+
+// WithSerial returns a copy with another serial.
+func (v Delta) WithSerial(serial uint64) Delta {
+	v.serial = serial
+	return v
+}
+
+// Targets returns a copy of the list of this name:
+// Targets that are new or differ.
+func (v Delta) Targets() []Target {
+	return slices.Clone(v.targets)
+}
+
+// TargetsLen returns the number of elements of Targets.
+func (v Delta) TargetsLen() int {
+	return len(v.targets)
+}
+
+// TargetsAt returns element i of Targets, counted from 0.
+func (v Delta) TargetsAt(i int) Target {
+	return v.targets[i]
+}
+
+// WithTargets returns a copy with other targets.
+func (v Delta) WithTargets(targets ...Target) Delta {
+	v.targets = slices.Clone(targets)
+	return v
+}
+
+// Gone returns a copy of the list of this name:
+// Instance names of targets that are gone.
+func (v Delta) Gone() []string {
+	return slices.Clone(v.gone)
+}
+
+// GoneLen returns the number of elements of Gone.
+func (v Delta) GoneLen() int {
+	return len(v.gone)
+}
+
+// GoneAt returns element i of Gone, counted from 0.
+func (v Delta) GoneAt(i int) string {
+	return v.gone[i]
+}
+
+// WithGone returns a copy with other gone.
+func (v Delta) WithGone(gone ...string) Delta {
+	v.gone = slices.Clone(gone)
+	return v
+}
+
+// Regrouped returns the field of this name:
+// Whether the balancers differ.
+func (v Delta) Regrouped() bool {
+	return v.regrouped
+}
+
+// WithRegrouped returns a copy with another regrouped.
+func (v Delta) WithRegrouped(regrouped bool) Delta {
+	v.regrouped = regrouped
+	return v
+}
+
+// Members returns a copy of the list of this name:
+// The balancers after, when they differ.
+func (v Delta) Members() []Member {
+	return slices.Clone(v.members)
+}
+
+// MembersLen returns the number of elements of Members.
+func (v Delta) MembersLen() int {
+	return len(v.members)
+}
+
+// MembersAt returns element i of Members, counted from 0.
+func (v Delta) MembersAt(i int) Member {
+	return v.members[i]
+}
+
+// WithMembers returns a copy with other members.
+func (v Delta) WithMembers(members ...Member) Delta {
+	v.members = slices.Clone(members)
+	return v
+}
--- /dev/null
+++ b/core/pkg/roster/roster_test.go
@@ -0,0 +1,62 @@
+package roster
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+func drawRoster(t *rapid.T, label string, serial uint64) landing.Roster {
+	var targets []landing.Target
+	for i := range 8 {
+		weight := rapid.Uint32Range(0, 3).Draw(t, fmt.Sprintf("%s weight %d", label, i))
+		if weight > 0 {
+			targets = append(targets, landing.Target{}.WithInstance(fmt.Sprintf("desk-%d", i)).WithWeight(weight))
+		}
+	}
+	var members []landing.Member
+	for i := range rapid.IntRange(0, 3).Draw(t, label+" members") {
+		members = append(members, landing.Member{}.WithInstance(fmt.Sprintf("balancer-%d", i)))
+	}
+	return landing.Roster{}.WithSerial(serial).WithTargets(targets...).WithMembers(members...)
+}
+
+func TestDeltaMakesTheOneRosterOfTheOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawRoster(t, "a", 3), drawRoster(t, "b", 7)
+		got, ok := Apply(a, Diff(a, b))
+		if !ok || got.Serial() != 7 || !reflect.DeepEqual(listed(got), listed(b)) {
+			t.Fatalf("%v in place of %v", got, b)
+		}
+	})
+}
+
+// listed returns the content of r in a form that does not tell empty from missing lists.
+func listed(r landing.Roster) string {
+	return fmt.Sprint(r.Targets(), r.Members())
+}
+
+func TestDeltaOfAnotherRosterIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := landing.Roster{}.WithSerial(5)
+	for _, d := range []landing.Delta{
+		landing.Delta{}.WithBase(4).WithSerial(6),
+		landing.Delta{}.WithBase(5).WithSerial(5),
+		landing.Delta{}.WithBase(5).WithSerial(4),
+	} {
+		_, ok := Apply(r, d)
+		is.True(!ok)
+	}
+}
+
+func ExampleHomes() {
+	members := []landing.Member{landing.Member{}.WithInstance("a"), landing.Member{}.WithInstance("b")}
+	home, _ := Home(members, "desk-1")
+	fmt.Println(home == Homes(members, "desk-1")[0])
+	// Output: true
+}
--- a/experiment/pkg/measure/capacity.go
+++ b/experiment/pkg/measure/capacity.go
@@ -65,6 +65,11 @@
 	fmt.Fprintf(t, "answer to a heartbeat, no news, 214 balancers\t%d\n", proto.Size(codec.EncodeNews(landing.News{}.WithDigest(digest).WithMembers(r.Members()...))))
 	fmt.Fprintf(t, "answer to a heartbeat, no news, balancers unchanged\t%d\n", proto.Size(codec.EncodeNews(landing.News{}.WithDigest(digest))))
 	fmt.Fprintf(t, "exchange, no news\t%d\n", proto.Size(codec.EncodeExchange(exchange)))
+	targets := r.Targets()
+	targets[0] = targets[0].WithWeight(500)
+	delta := roster.Diff(r, r.WithSerial(2).WithTargets(targets...))
+	fmt.Fprintf(t, "news of one changed target\t%d\n", proto.Size(codec.EncodeNews(landing.News{}.WithDigest(digest).WithDelta(delta))))
+	fmt.Fprintf(t, "news of the whole roster\t%d\n", proto.Size(codec.EncodeNews(landing.News{}.WithDigest(digest).WithRoster(r))))
 	fmt.Fprintf(t, "one target\t%d\n", proto.Size(codec.EncodeTarget(target)))
 	_ = t.Flush()
 }
--- a/experiment/pkg/scenario/more_test.go
+++ b/experiment/pkg/scenario/more_test.go
@@ -110,3 +110,16 @@
 
 // maxPortWait allows for one first packet that is sent again after a second, and the next after two more.
 const maxPortWait = 4 * time.Second
+
+func TestRosterReachesBalancersThatDoNotWatchThePlatform(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk(3)
+	d := start(t, deployment.NewPlan(desk).WithBalancers(7))
+	for i := range 4 {
+		_, err := d.AddNode(desk, 10+i)
+		is.NoErr(err)
+		is.NoErr(d.AwaitReady())
+	}
+	d.KillNode(d.Nodes()[0])
+	is.NoErr(d.AwaitReady())
+}
