--- a/core/pkg/route/route_test.go
+++ b/core/pkg/route/route_test.go
@@ -120,3 +120,12 @@
 		})
 	}
 }
+
+func ExampleView_Route() {
+	v := New().WithLists(newLists(1, 1)).WithRoster(newRoster(1, 4))
+	fmt.Printf("%T\n", v.Route(callTo(1)))
+	fmt.Printf("%T\n", v.Route(callTo(9)))
+	// Output:
+	// landing.Forward
+	// landing.Refuse
+}
--- /dev/null
+++ b/sidecar/pkg/front/front_test.go
@@ -0,0 +1,128 @@
+package front
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/envelope"
+	"github.com/crocuslanding/crocuslanding/core/pkg/packet"
+	"github.com/crocuslanding/crocuslanding/sidecar/pkg/keeper"
+)
+
+const (
+	synFlag    = 0x02
+	flagOffset = 20 + 13
+	waitTime   = 5 * time.Second
+)
+
+// newSnapshot returns the state of a sidecar of desk, whose lists give the address to owner.
+func newSnapshot(owner string) keeper.Snapshot {
+	grant := landing.Grant{}.WithService(owner).WithZones("a").WithFlows(10)
+	lists := landing.Lists{}.
+		WithServices(landing.Service{}.WithName(owner).WithAddress("10.200.0.1:80").WithKind(landing.KindStream)).
+		WithPlans(landing.Plan{}.WithName("full").WithGrants(grant)).
+		WithCustomers(landing.Customer{}.WithName("north").WithPlan("full").WithPrefixes("10.1.0.0/24"))
+	target := landing.Target{}.
+		WithInstance("desk-1").
+		WithService("desk").
+		WithZone("a").
+		WithPhase(landing.PhaseServing)
+	return keeper.NewSnapshot(target).
+		WithLists(landing.Root{}.WithSerial(1), lists).
+		WithWeights([]uint32{1}, 0)
+}
+
+// harness is a front, and the socket that stands for balancer and fabric.
+type harness struct {
+	front    *Front
+	conn     *net.UDPConn
+	counters *counter.Set
+}
+
+func newHarness(t *testing.T, s keeper.Snapshot) *harness {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &harness{conn: conn, counters: counter.New()}
+	settings := landing.SidecarSettings{}.
+		WithFront("127.0.0.1:0").
+		WithFabric(conn.LocalAddr().String()).
+		WithConnections(10).
+		WithKeepalive(time.Second)
+	c := common.New(logr.Discard(), h.counters)
+	h.front, err = New(c, settings, func() keeper.Snapshot { return s }, func() bool { return false }, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.front.Start(1, func(r *tcp.ForwarderRequest) { r.Complete(true) })
+	t.Cleanup(func() {
+		h.front.Stop()
+		_ = conn.Close()
+	})
+	return h
+}
+
+// open sends the first packet of a flow, as a balancer sends it that takes the address for service's.
+func (h *harness) open(t *testing.T, service string) {
+	t.Helper()
+	k := landing.Key{}.
+		WithSource(address.Number(netip.MustParseAddr("10.1.0.7"))).
+		WithSport(4000).
+		WithDestination(address.Number(netip.MustParseAddr("10.200.0.1"))).
+		WithDport(80)
+	syn := packet.NewCallerReset(k, 1)
+	syn[flagOffset] = synFlag
+	b := append(make([]byte, envelope.MaxHeaderBytes), syn...)
+	chain := landing.Chain{}.WithService(service).WithHops(landing.Hop{})
+	home := h.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	first := envelope.Write(b, envelope.MaxHeaderBytes, chain, 0, home, envelope.NewKeys(landing.Keyring{}))
+	if _, err := h.conn.WriteTo(b[first:], h.front.conn.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestPacketForAnotherServiceIsDroppedWhateverTheBalancerThinks(t *testing.T) {
+	for name, c := range map[string]struct{ owner, tag string }{
+		"balancer is behind":  {"store", "desk"},
+		"sidecar is behind":   {"desk", "store"},
+		"both know it better": {"store", "store"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, newSnapshot(c.owner))
+			h.open(t, c.tag)
+			foreign := h.counters.Counter("refused." + landing.RefusalForeign.String())
+			await(func() bool { return foreign.Count() > 0 })
+			is.Equal(foreign.Count(), int64(1))
+			is.Equal(h.front.Table().Len(), 0)
+		})
+	}
+}
+
+func TestPacketForTheOwnServiceIsTaken(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, newSnapshot("desk"))
+	h.open(t, "desk")
+	await(func() bool { return h.front.Table().Len() > 0 })
+	is.Equal(h.front.Table().Len(), 1)
+	is.Equal(h.front.Table().FlowsOf("north"), uint32(1))
+}
+
+// await waits for a state, and not for long.
+func await(isReached func() bool) {
+	for deadline := time.Now().Add(waitTime); !isReached() && time.Now().Before(deadline); {
+		<-time.After(time.Millisecond)
+	}
+}
