--- a/standin/pkg/platform/trouble.go
+++ b/standin/pkg/platform/trouble.go
@@ -64,7 +64,7 @@
 		_, _ = w.Write([]byte("\xff\xfe garbage"))
 		return false
 	case landing.Slow:
-		time.Sleep(slowness)
+		<-time.After(slowness)
 	case landing.Healthy, landing.Deaf:
 	}
 	return true
