Balancers forget chunks and connections that nobody needs any more

Change: only the chunks of the newest root are kept, whichever of two loads ends first; pools keep the clients of the present balancers and seeds.

--- a/balancer/pkg/gossip/gossip.go
+++ b/balancer/pkg/gossip/gossip.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/balancer/pkg/keeper"
@@ -81,6 +82,7 @@
 func (g *Gossip) peersOf(round int) []string {
 	s := g.keeper.Snapshot()
 	others, holder := othersOf(s)
+	g.pool.Keep(slices.Concat(others, g.seeds)...)
 	if len(others) == 0 || round == 0 {
 		return g.seeds
 	}
@@ -158,5 +160,6 @@
 		g.common.Counters().Counter("retried.chunks").Inc(1)
 		return
 	}
+	g.loader.Forget(news.Root())
 	g.keeper.Post(landing.Adopted{}.WithRoot(news.Root()).WithLists(l))
 }
--- a/balancer/pkg/store/store.go
+++ b/balancer/pkg/store/store.go
@@ -155,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	s.loader.Forget(r)
 	s.keeper.Post(landing.Adopted{}.WithRoot(r).WithLists(l))
 	return nil
 }
--- a/core/pkg/control/pool.go
+++ b/core/pkg/control/pool.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sync"
 
 	"google.golang.org/grpc/credentials"
@@ -45,11 +46,11 @@
 }
 
 // Keep closes the clients whose address is not among these.
-func (p *Pool) Keep(addresses map[string]bool) {
+func (p *Pool) Keep(addresses ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, c := range p.clients {
-		if !addresses[address] {
+		if !slices.Contains(addresses, address) {
 			c.Close()
 			delete(p.clients, address)
 		}
@@ -58,5 +59,5 @@
 
 // Close closes all clients.
 func (p *Pool) Close() {
-	p.Keep(nil)
+	p.Keep()
 }
--- a/core/pkg/loader/loader.go
+++ b/core/pkg/loader/loader.go
@@ -38,6 +38,7 @@
 type Loader struct {
 	mu     sync.Mutex
 	chunks map[string][]byte
+	newest uint64
 }
 
 // New returns a loader that keeps no chunks yet.
@@ -76,10 +77,14 @@
 	return landing.Parts{}.WithChunks(chunks...)
 }
 
-// Forget drops all chunks but those of root.
+// Forget drops all chunks but those of root. It does nothing when a newer root was given before.
 func (l *Loader) Forget(root landing.Root) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if root.Serial() < l.newest {
+		return
+	}
+	l.newest = root.Serial()
 	kept := map[string][]byte{}
 	for _, hash := range root.Chunks() {
 		if b, ok := l.chunks[hash]; ok {
--- a/core/pkg/loader/loader_test.go
+++ b/core/pkg/loader/loader_test.go
@@ -26,3 +26,15 @@
 	_, err := New().Load(context.Background(), root, Platform{Client: client})
 	is.True(err != nil)
 }
+
+func TestOnlyChunksOfTheNewestRootAreKept(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.keep("a", []byte("a"))
+	l.keep("b", []byte("b"))
+	want := landing.Want{}.WithHashes("a", "b")
+	l.Forget(landing.Root{}.WithSerial(2).WithChunks("b"))
+	is.Equal(l.Parts(want).ChunksLen(), 1)
+	l.Forget(landing.Root{}.WithSerial(1).WithChunks("a"))
+	is.Equal(l.Parts(want).ChunksLen(), 1)
+}
--- a/sidecar/pkg/home/home.go
+++ b/sidecar/pkg/home/home.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
@@ -107,6 +108,7 @@
 			good = append(good, m.Control())
 		}
 	}
+	h.pool.Keep(slices.Concat(good, bad, h.seeds)...)
 	if len(good) == 0 {
 		good = h.seeds
 	}
