Cold-start scenarios fill every slot on a slow machine too

The scenario waits until the upstreams take requests in all their slots, and a limit grows only while it is used in full: 40 callers at 5 ms a request fill 48 slots only when the machine is quick.

Ruled out: refusals and broken feeds (the failing line is the wait); the admission (idle time earns nothing, as it should).

Change: 80 callers at 20 ms a request, more than all slots together, in the three scenarios that wait for full load. Bounds and checks are as they were; the load is higher.

--- a/experiment/pkg/scenario/cold_test.go
+++ b/experiment/pkg/scenario/cold_test.go
@@ -15,7 +15,9 @@
 const (
 	// maxOvershoot is one: the limit grows by single requests, and the upstream sheds the one too many.
 	maxOvershoot = 1
-	coldCallers  = 40
+	// coldCallers are more than all slots together, so that demand fills every upstream however slow the machine is.
+	coldCallers = 80
+	coldService = 20 * time.Millisecond
 )
 
 func startLoad(d *deployment.Deployment, s deployment.Service, callers int) *traffic.Load {
@@ -26,7 +28,7 @@
 
 func TestColdUpstreamUnderLoadGetsNoMoreThanItBears(t *testing.T) {
 	is := is.New(t)
-	desk := newDesk(3)
+	desk := newDesk(3).WithTimes(coldService)
 	d := start(t, deployment.NewPlan(desk))
 	load := startLoad(d, desk, coldCallers)
 	defer load.Stop()
@@ -42,7 +44,7 @@
 
 func TestSilentFallBackIntoColdStartIsHeldByEverySender(t *testing.T) {
 	is := is.New(t)
-	desk := newDesk(3).WithCold(8, 2*time.Second)
+	desk := newDesk(3).WithTimes(coldService).WithCold(8, 2*time.Second)
 	d := start(t, deployment.NewPlan(desk))
 	load := startLoad(d, desk, coldCallers)
 	defer load.Stop()
--- a/experiment/pkg/scenario/zone_test.go
+++ b/experiment/pkg/scenario/zone_test.go
@@ -128,7 +128,7 @@
 
 func TestReturnOfAZoneUnderLoadRefusesNothingAndBreaksNoFeed(t *testing.T) {
 	is := is.New(t)
-	desk := newDesk(6).WithCold(8, time.Second)
+	desk := newDesk(6).WithTimes(coldService).WithCold(8, time.Second)
 	d := start(t, deployment.NewPlan(desk))
 	is.NoErr(takeZone(d, "khomas-b", true))
 	is.NoErr(deployment.Await(func() bool { return isOutEverywhere(d, "khomas-b") }))
