--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for users: demo, test. For developers: generate, format, lint, bench, history.
 
-MODULES := core balancer sidecar landingctl standin experiment valuegen
+MODULES := core balancer sidecar landingctl platform standin experiment valuegen
 PROGRAMS := balancer sidecar landingctl standin
 TOOLS := $(CURDIR)/.tools
 
--- a/balancer/main.go
+++ b/balancer/main.go
@@ -1,3 +1,5 @@
+//go:build !relay
+
 // Command balancer sends callers' packets along chains of sidecars.
 package main
 
--- /dev/null
+++ b/balancer/pkg/relay/app.go
@@ -0,0 +1,160 @@
+// Package relay is the balancer on a platform whose upstreams end flows themselves: packets pass whole, along
+// chains of sidecars.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/form"
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
+	"github.com/crocuslanding/crocuslanding/core/pkg/logline"
+	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
+	"github.com/crocuslanding/crocuslanding/core/pkg/reader"
+	"github.com/crocuslanding/crocuslanding/core/pkg/scrape"
+	"github.com/crocuslanding/crocuslanding/core/pkg/serve"
+	"github.com/crocuslanding/crocuslanding/core/pkg/settings"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+// logPatience is the longest time for which a process that ends waits for a slow reader of its log.
+const logPatience = 200 * time.Millisecond
+
+// Run runs the program until it is asked to stop, and ends the process.
+func Run() {
+	path := launch.Path("balancer", os.Args[1:])
+	r := reader.Open(path)
+	s := form.ReadRelayBalancerSettings(r)
+	settings.CheckRelayBalancer(s, r.Report)
+	launch.ExitOnFindings(r)
+	out := logline.New(os.Stdout)
+	out.Start()
+	c := common.New(common.NewLogger(out, s.Instance(), int(s.Verbosity())), counter.New())
+	ctx, cancel, reload := launch.Signals()
+	defer cancel()
+	err := Serve(ctx, c, s, reload)
+	out.Stop(logPatience)
+	launch.Exit(err)
+}
+
+// Serve runs a balancer until ctx ends, and then for as long as the routers may take to turn away.
+// It returns an error when an address cannot be used.
+func Serve(ctx context.Context, c common.Common, s landing.RelayBalancerSettings, reload <-chan os.Signal) error {
+	b, err := New(c, s)
+	if err != nil {
+		return err
+	}
+	b.Start()
+	c.Log().Info("balancer started", "front", s.Front(), "fleet", s.Fleet())
+	for {
+		select {
+		case <-reload:
+			c.Log().Info("settings are read at the next start")
+		case <-ctx.Done():
+			b.Leave(s.Leave())
+			b.Stop()
+			c.Log().Info("balancer stopped")
+			return nil
+		}
+	}
+}
+
+// Balancer is one balancer with all its parts.
+type Balancer struct {
+	common  common.Common
+	keeper  *Keeper
+	traffic *Traffic
+	sync    *Sync
+	prover  *Prover
+	store   *platform.Store
+	servers []*serve.Server
+	scrape  *scrape.Server
+}
+
+// New returns a balancer whose sockets are open. It returns an error when an address cannot be used.
+func New(c common.Common, s landing.RelayBalancerSettings) (*Balancer, error) {
+	b := &Balancer{common: c, keeper: NewKeeper(c)}
+	nobodies := make(chan nobody, maxProofs)
+	traffic, err := NewTraffic(c, s, b.keeper, nobodies)
+	if err != nil {
+		return nil, err
+	}
+	b.traffic = traffic
+	if err := b.listen(s); err != nil {
+		traffic.Stop()
+		return nil, err
+	}
+	count := func(call, outcome string) { c.Counters().Counter("store." + call + "." + outcome).Inc(1) }
+	malformed := func(err error) { c.Log().Info("object cannot be read", "error", err.Error()) }
+	b.store = platform.NewStore(s.Platform(), count, malformed)
+	b.sync = NewSync(c, s, b.keeper, b.store, traffic)
+	b.prover = NewProver(c, b.keeper, b.store, traffic, nobodies)
+	return b, nil
+}
+
+func (b *Balancer) listen(s landing.RelayBalancerSettings) error {
+	handlers := map[string]http.Handler{
+		s.Readiness(): platform.NewReadinessHandler(func() bool { return b.keeper.Snapshot().IsReady() }),
+		s.Fleet(): peer.NewHandler(func() (landing.Picture, bool) {
+			snapshot := b.keeper.Snapshot()
+			return snapshot.Picture(), snapshot.IsKnown()
+		}),
+	}
+	for address, handler := range handlers {
+		server, err := serve.New(address, handler)
+		if err != nil {
+			b.stopServers()
+			return err
+		}
+		b.servers = append(b.servers, server)
+	}
+	metrics, err := scrape.New(s.Metrics(), b.common.Counters())
+	b.scrape = metrics
+	if err != nil {
+		b.stopServers()
+	}
+	return err
+}
+
+// Start starts all parts.
+func (b *Balancer) Start() {
+	b.keeper.Start()
+	b.traffic.Start()
+	for _, s := range b.servers {
+		s.Start()
+	}
+	b.scrape.Start()
+	b.sync.Start()
+	b.prover.Start()
+}
+
+// Leave tells the routers to turn away and goes on serving for this time.
+func (b *Balancer) Leave(d time.Duration) {
+	b.common.Log().Info("balancer leaves", "after", d.String())
+	b.keeper.Update(Snapshot.WithStopping)
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	<-timer.C
+}
+
+// Stop stops all parts and waits for them.
+func (b *Balancer) Stop() {
+	b.sync.Stop()
+	b.prover.Stop()
+	b.stopServers()
+	b.scrape.Stop()
+	b.traffic.Stop()
+	b.keeper.Stop()
+	b.store.Close()
+}
+
+func (b *Balancer) stopServers() {
+	for _, s := range b.servers {
+		s.Stop()
+	}
+}
--- /dev/null
+++ b/balancer/pkg/relay/cache.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+// maxCached bounds the memory of the cache. A flow that is not in it is found along a walk.
+const maxCached = 1 << 16
+
+// cache remembers where flows were last seen. It is never more than a hint: any balancer finds any flow without it.
+// Its methods may be called from several goroutines.
+type cache struct {
+	mu    sync.Mutex
+	flows map[landing.Key]place
+	sent  map[uint64]sent
+}
+
+// place is where a flow was last seen.
+type place struct {
+	hop   uint64
+	heard time.Time
+}
+
+// sent is the number of new flows sent to a sidecar since one of its statuses.
+type sent struct {
+	status uint64
+	flows  int
+}
+
+func newCache() *cache {
+	return &cache{flows: map[landing.Key]place{}, sent: map[uint64]sent{}}
+}
+
+// find returns the sidecar at which the flow was last seen.
+func (c *cache) find(k landing.Key, now time.Time) (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, found := c.flows[k]
+	if found {
+		c.flows[k] = place{hop: p.hop, heard: now}
+	}
+	return p.hop, found
+}
+
+// put remembers the sidecar of a flow.
+func (c *cache) put(k landing.Key, hop uint64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.flows) >= maxCached {
+		return
+	}
+	c.flows[k] = place{hop: hop, heard: now}
+}
+
+// forget forgets a flow if it was last seen at this sidecar.
+func (c *cache) forget(k landing.Key, hop uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.flows[k].hop == hop {
+		delete(c.flows, k)
+	}
+}
+
+// expire forgets flows without a packet for this time.
+func (c *cache) expire(idle time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, p := range c.flows {
+		if now.Sub(p.heard) > idle {
+			delete(c.flows, k)
+		}
+	}
+}
+
+// noteSent counts a new flow sent to a sidecar with this status.
+func (c *cache) noteSent(n landing.Neighbor) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.sent[n.Hop()]
+	if s.status != n.Status().Sequence() {
+		s = sent{status: n.Status().Sequence()}
+	}
+	s.flows++
+	c.sent[n.Hop()] = s
+}
+
+// sentSince returns the number of new flows sent to a sidecar since this status.
+func (c *cache) sentSince(n landing.Neighbor) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.sent[n.Hop()]
+	if s.status != n.Status().Sequence() {
+		return 0
+	}
+	return s.flows
+}
--- /dev/null
+++ b/balancer/pkg/relay/prover.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+const (
+	// provePause is the time between two reads for proofs at least.
+	provePause = 100 * time.Millisecond
+	// maxProofs bounds the flows that wait for a proof.
+	maxProofs = 4096
+)
+
+// Prover resets flows that nobody holds. That every sidecar which this balancer knows has denied a flow is not
+// enough, since it may not know all of them: a sidecar enrolls at the platform before it takes its first flow, so a
+// read of the roll that begins after the walk and shows no other sidecar completes the proof.
+type Prover struct {
+	common   common.Common
+	keeper   *Keeper
+	store    *platform.Store
+	traffic  *Traffic
+	nobodies <-chan nobody
+	done     *common.Done
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// NewProver returns a prover that is not started.
+func NewProver(c common.Common, k *Keeper, store *platform.Store, t *Traffic, nobodies <-chan nobody) *Prover {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Prover{common: c, keeper: k, store: store, traffic: t, nobodies: nobodies, done: common.NewDone(), ctx: ctx, cancel: cancel}
+}
+
+// Start starts the prover.
+func (p *Prover) Start() {
+	p.done.Go(p.run)
+}
+
+// Stop ends all calls and waits for their end.
+func (p *Prover) Stop() {
+	p.done.Close()
+	p.cancel()
+	p.done.Wait()
+}
+
+func (p *Prover) run() {
+	for {
+		select {
+		case <-p.done.C():
+			return
+		case n := <-p.nobodies:
+			p.prove(p.collect(n))
+		}
+		timer := time.NewTimer(provePause)
+		select {
+		case <-p.done.C():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// collect returns all flows that wait.
+func (p *Prover) collect(first nobody) map[landing.Key]nobody {
+	list := map[landing.Key]nobody{first.key: first}
+	for {
+		select {
+		case n := <-p.nobodies:
+			list[n.key] = n
+		default:
+			return list
+		}
+	}
+}
+
+func (p *Prover) prove(list map[landing.Key]nobody) {
+	known := p.keeper.Snapshot().directory.Roll()
+	read, err := p.store.Roll(p.ctx, known, 0)
+	if err != nil {
+		p.common.Log().Info("flows not reset", "reason", "platform cannot be read", "flows", len(list), "error", err.Error())
+		return
+	}
+	p.keeper.Post(landing.RollChange{}.WithRoll(read))
+	if !directory.SameSidecars(known, read) {
+		p.common.Log().Info("flows not reset", "reason", "other sidecars have enrolled", "flows", len(list))
+		return
+	}
+	for _, n := range list {
+		if n.roll != known.Revision() {
+			continue
+		}
+		p.common.Counters().Counter("reset.nobody").Inc(1)
+		p.common.Log().Info("flow reset", "flow", address.Flow(n.key), "reason", "nobody holds it", "roll", n.roll, "sidecars", known.EnrollmentsLen())
+		p.traffic.resetCaller(n.key, n.acknowledged)
+	}
+}
--- /dev/null
+++ b/balancer/pkg/relay/sync.go
@@ -0,0 +1,237 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+const (
+	// watchWait is the time for which a watch of rules or exclusions waits. A watch can go silent when the store
+	// drops its history; the next one begins well before a change must be in force (3 s).
+	watchWait = 1500 * time.Millisecond
+	// rollWait is the same for the roll, which no rule bounds.
+	rollWait = 3 * time.Second
+	// failPause is the pause after a call that failed, on average.
+	failPause = 300 * time.Millisecond
+	// greetInterval is the time between two greetings to a sidecar; a sidecar forgets a balancer after three.
+	greetInterval = time.Second
+	// expireTicks is the number of greetings between two sweeps of the cache.
+	expireTicks = 4
+	// leastIdle is the least time without a packet after which a flow is forgotten.
+	leastIdle = 15 * time.Second
+)
+
+// Sync keeps rules, exclusions and roll up to date, and greets the sidecars.
+type Sync struct {
+	common  common.Common
+	keeper  *Keeper
+	store   *platform.Store
+	traffic *Traffic
+	peers   *peer.Client
+	done    *common.Done
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// NewSync returns a sync that is not started.
+func NewSync(c common.Common, s landing.RelayBalancerSettings, k *Keeper, store *platform.Store, t *Traffic) *Sync {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Sync{
+		common:  c,
+		keeper:  k,
+		store:   store,
+		traffic: t,
+		peers:   peer.NewClient(s.Fleet(), s.Seeds()),
+		done:    common.NewDone(),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+}
+
+// Start starts to watch and to greet.
+func (s *Sync) Start() {
+	s.done.Go(func() { s.repeat(s.watchRules()) })
+	s.done.Go(func() { s.repeat(s.watchExclusions()) })
+	s.done.Go(func() { s.repeat(s.watchRoll()) })
+	s.done.Go(s.catchUp)
+	s.done.Go(s.greet)
+}
+
+// Stop ends all calls and waits for their end.
+func (s *Sync) Stop() {
+	s.done.Close()
+	s.cancel()
+	s.done.Wait()
+}
+
+// repeat makes a step again and again, with a pause after each that failed.
+func (s *Sync) repeat(step func() error) {
+	isLost := false
+	for {
+		err := step()
+		if s.ctx.Err() != nil {
+			return
+		}
+		if (err != nil) != isLost {
+			isLost = err != nil
+			s.logPlatform(err)
+		}
+		if err != nil && !s.pause(failPause/2+rand.N(failPause)) {
+			return
+		}
+	}
+}
+
+func (s *Sync) logPlatform(err error) {
+	if err != nil {
+		s.common.Log().Info("platform lost", "error", err.Error())
+		return
+	}
+	s.common.Log().Info("platform regained")
+}
+
+// watchRules returns a step that waits for newer rules.
+func (s *Sync) watchRules() func() error {
+	since := uint64(0)
+	return func() error {
+		rules, revision, err := s.store.Rules(s.ctx, since, watchWait)
+		if err != nil {
+			since = sinceAfter(err, since)
+			s.askPeers()
+			return err
+		}
+		since = revision
+		if rules.Revision() > 0 {
+			s.keeper.Post(landing.RulesChange{}.WithRules(rules))
+		}
+		return nil
+	}
+}
+
+// sinceAfter returns the revision from which a watch goes on after an error; 0 when all must be read anew.
+func sinceAfter(err error, since uint64) uint64 {
+	if errors.Is(err, platform.ErrHistoryGone) {
+		return 0
+	}
+	return since
+}
+
+func (s *Sync) watchExclusions() func() error {
+	known := landing.Exclusions{}
+	return func() error {
+		next, err := s.store.Exclusions(s.ctx, known, watchWait)
+		if err != nil {
+			known = known.WithRevision(sinceAfter(err, known.Revision()))
+			return err
+		}
+		known = next
+		s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(next))
+		return nil
+	}
+}
+
+func (s *Sync) watchRoll() func() error {
+	known := landing.Roll{}
+	return func() error {
+		next, err := s.store.Roll(s.ctx, known, rollWait)
+		if err != nil {
+			known = known.WithRevision(sinceAfter(err, known.Revision()))
+			return err
+		}
+		known = next
+		s.keeper.Post(landing.RollChange{}.WithRoll(next))
+		return nil
+	}
+}
+
+// askPeers takes what another balancer knows while this one knows nothing and the platform is away.
+func (s *Sync) askPeers() {
+	if s.keeper.Snapshot().IsKnown() {
+		return
+	}
+	picture, err := s.peers.Picture(s.ctx, nil)
+	if err != nil {
+		s.common.Log().V(1).Info("no peer answers", "error", err.Error())
+		return
+	}
+	s.keeper.Post(landing.RulesChange{}.WithRules(picture.Rules()))
+	s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(picture.Exclusions()))
+	s.keeper.Post(landing.RollChange{}.WithRoll(picture.Roll()))
+}
+
+// catchUp reads rules and exclusions when another process has newer ones than the watches have brought.
+func (s *Sync) catchUp() {
+	for {
+		select {
+		case <-s.done.C():
+			return
+		case <-s.keeper.Behind():
+		}
+		rules, _, err := s.store.Rules(s.ctx, 0, 0)
+		if err == nil {
+			s.keeper.Post(landing.RulesChange{}.WithRules(rules))
+			var exclusions landing.Exclusions
+			exclusions, err = s.store.Exclusions(s.ctx, s.keeper.Snapshot().exclusions.WithRevision(0), 0)
+			if err == nil {
+				s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
+			}
+		}
+		if err != nil {
+			s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
+		}
+		if !s.pause(failPause) {
+			return
+		}
+	}
+}
+
+// greet greets all sidecars now and then, and at once when there are new ones.
+func (s *Sync) greet() {
+	ticker := time.NewTicker(greetInterval)
+	defer ticker.Stop()
+	for tick := 1; ; tick++ {
+		select {
+		case <-s.done.C():
+			return
+		case <-ticker.C:
+		case <-s.keeper.Joined():
+		}
+		snapshot := s.keeper.Snapshot()
+		s.traffic.greet(snapshot)
+		if tick%expireTicks == 0 {
+			s.traffic.cache.expire(2*max(snapshot.rules.Rules().Idle(), leastIdle), time.Now())
+		}
+	}
+}
+
+// pause waits; it returns false when the sync stops.
+func (s *Sync) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s.done.C():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// greet asks all sidecars for statuses and tells them what this balancer knows.
+func (t *Traffic) greet(s Snapshot) {
+	g := landing.Greeting{}.
+		WithHome(t.link.Home()).
+		WithRules(s.rules.Rules().Revision()).
+		WithExclusions(s.exclusions.Changed()).
+		WithRoll(s.directory.Roll().Revision()).
+		WithEnrolled(true)
+	for _, n := range s.directory.Neighbors() {
+		t.link.Send(g, n.Hop())
+	}
+}
--- a/core/gen/codec/flow.go
+++ b/core/gen/codec/flow.go
@@ -37,6 +37,10 @@
 	m.Opening = v.Opening()
 	m.Acknowledges = v.Acknowledges()
 	m.Resets = v.Resets()
+	m.Copies = v.Copies()
+	m.Finishes = v.Finishes()
+	m.Payload = v.Payload()
+	m.Answering = v.Answering()
 	return m
 }
 
@@ -49,6 +53,10 @@
 	v = v.WithOpening(m.GetOpening())
 	v = v.WithAcknowledges(m.GetAcknowledges())
 	v = v.WithResets(m.GetResets())
+	v = v.WithCopies(m.GetCopies())
+	v = v.WithFinishes(m.GetFinishes())
+	v = v.WithPayload(m.GetPayload())
+	v = v.WithAnswering(m.GetAnswering())
 	return v
 }
 
@@ -157,6 +165,8 @@
 		return &landingpb.Stage{Stage: &landingpb.Stage_Half{Half: EncodeHalf(v)}}
 	case landing.Open:
 		return &landingpb.Stage{Stage: &landingpb.Stage_Open{Open: EncodeOpen(v)}}
+	case landing.Unsure:
+		return &landingpb.Stage{Stage: &landingpb.Stage_Unsure{Unsure: EncodeUnsure(v)}}
 	default:
 		return &landingpb.Stage{}
 	}
@@ -173,6 +183,8 @@
 		return DecodeHalf(c.Half)
 	case *landingpb.Stage_Open:
 		return DecodeOpen(c.Open)
+	case *landingpb.Stage_Unsure:
+		return DecodeUnsure(c.Unsure)
 	default:
 		return nil
 	}
@@ -232,6 +244,18 @@
 	return v
 }
 
+// EncodeUnsure returns the message for v.
+func EncodeUnsure(v landing.Unsure) *landingpb.Unsure {
+	m := &landingpb.Unsure{}
+	return m
+}
+
+// DecodeUnsure returns the value of m; the zero value when m is nil.
+func DecodeUnsure(m *landingpb.Unsure) landing.Unsure {
+	v := landing.Unsure{}
+	return v
+}
+
 // EncodeStep returns the message for v; an empty one when v is nil.
 func EncodeStep(v landing.Step) *landingpb.Step {
 	switch v := v.(type) {
@@ -257,6 +281,8 @@
 		return &landingpb.Step{Step: &landingpb.Step_Defer{Defer: EncodeDefer(v)}}
 	case landing.Recall:
 		return &landingpb.Step{Step: &landingpb.Step_Recall{Recall: EncodeRecall(v)}}
+	case landing.Ask:
+		return &landingpb.Step{Step: &landingpb.Step_Ask{Ask: EncodeAsk(v)}}
 	default:
 		return &landingpb.Step{}
 	}
@@ -287,6 +313,8 @@
 		return DecodeDefer(c.Defer)
 	case *landingpb.Step_Recall:
 		return DecodeRecall(c.Recall)
+	case *landingpb.Step_Ask:
+		return DecodeAsk(c.Ask)
 	default:
 		return nil
 	}
@@ -400,6 +428,18 @@
 	return v
 }
 
+// EncodeAsk returns the message for v.
+func EncodeAsk(v landing.Ask) *landingpb.Ask {
+	m := &landingpb.Ask{}
+	return m
+}
+
+// DecodeAsk returns the value of m; the zero value when m is nil.
+func DecodeAsk(m *landingpb.Ask) landing.Ask {
+	v := landing.Ask{}
+	return v
+}
+
 // EncodeReset returns the message for v.
 func EncodeReset(v landing.Reset) *landingpb.Reset {
 	m := &landingpb.Reset{}
--- a/core/gen/codec/settings.go
+++ b/core/gen/codec/settings.go
@@ -236,3 +236,89 @@
 	v = v.WithBytes(m.GetBytes())
 	return v
 }
+
+// EncodeRelayBalancerSettings returns the message for v.
+func EncodeRelayBalancerSettings(v landing.RelayBalancerSettings) *landingpb.RelayBalancerSettings {
+	m := &landingpb.RelayBalancerSettings{}
+	m.Instance = v.Instance()
+	m.Zone = v.Zone()
+	m.Front = v.Front()
+	m.Readiness = v.Readiness()
+	m.Fleet = v.Fleet()
+	m.Metrics = v.Metrics()
+	m.Platform = v.Platform()
+	for i := range v.SeedsLen() {
+		m.Seeds = append(m.Seeds, v.SeedsAt(i))
+	}
+	m.Grace = durationpb.New(v.Grace())
+	m.Leave = durationpb.New(v.Leave())
+	m.Verbosity = v.Verbosity()
+	return m
+}
+
+// DecodeRelayBalancerSettings returns the value of m; the zero value when m is nil.
+func DecodeRelayBalancerSettings(m *landingpb.RelayBalancerSettings) landing.RelayBalancerSettings {
+	v := landing.RelayBalancerSettings{}
+	v = v.WithInstance(m.GetInstance())
+	v = v.WithZone(m.GetZone())
+	v = v.WithFront(m.GetFront())
+	v = v.WithReadiness(m.GetReadiness())
+	v = v.WithFleet(m.GetFleet())
+	v = v.WithMetrics(m.GetMetrics())
+	v = v.WithPlatform(m.GetPlatform())
+	var seeds []string
+	for _, e := range m.GetSeeds() {
+		seeds = append(seeds, e)
+	}
+	v = v.WithSeeds(seeds...)
+	v = v.WithGrace(m.GetGrace().AsDuration())
+	v = v.WithLeave(m.GetLeave().AsDuration())
+	v = v.WithVerbosity(m.GetVerbosity())
+	return v
+}
+
+// EncodeRelaySidecarSettings returns the message for v.
+func EncodeRelaySidecarSettings(v landing.RelaySidecarSettings) *landingpb.RelaySidecarSettings {
+	m := &landingpb.RelaySidecarSettings{}
+	m.Instance = v.Instance()
+	m.Zone = v.Zone()
+	m.Service = v.Service()
+	m.Front = v.Front()
+	m.Outbound = v.Outbound()
+	m.Local = v.Local()
+	m.Upstream = v.Upstream()
+	m.Readiness = v.Readiness()
+	m.Fleet = v.Fleet()
+	m.Metrics = v.Metrics()
+	m.Platform = v.Platform()
+	for i := range v.SeedsLen() {
+		m.Seeds = append(m.Seeds, v.SeedsAt(i))
+	}
+	m.Heartbeat = durationpb.New(v.Heartbeat())
+	m.Verbosity = v.Verbosity()
+	return m
+}
+
+// DecodeRelaySidecarSettings returns the value of m; the zero value when m is nil.
+func DecodeRelaySidecarSettings(m *landingpb.RelaySidecarSettings) landing.RelaySidecarSettings {
+	v := landing.RelaySidecarSettings{}
+	v = v.WithInstance(m.GetInstance())
+	v = v.WithZone(m.GetZone())
+	v = v.WithService(m.GetService())
+	v = v.WithFront(m.GetFront())
+	v = v.WithOutbound(m.GetOutbound())
+	v = v.WithLocal(m.GetLocal())
+	v = v.WithUpstream(m.GetUpstream())
+	v = v.WithReadiness(m.GetReadiness())
+	v = v.WithFleet(m.GetFleet())
+	v = v.WithMetrics(m.GetMetrics())
+	v = v.WithPlatform(m.GetPlatform())
+	var seeds []string
+	for _, e := range m.GetSeeds() {
+		seeds = append(seeds, e)
+	}
+	v = v.WithSeeds(seeds...)
+	v = v.WithHeartbeat(m.GetHeartbeat().AsDuration())
+	v = v.WithVerbosity(m.GetVerbosity())
+	return v
+}
--- a/core/gen/landing/flow.go
+++ b/core/gen/landing/flow.go
@@ -47,6 +47,10 @@
 	RefusalTag Refusal = 16
 	// The peer of a control connection is not authenticated.
 	RefusalPeer Refusal = 17
+	// The upstream is in cold start and bears no further flow now.
+	RefusalCold Refusal = 18
+	// The upstream is about to leave or has left.
+	RefusalLeaving Refusal = 19
 )
 
 // String returns the name of the value in lower case.
@@ -88,6 +92,10 @@
 		return "tag"
 	case RefusalPeer:
 		return "peer"
+	case RefusalCold:
+		return "cold"
+	case RefusalLeaving:
+		return "leaving"
 	default:
 		return "invalid"
 	}
@@ -157,6 +165,10 @@
 	opening      bool
 	acknowledges bool
 	resets       bool
+	copies       uint32
+	finishes     bool
+	payload      uint32
+	answering    bool
 }
 
 // Key returns the field of this name:
@@ -231,6 +243,54 @@
 	return v
 }
 
+// Copies returns the field of this name:
+// Number of earlier copies of an opening segment.
+func (v Segment) Copies() uint32 {
+	return v.copies
+}
+
+// WithCopies returns a copy with another copies.
+func (v Segment) WithCopies(copies uint32) Segment {
+	v.copies = copies
+	return v
+}
+
+// Finishes returns the field of this name:
+// Whether it ends its sender's side of the flow.
+func (v Segment) Finishes() bool {
+	return v.finishes
+}
+
+// WithFinishes returns a copy with another finishes.
+func (v Segment) WithFinishes(finishes bool) Segment {
+	v.finishes = finishes
+	return v
+}
+
+// Payload returns the field of this name:
+// Number of bytes of data.
+func (v Segment) Payload() uint32 {
+	return v.payload
+}
+
+// WithPayload returns a copy with another payload.
+func (v Segment) WithPayload(payload uint32) Segment {
+	v.payload = payload
+	return v
+}
+
+// Answering returns the field of this name:
+// Whether it is the upstream's part of the handshake: SYN with ACK.
+func (v Segment) Answering() bool {
+	return v.answering
+}
+
+// WithAnswering returns a copy with another answering.
+func (v Segment) WithAnswering(answering bool) Segment {
+	v.answering = answering
+	return v
+}
+
 // Hop is one sidecar in a chain.
 type Hop struct {
 	address uint32
@@ -442,6 +502,12 @@
 
 func (Open) isStage() {}
 
+// Unsure is the stage of a flow of which only the upstream knows whether it holds it.
+type Unsure struct {
+}
+
+func (Unsure) isStage() {}
+
 // Step is what a sidecar does with a segment.
 //
 //sumtype:decl
@@ -504,6 +570,12 @@
 
 func (Recall) isStep() {}
 
+// Ask hands the segment to an upstream that ends flows itself.
+type Ask struct {
+}
+
+func (Ask) isStep() {}
+
 // Reset answers the segment with a reset.
 type Reset struct {
 	reason Refusal
--- a/core/gen/landing/settings.go
+++ b/core/gen/landing/settings.go
@@ -781,3 +781,356 @@
 	v.bytes = bytes
 	return v
 }
+
+// RelayBalancerSettings configure one balancer process that relays packets whole.
+type RelayBalancerSettings struct {
+	instance  string
+	zone      string
+	front     string
+	readiness string
+	fleet     string
+	metrics   string
+	platform  string
+	seeds     []string
+	grace     time.Duration
+	leave     time.Duration
+	verbosity uint32
+}
+
+// Instance returns the field of this name:
+// Name of the instance, unique in the fleet.
+func (v RelayBalancerSettings) Instance() string {
+	return v.instance
+}
+
+// WithInstance returns a copy with another instance.
+func (v RelayBalancerSettings) WithInstance(instance string) RelayBalancerSettings {
+	v.instance = instance
+	return v
+}
+
+// Zone returns the field of this name:
+// Availability zone of the instance.
+func (v RelayBalancerSettings) Zone() string {
+	return v.zone
+}
+
+// WithZone returns a copy with another zone.
+func (v RelayBalancerSettings) WithZone(zone string) RelayBalancerSettings {
+	v.zone = zone
+	return v
+}
+
+// Front returns the field of this name:
+// UDP address, IP and port, on which packets of callers arrive.
+func (v RelayBalancerSettings) Front() string {
+	return v.front
+}
+
+// WithFront returns a copy with another front.
+func (v RelayBalancerSettings) WithFront(front string) RelayBalancerSettings {
+	v.front = front
+	return v
+}
+
+// Readiness returns the field of this name:
+// TCP address, IP and port, on which the platform asks whether packets may be sent.
+func (v RelayBalancerSettings) Readiness() string {
+	return v.readiness
+}
+
+// WithReadiness returns a copy with another readiness.
+func (v RelayBalancerSettings) WithReadiness(readiness string) RelayBalancerSettings {
+	v.readiness = readiness
+	return v
+}
+
+// Fleet returns the field of this name:
+// TCP and UDP address, IP and port, on which other processes of the fleet are served.
+func (v RelayBalancerSettings) Fleet() string {
+	return v.fleet
+}
+
+// WithFleet returns a copy with another fleet.
+func (v RelayBalancerSettings) WithFleet(fleet string) RelayBalancerSettings {
+	v.fleet = fleet
+	return v
+}
+
+// Metrics returns the field of this name:
+// TCP address, IP and port, on which metrics are served over HTTP.
+func (v RelayBalancerSettings) Metrics() string {
+	return v.metrics
+}
+
+// WithMetrics returns a copy with another metrics.
+func (v RelayBalancerSettings) WithMetrics(metrics string) RelayBalancerSettings {
+	v.metrics = metrics
+	return v
+}
+
+// Platform returns the field of this name:
+// TCP address, IP and port, of the platform's object API.
+func (v RelayBalancerSettings) Platform() string {
+	return v.platform
+}
+
+// WithPlatform returns a copy with another platform.
+func (v RelayBalancerSettings) WithPlatform(platform string) RelayBalancerSettings {
+	v.platform = platform
+	return v
+}
+
+// Seeds returns a copy of the list of this name:
+// Addresses of some balancers, of which only the IP is used: their fleet port is that of this process.
+func (v RelayBalancerSettings) Seeds() []string {
+	return slices.Clone(v.seeds)
+}
+
+// SeedsLen returns the number of elements of Seeds.
+func (v RelayBalancerSettings) SeedsLen() int {
+	return len(v.seeds)
+}
+
+// SeedsAt returns element i of Seeds, counted from 0.
+func (v RelayBalancerSettings) SeedsAt(i int) string {
+	return v.seeds[i]
+}
+
+// WithSeeds returns a copy with other seeds.
+func (v RelayBalancerSettings) WithSeeds(seeds ...string) RelayBalancerSettings {
+	v.seeds = slices.Clone(seeds)
+	return v
+}
+
+// Grace returns the field of this name:
+// Time from the request to stop until the process is killed.
+func (v RelayBalancerSettings) Grace() time.Duration {
+	return v.grace
+}
+
+// WithGrace returns a copy with another grace.
+func (v RelayBalancerSettings) WithGrace(grace time.Duration) RelayBalancerSettings {
+	v.grace = grace
+	return v
+}
+
+// Leave returns the field of this name:
+// Time for which the routers may take to notice that the process stops.
+func (v RelayBalancerSettings) Leave() time.Duration {
+	return v.leave
+}
+
+// WithLeave returns a copy with another leave.
+func (v RelayBalancerSettings) WithLeave(leave time.Duration) RelayBalancerSettings {
+	v.leave = leave
+	return v
+}
+
+// Verbosity returns the field of this name:
+// Least level of the events logged: 0 information, 1 detail.
+func (v RelayBalancerSettings) Verbosity() uint32 {
+	return v.verbosity
+}
+
+// WithVerbosity returns a copy with another verbosity.
+func (v RelayBalancerSettings) WithVerbosity(verbosity uint32) RelayBalancerSettings {
+	v.verbosity = verbosity
+	return v
+}
+
+// RelaySidecarSettings configure one sidecar process that relays packets whole to its upstream.
+type RelaySidecarSettings struct {
+	instance  string
+	zone      string
+	service   string
+	front     string
+	outbound  string
+	local     string
+	upstream  string
+	readiness string
+	fleet     string
+	metrics   string
+	platform  string
+	seeds     []string
+	heartbeat time.Duration
+	verbosity uint32
+}
+
+// Instance returns the field of this name:
+// Name of the instance, unique in the fleet.
+func (v RelaySidecarSettings) Instance() string {
+	return v.instance
+}
+
+// WithInstance returns a copy with another instance.
+func (v RelaySidecarSettings) WithInstance(instance string) RelaySidecarSettings {
+	v.instance = instance
+	return v
+}
+
+// Zone returns the field of this name:
+// Availability zone of the instance.
+func (v RelaySidecarSettings) Zone() string {
+	return v.zone
+}
+
+// WithZone returns a copy with another zone.
+func (v RelaySidecarSettings) WithZone(zone string) RelaySidecarSettings {
+	v.zone = zone
+	return v
+}
+
+// Service returns the field of this name:
+// Name of the service that the upstream serves.
+func (v RelaySidecarSettings) Service() string {
+	return v.service
+}
+
+// WithService returns a copy with another service.
+func (v RelaySidecarSettings) WithService(service string) RelaySidecarSettings {
+	v.service = service
+	return v
+}
+
+// Front returns the field of this name:
+// UDP address, IP and port, whose port is that at which callers take packets.
+func (v RelaySidecarSettings) Front() string {
+	return v.front
+}
+
+// WithFront returns a copy with another front.
+func (v RelaySidecarSettings) WithFront(front string) RelaySidecarSettings {
+	v.front = front
+	return v
+}
+
+// Outbound returns the field of this name:
+// UDP address, IP and port, on which the upstream hands over its packets.
+func (v RelaySidecarSettings) Outbound() string {
+	return v.outbound
+}
+
+// WithOutbound returns a copy with another outbound.
+func (v RelaySidecarSettings) WithOutbound(outbound string) RelaySidecarSettings {
+	v.outbound = outbound
+	return v
+}
+
+// Local returns the field of this name:
+// TCP address, IP and port, on which the upstream sends heartbeats over HTTP.
+func (v RelaySidecarSettings) Local() string {
+	return v.local
+}
+
+// WithLocal returns a copy with another local.
+func (v RelaySidecarSettings) WithLocal(local string) RelaySidecarSettings {
+	v.local = local
+	return v
+}
+
+// Upstream returns the field of this name:
+// TCP and UDP address, IP and port, of the upstream.
+func (v RelaySidecarSettings) Upstream() string {
+	return v.upstream
+}
+
+// WithUpstream returns a copy with another upstream.
+func (v RelaySidecarSettings) WithUpstream(upstream string) RelaySidecarSettings {
+	v.upstream = upstream
+	return v
+}
+
+// Readiness returns the field of this name:
+// TCP address, IP and port, on which the platform asks whether the process is ready.
+func (v RelaySidecarSettings) Readiness() string {
+	return v.readiness
+}
+
+// WithReadiness returns a copy with another readiness.
+func (v RelaySidecarSettings) WithReadiness(readiness string) RelaySidecarSettings {
+	v.readiness = readiness
+	return v
+}
+
+// Fleet returns the field of this name:
+// TCP and UDP address, IP and port, on which other processes of the fleet are served.
+func (v RelaySidecarSettings) Fleet() string {
+	return v.fleet
+}
+
+// WithFleet returns a copy with another fleet.
+func (v RelaySidecarSettings) WithFleet(fleet string) RelaySidecarSettings {
+	v.fleet = fleet
+	return v
+}
+
+// Metrics returns the field of this name:
+// TCP address, IP and port, on which metrics are served over HTTP.
+func (v RelaySidecarSettings) Metrics() string {
+	return v.metrics
+}
+
+// WithMetrics returns a copy with another metrics.
+func (v RelaySidecarSettings) WithMetrics(metrics string) RelaySidecarSettings {
+	v.metrics = metrics
+	return v
+}
+
+// Platform returns the field of this name:
+// TCP address, IP and port, of the platform's object API.
+func (v RelaySidecarSettings) Platform() string {
+	return v.platform
+}
+
+// WithPlatform returns a copy with another platform.
+func (v RelaySidecarSettings) WithPlatform(platform string) RelaySidecarSettings {
+	v.platform = platform
+	return v
+}
+
+// Seeds returns a copy of the list of this name:
+// Addresses of some balancers, of which only the IP is used: their fleet port is that of this process.
+func (v RelaySidecarSettings) Seeds() []string {
+	return slices.Clone(v.seeds)
+}
+
+// SeedsLen returns the number of elements of Seeds.
+func (v RelaySidecarSettings) SeedsLen() int {
+	return len(v.seeds)
+}
+
+// SeedsAt returns element i of Seeds, counted from 0.
+func (v RelaySidecarSettings) SeedsAt(i int) string {
+	return v.seeds[i]
+}
+
+// WithSeeds returns a copy with other seeds.
+func (v RelaySidecarSettings) WithSeeds(seeds ...string) RelaySidecarSettings {
+	v.seeds = slices.Clone(seeds)
+	return v
+}
+
+// Heartbeat returns the field of this name:
+// Interval between two heartbeats of the upstream.
+func (v RelaySidecarSettings) Heartbeat() time.Duration {
+	return v.heartbeat
+}
+
+// WithHeartbeat returns a copy with another heartbeat.
+func (v RelaySidecarSettings) WithHeartbeat(heartbeat time.Duration) RelaySidecarSettings {
+	v.heartbeat = heartbeat
+	return v
+}
+
+// Verbosity returns the field of this name:
+// Least level of the events logged: 0 information, 1 detail.
+func (v RelaySidecarSettings) Verbosity() uint32 {
+	return v.verbosity
+}
+
+// WithVerbosity returns a copy with another verbosity.
+func (v RelaySidecarSettings) WithVerbosity(verbosity uint32) RelaySidecarSettings {
+	v.verbosity = verbosity
+	return v
+}
--- a/core/pkg/address/address.go
+++ b/core/pkg/address/address.go
@@ -4,6 +4,8 @@
 import (
 	"encoding/binary"
 	"net/netip"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
 // FromNumber returns the IPv4 address with this number.
@@ -21,3 +23,22 @@
 	b := a.As4()
 	return binary.BigEndian.Uint32(b[:])
 }
+
+const portBits = 16
+
+// Hop returns the number of an IPv4 address and port: the address times 65536 plus the port.
+func Hop(a netip.AddrPort) uint64 {
+	return uint64(Number(a.Addr()))<<portBits | uint64(a.Port())
+}
+
+// FromHop returns the address and port with this number.
+func FromHop(hop uint64) netip.AddrPort {
+	return netip.AddrPortFrom(FromNumber(uint32(hop>>portBits)), uint16(hop))
+}
+
+// Flow returns a flow's name in logs: the caller's address and port, and those at which it arrived.
+func Flow(k landing.Key) string {
+	from := netip.AddrPortFrom(FromNumber(k.Source()), uint16(k.Sport()))
+	to := netip.AddrPortFrom(FromNumber(k.Destination()), uint16(k.Dport()))
+	return from.String() + ">" + to.String()
+}
--- a/core/pkg/counter/counter.go
+++ b/core/pkg/counter/counter.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	refusalCount  = int(landing.RefusalPeer) + 1
+	refusalCount  = int(landing.RefusalLeaving) + 1
 	refusalPrefix = "refused."
 )
 
--- /dev/null
+++ b/core/pkg/directory/directory.go
@@ -0,0 +1,105 @@
+// Package directory keeps what a balancer knows of the sidecars: who is enrolled at the platform, and their last status.
+package directory
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+)
+
+// Directory is the list of enrolled sidecars. It is immutable.
+type Directory struct {
+	roll      landing.Roll
+	neighbors []landing.Neighbor
+	byHop     map[uint64]int
+	byService map[string][]int
+}
+
+// New returns a directory without sidecars.
+func New() *Directory {
+	return &Directory{}
+}
+
+// Roll returns the roll from which the directory was made.
+func (d *Directory) Roll() landing.Roll {
+	return d.roll
+}
+
+// Neighbors returns all sidecars, ordered by instance. The list must not be changed.
+func (d *Directory) Neighbors() []landing.Neighbor {
+	return d.neighbors
+}
+
+// WithRoll returns a directory of the sidecars of r. Statuses of those that stay at their address are kept.
+func (d *Directory) WithRoll(r landing.Roll) *Directory {
+	next := &Directory{roll: r, byHop: map[uint64]int{}, byService: map[string][]int{}}
+	for i := range r.EnrollmentsLen() {
+		e := r.EnrollmentsAt(i)
+		fleet, err := netip.ParseAddrPort(e.Fleet())
+		if err != nil || !fleet.Addr().Is4() {
+			continue
+		}
+		n := landing.Neighbor{}.WithEnrollment(e).WithHop(address.Hop(fleet))
+		if before, found := d.Find(n.Hop()); found && before.Enrollment().Instance() == e.Instance() {
+			n = n.WithStatus(before.Status()).WithHeard(before.Heard())
+		}
+		next.byHop[n.Hop()] = len(next.neighbors)
+		next.byService[e.Service()] = append(next.byService[e.Service()], len(next.neighbors))
+		next.neighbors = append(next.neighbors, n)
+	}
+	return next
+}
+
+// WithStatus returns a directory with a newer status of the sidecar at this address. Statuses of others and
+// older ones change nothing.
+func (d *Directory) WithStatus(s landing.Status, hop uint64, now time.Time) *Directory {
+	before, found := d.Find(hop)
+	if !found || before.Enrollment().Instance() != s.Instance() || !isNewer(s, before.Status()) {
+		return d
+	}
+	next := *d
+	next.neighbors = slices.Clone(d.neighbors)
+	next.neighbors[d.byHop[hop]] = before.WithStatus(s).WithHeard(now)
+	return &next
+}
+
+// OfService returns the sidecars of a service, ordered by instance.
+func (d *Directory) OfService(service string) []landing.Neighbor {
+	list := make([]landing.Neighbor, 0, len(d.byService[service]))
+	for _, i := range d.byService[service] {
+		list = append(list, d.neighbors[i])
+	}
+	return list
+}
+
+// Find returns the sidecar at this address.
+func (d *Directory) Find(hop uint64) (landing.Neighbor, bool) {
+	i, found := d.byHop[hop]
+	if !found {
+		return landing.Neighbor{}, false
+	}
+	return d.neighbors[i], true
+}
+
+func isNewer(a, b landing.Status) bool {
+	if a.Incarnation() != b.Incarnation() {
+		return a.Incarnation() > b.Incarnation()
+	}
+	return a.Sequence() > b.Sequence()
+}
+
+// SameSidecars says whether two rolls name the same sidecars at the same addresses.
+func SameSidecars(a, b landing.Roll) bool {
+	if a.EnrollmentsLen() != b.EnrollmentsLen() {
+		return false
+	}
+	for i := range a.EnrollmentsLen() {
+		if a.EnrollmentsAt(i).WithRevision(0) != b.EnrollmentsAt(i).WithRevision(0) {
+			return false
+		}
+	}
+	return true
+}
--- a/core/pkg/document/document.go
+++ b/core/pkg/document/document.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 )
 
 // wholeFile is the place of a finding that ends the reading of the file.
@@ -82,23 +83,11 @@
 	}
 	errs := make([]error, 0, len(findings))
 	for _, f := range findings {
-		errs = append(errs, trace.BadParameter("%s", Format(f)))
+		errs = append(errs, trace.BadParameter("%s", finding.Format(f)))
 	}
 	return trace.NewAggregate(errs...)
 }
 
-// Format returns the finding as file:line: place: fault.
-func Format(f landing.Finding) string {
-	parts := []string{}
-	if f.File() != "" {
-		parts = append(parts, fmt.Sprintf("%s:%d", f.File(), f.Line()))
-	}
-	if f.Place() != "" {
-		parts = append(parts, f.Place())
-	}
-	return strings.Join(append(parts, f.Fault()), ": ")
-}
-
 func (d *Document) walk(descriptor protoreflect.MessageDescriptor) {
 	w := walker{document: d, decoder: json.NewDecoder(bytes.NewReader(d.data))}
 	w.decoder.UseNumber()
--- /dev/null
+++ b/core/pkg/finding/finding.go
@@ -0,0 +1,23 @@
+// Package finding writes the findings of checks for people.
+package finding
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+// Format returns the finding as file:line: place: fault. The line is left out when it is not known.
+func Format(f landing.Finding) string {
+	parts := []string{}
+	if f.File() != "" && f.Line() > 0 {
+		parts = append(parts, fmt.Sprintf("%s:%d", f.File(), f.Line()))
+	} else if f.File() != "" {
+		parts = append(parts, f.File())
+	}
+	if f.Place() != "" {
+		parts = append(parts, f.Place())
+	}
+	return strings.Join(append(parts, f.Fault()), ": ")
+}
--- a/core/pkg/hold/hold.go
+++ b/core/pkg/hold/hold.go
@@ -20,10 +20,20 @@
 		return decideHalf(stage, s, at)
 	case landing.Open:
 		return landing.Deliver{}
+	case landing.Unsure:
+		return decideUnsure(s, at, refusal)
 	}
 	return drops[landing.RefusalMalformed]
 }
 
+// decideUnsure leaves it to the upstream whether it holds the flow of a segment that does not open one.
+func decideUnsure(s landing.Segment, at landing.Position, refusal landing.Refusal) landing.Step {
+	if s.Opening() {
+		return decideAbsent(s, at, refusal)
+	}
+	return landing.Ask{}
+}
+
 func decideAbsent(s landing.Segment, at landing.Position, refusal landing.Refusal) landing.Step {
 	if !s.Opening() {
 		return passOn(at)
@@ -117,7 +127,7 @@
 )
 
 func newDrops() []landing.Step {
-	list := make([]landing.Step, landing.RefusalPeer+1)
+	list := make([]landing.Step, landing.RefusalLeaving+1)
 	for i := range list {
 		list[i] = landing.Drop{}.WithReason(landing.Refusal(i))
 	}
@@ -125,7 +135,7 @@
 }
 
 func newResets() []landing.Step {
-	list := make([]landing.Step, landing.RefusalPeer+1)
+	list := make([]landing.Step, landing.RefusalLeaving+1)
 	for i := range list {
 		list[i] = landing.Reset{}.WithReason(landing.Refusal(i))
 	}
--- a/core/pkg/lists/lists_test.go
+++ b/core/pkg/lists/lists_test.go
@@ -11,6 +11,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/gen/landingpb"
 	"github.com/crocuslanding/crocuslanding/core/pkg/document"
+	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 )
 
 const good = `{
@@ -28,7 +29,7 @@
 	}
 	var list []string
 	for _, f := range d.Findings() {
-		list = append(list, document.Format(f))
+		list = append(list, finding.Format(f))
 	}
 	return list
 }
--- /dev/null
+++ b/core/pkg/logline/logline.go
@@ -0,0 +1,113 @@
+// Package logline writes log lines without ever making their writer wait.
+package logline
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+)
+
+const (
+	// waiting is the number of lines that wait for a slow reader of the output.
+	waiting = 512
+	// perSecond is the number of lines written in one second at most; further ones are counted.
+	perSecond = 200
+)
+
+// Writer takes lines and writes them on a goroutine of its own. Lines that do not fit are left out and counted.
+type Writer struct {
+	out     io.Writer
+	lines   chan []byte
+	left    atomic.Int64
+	written atomic.Int64
+	second  atomic.Int64
+	start   time.Time
+	done    *common.Done
+}
+
+// New returns a writer to out. Start must be called.
+func New(out io.Writer) *Writer {
+	return &Writer{out: out, lines: make(chan []byte, waiting), start: time.Now(), done: common.NewDone()}
+}
+
+// Start starts the goroutine that writes.
+func (w *Writer) Start() {
+	w.done.Go(w.run)
+}
+
+// Stop writes the lines that wait and stops. A reader that has stalled is not waited for longer than this time.
+func (w *Writer) Stop(patience time.Duration) {
+	w.done.Close()
+	stopped := make(chan struct{})
+	go func() {
+		w.done.Wait()
+		close(stopped)
+	}()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-stopped:
+	case <-timer.C:
+	}
+}
+
+// Write takes one line. It never waits and never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	if !w.mayWrite() {
+		w.left.Add(1)
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.left.Add(1)
+	}
+	return len(line), nil
+}
+
+// LeftOut returns the number of lines that were left out.
+func (w *Writer) LeftOut() int64 {
+	return w.left.Load()
+}
+
+func (w *Writer) mayWrite() bool {
+	second := int64(time.Since(w.start) / time.Second)
+	if w.second.Swap(second) != second {
+		w.written.Store(0)
+	}
+	return w.written.Add(1) <= perSecond
+}
+
+func (w *Writer) run() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.emit(line)
+		case <-w.done.C():
+			w.drain()
+			return
+		}
+	}
+}
+
+func (w *Writer) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.emit(line)
+		default:
+			if left := w.left.Load(); left > 0 {
+				w.emit([]byte(fmt.Sprintf("\"level\"=0 \"msg\"=\"log lines left out\" \"count\"=%d\n", left)))
+			}
+			return
+		}
+	}
+}
+
+// emit writes one line. An output that is closed can be told to nobody.
+func (w *Writer) emit(line []byte) {
+	_, _ = w.out.Write(line)
+}
--- /dev/null
+++ b/core/pkg/peer/peer.go
@@ -0,0 +1,108 @@
+// Package peer lets a process that starts while the platform is away learn rules, exclusions and enrolled sidecars
+// from a balancer.
+package peer
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/gen/wire"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+)
+
+const (
+	path = "/picture"
+	// timeout bounds one exchange between neighbors, whose round trip is a few milliseconds.
+	timeout = 800 * time.Millisecond
+	// maxBytes is more than the rules and the roll of the largest deployment.
+	maxBytes = 8 << 20
+)
+
+// NewHandler returns the handler that serves the picture of this process. Without one it answers 503.
+func NewHandler(picture func() (landing.Picture, bool)) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		p, isKnown := picture()
+		if !isKnown {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write(wire.AppendPicture(nil, p))
+	})
+	return mux
+}
+
+// Client asks balancers for their picture.
+type Client struct {
+	own   string
+	port  uint16
+	seeds []netip.Addr
+	http  *http.Client
+}
+
+// NewClient returns a client of the process at this fleet address that asks the balancers at the IPs of seeds.
+func NewClient(fleet string, seeds []string) *Client {
+	c := &Client{http: &http.Client{
+		Timeout:   timeout,
+		Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: timeout}).DialContext},
+	}}
+	if own, err := netip.ParseAddrPort(fleet); err == nil {
+		c.own, c.port = fleet, own.Port()
+	}
+	for _, s := range seeds {
+		if a, err := netip.ParseAddrPort(s); err == nil {
+			c.seeds = append(c.seeds, a.Addr())
+		}
+	}
+	return c
+}
+
+// Picture returns the picture of one of the balancers at these addresses or at the seeds, asked in random order.
+// It returns trace.ConnectionProblem when none answers.
+func (c *Client) Picture(ctx context.Context, hops []uint64) (landing.Picture, error) {
+	var addresses []string
+	for _, h := range hops {
+		addresses = append(addresses, address.FromHop(h).String())
+	}
+	for _, s := range c.seeds {
+		addresses = append(addresses, netip.AddrPortFrom(s, c.port).String())
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	var last error = trace.ConnectionProblem(nil, "no balancer is known")
+	for _, a := range addresses {
+		if a == c.own {
+			continue
+		}
+		p, err := c.ask(ctx, a)
+		if err == nil {
+			return p, nil
+		}
+		last = err
+	}
+	return landing.Picture{}, last
+}
+
+func (c *Client) ask(ctx context.Context, at string) (landing.Picture, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+path, nil)
+	if err != nil {
+		return landing.Picture{}, trace.Wrap(err)
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return landing.Picture{}, trace.ConnectionProblem(err, "picture of %s", at)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return landing.Picture{}, trace.ConnectionProblem(err, "picture of %s: %s", at, resp.Status)
+	}
+	return wire.ParsePicture(body)
+}
--- /dev/null
+++ b/core/pkg/placement/placement.go
@@ -0,0 +1,88 @@
+// Package placement decides to which sidecars a new flow is offered, and in which order.
+//
+// It answers two loads. When every caller opens its long flow in the same second, balancers that all pick the
+// least loaded upstream by the last report would run to the same one; so each flow has two hashed choices,
+// and goes to the less loaded of them (Mitzenmacher, 2001). When upstreams are full, cold or silent, the
+// rest follow by fitness and load, so that a flow is refused only when nobody takes it.
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
+)
+
+const (
+	// Choices is the number of hashed choices of a flow.
+	Choices = 2
+	// SilentAfter is the time without a status after which a sidecar is passed over while others are heard: six
+	// statuses of a sidecar that this balancer greets.
+	SilentAfter = 1500 * time.Millisecond
+	// runningWeight is how many open flows a request at work counts as.
+	runningWeight = 4
+	// leastWeight bounds the division.
+	leastWeight = 1
+)
+
+// Candidate returns the sidecar as a candidate. Sent is the number of new flows that this balancer has sent
+// it since its last status.
+func Candidate(n landing.Neighbor, isExcluded bool, sent int, now time.Time) landing.Candidate {
+	s := n.Status()
+	work := float64(s.Flows()) + float64(runningWeight*s.Running()) + float64((1+runningWeight)*sent)
+	return landing.Candidate{}.
+		WithHop(n.Hop()).
+		WithStanding(standing(n, isExcluded, sent, now)).
+		WithLoad(work / float64(max(s.Weight(), leastWeight)))
+}
+
+func standing(n landing.Neighbor, isExcluded bool, sent int, now time.Time) landing.Standing {
+	s := n.Status()
+	switch {
+	case isExcluded:
+		return landing.StandingClosed
+	case now.Sub(n.Heard()) > SilentAfter:
+		return landing.StandingSilent
+	case s.Phase() != landing.PhaseServing:
+		return landing.StandingClosed
+	case int(s.Room()) <= sent:
+		return landing.StandingCold
+	case s.Running() >= s.Slots():
+		return landing.StandingBusy
+	}
+	return landing.StandingReady
+}
+
+// Order returns the candidates that may take the flow with this hash, best first.
+func Order(candidates []landing.Candidate, hash uint64) []landing.Candidate {
+	order := slices.DeleteFunc(slices.Clone(candidates), func(c landing.Candidate) bool {
+		return c.Standing() == landing.StandingClosed
+	})
+	slices.SortFunc(order, func(a, b landing.Candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.Standing(), b.Standing()),
+			cmp.Compare(walk.Score(b.Hop(), hash), walk.Score(a.Hop(), hash)))
+	})
+	chosen := min(Choices, sameStanding(order))
+	slices.SortStableFunc(order[:chosen], compareLoad)
+	slices.SortStableFunc(order[chosen:], func(a, b landing.Candidate) int {
+		return cmp.Or(cmp.Compare(a.Standing(), b.Standing()), compareLoad(a, b))
+	})
+	return order
+}
+
+// sameStanding returns the number of candidates at the front that are as fit as the first.
+func sameStanding(order []landing.Candidate) int {
+	for i, c := range order {
+		if c.Standing() != order[0].Standing() {
+			return i
+		}
+	}
+	return len(order)
+}
+
+func compareLoad(a, b landing.Candidate) int {
+	return cmp.Compare(a.Load(), b.Load())
+}
--- a/core/pkg/program/program.go
+++ b/core/pkg/program/program.go
@@ -13,6 +13,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/document"
+	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 	"github.com/crocuslanding/crocuslanding/core/pkg/text"
 )
 
@@ -55,7 +56,7 @@
 		return
 	}
 	for _, f := range findings {
-		fmt.Fprintln(os.Stderr, document.Format(f))
+		fmt.Fprintln(os.Stderr, finding.Format(f))
 	}
 	os.Exit(StatusUsage)
 }
--- a/core/pkg/route/route.go
+++ b/core/pkg/route/route.go
@@ -176,7 +176,7 @@
 var refusals = newRefusals()
 
 func newRefusals() []landing.Verdict {
-	list := make([]landing.Verdict, landing.RefusalPeer+1)
+	list := make([]landing.Verdict, landing.RefusalLeaving+1)
 	for i := range list {
 		list[i] = landing.Refuse{}.WithReason(landing.Refusal(i))
 	}
--- /dev/null
+++ b/core/pkg/rules/rules.go
@@ -0,0 +1,106 @@
+// Package rules finds the service of a new flow by the operators' rules.
+package rules
+
+import (
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+// View is an index over rules. It is immutable; nil stands for no rules.
+type View struct {
+	rules     landing.Rules
+	listeners map[place]landing.Listener
+	pools     map[string]landing.Pool
+}
+
+// place is an address and port at which callers arrive.
+type place struct {
+	address uint32
+	port    uint32
+}
+
+// New returns the index over r.
+func New(r landing.Rules) *View {
+	v := &View{rules: r, listeners: map[place]landing.Listener{}, pools: map[string]landing.Pool{}}
+	for i := range r.ListenersLen() {
+		l := r.ListenersAt(i)
+		v.listeners[place{l.Address(), l.Port()}] = l
+	}
+	for i := range r.PoolsLen() {
+		v.pools[r.PoolsAt(i).Service()] = r.PoolsAt(i)
+	}
+	return v
+}
+
+// Rules returns the rules.
+func (v *View) Rules() landing.Rules {
+	if v == nil {
+		return landing.Rules{}
+	}
+	return v.rules
+}
+
+// Find returns the listener of flow k.
+func (v *View) Find(k landing.Key) (landing.Listener, bool) {
+	if v == nil {
+		return landing.Listener{}, false
+	}
+	l, found := v.listeners[place{k.Destination(), k.Dport()}]
+	return l, found
+}
+
+// Pool returns what the rules say of the upstreams of a service.
+func (v *View) Pool(service string) landing.Pool {
+	if v == nil {
+		return landing.Pool{}
+	}
+	return v.pools[service]
+}
+
+// Allows says whether new flows of the listener may go to the service.
+func Allows(l landing.Listener, service string) bool {
+	for i := range l.SharesLen() {
+		if l.SharesAt(i).Service() == service && l.SharesAt(i).Weight() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Services returns the services of a listener in the order in which the flow with this hash is offered to them.
+// The first is drawn by weight; the others follow for the case that it has no upstream.
+func Services(l landing.Listener, hash uint64) []string {
+	first := draw(l, hash)
+	services := []string{}
+	for i := range l.SharesLen() {
+		s := l.SharesAt((first + i) % l.SharesLen())
+		if s.Weight() > 0 {
+			services = append(services, s.Service())
+		}
+	}
+	return services
+}
+
+func draw(l landing.Listener, hash uint64) int {
+	total := uint64(0)
+	for i := range l.SharesLen() {
+		total += uint64(l.SharesAt(i).Weight())
+	}
+	if total == 0 {
+		return 0
+	}
+	// The low bits of the hash order the sidecars, so the draw takes the high ones.
+	point := (hash >> 32) % total
+	for i := range l.SharesLen() {
+		weight := uint64(l.SharesAt(i).Weight())
+		if point < weight {
+			return i
+		}
+		point -= weight
+	}
+	return 0
+}
+
+// IsNewer says whether a was accepted after b.
+func IsNewer(a, b landing.Rules) bool {
+	return a.Revision() > b.Revision()
+}
--- a/core/pkg/scrape/scrape.go
+++ b/core/pkg/scrape/scrape.go
@@ -5,65 +5,50 @@
 	"cmp"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
-	"time"
-
-	"github.com/gravitational/trace"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
-	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/serve"
 )
 
-const (
-	prefix        = "crocuslanding_"
-	headerTimeout = 5 * time.Second
-)
+const prefix = "crocuslanding_"
 
 // Server serves the counters of a process.
 type Server struct {
-	listener net.Listener
-	http     *http.Server
-	done     *common.Done
+	server *serve.Server
 }
 
 // New returns a server on this TCP address; one that serves nothing when the address is empty.
 // It returns an error when the address cannot be used.
 func New(address string, counters *counter.Set) (*Server, error) {
 	if address == "" {
-		return &Server{done: common.NewDone()}, nil
-	}
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, trace.Wrap(err)
+		return &Server{}, nil
 	}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		Write(w, counters.Values())
 	})
-	return &Server{
-		listener: listener,
-		http:     &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
-		done:     common.NewDone(),
-	}, nil
+	server, err := serve.New(address, handler)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{server: server}, nil
 }
 
 // Start starts the server.
 func (s *Server) Start() {
-	if s.http != nil {
-		s.done.Go(func() { _ = s.http.Serve(s.listener) })
+	if s.server != nil {
+		s.server.Start()
 	}
 }
 
 // Stop ends all connections and waits for the server.
 func (s *Server) Stop() {
-	if s.http != nil {
-		_ = s.http.Close()
-		_ = s.listener.Close()
+	if s.server != nil {
+		s.server.Stop()
 	}
-	s.done.Wait()
 }
 
 // Write writes the counters, ordered by name. A name such as refused.room becomes
--- a/core/pkg/settings/settings.go
+++ b/core/pkg/settings/settings.go
@@ -129,3 +129,34 @@
 		report(place, "must be longer than 0s")
 	}
 }
+
+// CheckRelayBalancer reports every fault of s.
+func CheckRelayBalancer(s landing.RelayBalancerSettings, report Report) {
+	checkNames(report, []named{{"instance", s.Instance()}, {"zone", s.Zone()}})
+	checkAddress(report, "front", s.Front())
+	checkAddress(report, "readiness", s.Readiness())
+	checkAddress(report, "fleet", s.Fleet())
+	checkOptionalAddress(report, "metrics", s.Metrics())
+	checkAddress(report, "platform", s.Platform())
+	checkAddresses(report, "seeds", s.Seeds())
+	checkPositive(report, "grace", s.Grace())
+	checkPositive(report, "leave", s.Leave())
+	if s.Leave() >= s.Grace() {
+		report("leave", "must be less than grace")
+	}
+}
+
+// CheckRelaySidecar reports every fault of s.
+func CheckRelaySidecar(s landing.RelaySidecarSettings, report Report) {
+	checkNames(report, []named{{"instance", s.Instance()}, {"zone", s.Zone()}, {"service", s.Service()}})
+	checkAddress(report, "front", s.Front())
+	checkAddress(report, "outbound", s.Outbound())
+	checkAddress(report, "local", s.Local())
+	checkAddress(report, "upstream", s.Upstream())
+	checkAddress(report, "readiness", s.Readiness())
+	checkAddress(report, "fleet", s.Fleet())
+	checkOptionalAddress(report, "metrics", s.Metrics())
+	checkAddress(report, "platform", s.Platform())
+	checkAddresses(report, "seeds", s.Seeds())
+	checkPositive(report, "heartbeat", s.Heartbeat())
+}
--- /dev/null
+++ b/core/pkg/warmup/warmup.go
@@ -0,0 +1,45 @@
+// Package warmup bounds the new flows that an upstream in cold start gets.
+//
+// It answers the load of a zone that returns: every balancer sends at once to upstreams that bear a few new
+// flows a second. The bound holds over any span of a second, not for each second of the clock.
+package warmup
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// span is the length of the sliding window.
+	span = time.Second
+	// leastRate is the number of new flows a second that any upstream gets, so that a cold one warms up.
+	leastRate = 3
+)
+
+// Window is the record of the last new flows of one upstream. It is immutable.
+type Window struct {
+	taken []time.Time
+}
+
+// Rate returns the new flows that an upstream may get in one second when it is said to bear rate.
+func Rate(rate float64) int {
+	return max(int(rate), leastRate)
+}
+
+// Room returns the number of new flows that may still be taken at this time.
+func (w Window) Room(rate float64, now time.Time) int {
+	return max(Rate(rate)-len(w.recent(now)), 0)
+}
+
+// WithFlow returns the record with one more new flow.
+func (w Window) WithFlow(now time.Time) Window {
+	return Window{taken: append(w.recent(now), now)}
+}
+
+func (w Window) recent(now time.Time) []time.Time {
+	old := 0
+	for old < len(w.taken) && now.Sub(w.taken[old]) > span {
+		old++
+	}
+	return slices.Clip(w.taken[old:])
+}
--- a/landingctl/pkg/command/lists.go
+++ b/landingctl/pkg/command/lists.go
@@ -11,6 +11,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/gen/landingpb"
 	"github.com/crocuslanding/crocuslanding/core/pkg/document"
+	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 	"github.com/crocuslanding/crocuslanding/core/pkg/lists"
 	"github.com/crocuslanding/crocuslanding/core/pkg/program"
 	"github.com/crocuslanding/crocuslanding/landingctl/pkg/config"
@@ -134,7 +135,7 @@
 // printFindings prints all findings; true means that there were none.
 func (e Env) printFindings(d *document.Document) bool {
 	for _, f := range d.Findings() {
-		fmt.Fprintln(e.errOut, document.Format(f))
+		fmt.Fprintln(e.errOut, finding.Format(f))
 	}
 	return len(d.Findings()) == 0
 }
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -1,3 +1,5 @@
+//go:build !relay
+
 // Command sidecar stands beside one upstream, ends callers' flows and admits their work.
 package main
 
--- /dev/null
+++ b/sidecar/pkg/relay/app.go
@@ -0,0 +1,179 @@
+// Package relay is the sidecar on a platform whose upstreams end flows themselves: packets pass whole, and the
+// sidecar is the last gate in front of its upstream.
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/form"
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
+	"github.com/crocuslanding/crocuslanding/core/pkg/logline"
+	"github.com/crocuslanding/crocuslanding/core/pkg/reader"
+	"github.com/crocuslanding/crocuslanding/core/pkg/scrape"
+	"github.com/crocuslanding/crocuslanding/core/pkg/serve"
+	"github.com/crocuslanding/crocuslanding/core/pkg/settings"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+// logPatience is the longest time for which a process that ends waits for a slow reader of its log.
+const logPatience = 200 * time.Millisecond
+
+// Run runs the program until it is asked to stop, and ends the process.
+func Run() {
+	path := launch.Path("sidecar", os.Args[1:])
+	r := reader.Open(path)
+	s := form.ReadRelaySidecarSettings(r)
+	settings.CheckRelaySidecar(s, r.Report)
+	launch.ExitOnFindings(r)
+	out := logline.New(os.Stdout)
+	out.Start()
+	c := common.New(common.NewLogger(out, s.Instance(), int(s.Verbosity())), counter.New())
+	ctx, cancel, reload := launch.Signals()
+	defer cancel()
+	err := Serve(ctx, c, s, reload)
+	out.Stop(logPatience)
+	launch.Exit(err)
+}
+
+// Serve runs a sidecar until ctx ends. It returns an error when an address cannot be used.
+func Serve(ctx context.Context, c common.Common, s landing.RelaySidecarSettings, reload <-chan os.Signal) error {
+	sc, err := New(c, s)
+	if err != nil {
+		return err
+	}
+	sc.Start()
+	c.Log().Info("sidecar started", "fleet", s.Fleet(), "service", s.Service(), "zone", s.Zone(), "upstream", s.Upstream())
+	for {
+		select {
+		case <-reload:
+			c.Log().Info("settings are read at the next start")
+		case <-ctx.Done():
+			sc.Stop()
+			c.Log().Info("sidecar stopped")
+			return nil
+		}
+	}
+}
+
+// Sidecar is one sidecar with all its parts.
+type Sidecar struct {
+	keeper  *Keeper
+	traffic *Traffic
+	sync    *Sync
+	store   *platform.Store
+	servers []*serve.Server
+	scrape  *scrape.Server
+	common  common.Common
+	every   time.Duration
+}
+
+// New returns a sidecar whose sockets are open. It returns an error when an address cannot be used.
+func New(c common.Common, s landing.RelaySidecarSettings) (*Sidecar, error) {
+	sc := &Sidecar{common: c, every: s.Heartbeat()}
+	sc.keeper = NewKeeper(c, s.Service(), s.Zone(), func() { sc.traffic.resetLost() })
+	traffic, err := NewTraffic(c, s, sc.keeper)
+	if err != nil {
+		return nil, err
+	}
+	sc.traffic = traffic
+	if err := sc.listen(s); err != nil {
+		traffic.Stop()
+		return nil, err
+	}
+	count := func(call, outcome string) { c.Counters().Counter("store." + call + "." + outcome).Inc(1) }
+	malformed := func(err error) { c.Log().Info("object cannot be read", "error", err.Error()) }
+	sc.store = platform.NewStore(s.Platform(), count, malformed)
+	sc.sync = NewSync(c, s, sc.keeper, sc.store)
+	return sc, nil
+}
+
+func (sc *Sidecar) listen(s landing.RelaySidecarSettings) error {
+	local := platform.NewLocalHandler(platform.Announcements{
+		Beat: func(b landing.Beat) { sc.beat(s, b) },
+		Leave: func(incarnation string) {
+			sc.see(landing.Departed{}.WithIncarnation(incarnation))
+		},
+		Malformed: func(err error) {
+			sc.common.Counters().Refused(landing.RefusalMalformed)
+			sc.common.Log().Info("heartbeat cannot be read", "error", err.Error())
+		},
+	})
+	ready := platform.NewReadinessHandler(func() bool { return true })
+	handlers := map[string]http.Handler{s.Local(): local, s.Readiness(): ready}
+	for address, handler := range handlers {
+		server, err := serve.New(address, handler)
+		if err != nil {
+			sc.stopServers()
+			return err
+		}
+		sc.servers = append(sc.servers, server)
+	}
+	metrics, err := scrape.New(s.Metrics(), sc.common.Counters())
+	sc.scrape = metrics
+	if err != nil {
+		sc.stopServers()
+	}
+	return err
+}
+
+// beat takes a heartbeat of the upstream. One for another service or from another address is not its own.
+func (sc *Sidecar) beat(s landing.RelaySidecarSettings, b landing.Beat) {
+	if b.Service() != s.Service() || !sameHost(b.Address(), s.Upstream()) {
+		sc.common.Counters().Refused(landing.RefusalForeign)
+		sc.common.Log().Info("heartbeat of another upstream", "upstream", b.Incarnation(), "address", b.Address())
+		return
+	}
+	sc.see(landing.Beaten{}.WithBeat(b).WithNow(time.Now()))
+}
+
+func (sc *Sidecar) see(s landing.Sight) {
+	sc.keeper.Post(landing.SightChange{}.WithSight(s))
+}
+
+func sameHost(a, b string) bool {
+	hostA, _, errA := net.SplitHostPort(a)
+	hostB, _, errB := net.SplitHostPort(b)
+	return errA == nil && errB == nil && hostA == hostB
+}
+
+// Start starts all parts.
+func (sc *Sidecar) Start() {
+	sc.keeper.Start()
+	sc.traffic.Start()
+	for _, s := range sc.servers {
+		s.Start()
+	}
+	sc.scrape.Start()
+	sc.sync.Start()
+}
+
+// Stop takes no new flow and stops all parts. When the upstream is gone, the enrollment is taken back; else this
+// is a restart beside an upstream that lives, and its flows are found again.
+func (sc *Sidecar) Stop() {
+	s := sc.keeper.Snapshot()
+	isGone := s.Phase(time.Now(), sc.every) != landing.PhaseServing
+	sc.keeper.Update(Snapshot.WithStopping)
+	sc.traffic.sayStopping()
+	if isGone && s.isEnrolled {
+		sc.sync.Leave()
+	}
+	sc.sync.Stop()
+	sc.stopServers()
+	sc.scrape.Stop()
+	sc.traffic.Stop()
+	sc.keeper.Stop()
+	sc.store.Close()
+}
+
+func (sc *Sidecar) stopServers() {
+	for _, s := range sc.servers {
+		s.Stop()
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/relay/keeper.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+)
+
+const changeBuffer = 64
+
+// Keeper is the control thread of a sidecar on the relay path. It owns all control state: it takes changes in
+// order and publishes an immutable snapshot.
+type Keeper struct {
+	common   common.Common
+	zone     string
+	service  string
+	thread   *common.Thread
+	snapshot atomic.Pointer[Snapshot]
+	behind   chan struct{}
+	serving  chan struct{}
+	ended    func()
+}
+
+// NewKeeper returns a keeper for a sidecar of this service in this zone. Ended is called when the upstream's
+// process has ended.
+func NewKeeper(c common.Common, service, zone string, ended func()) *Keeper {
+	k := &Keeper{
+		common:  c,
+		zone:    zone,
+		thread:  common.NewThread(changeBuffer),
+		behind:  make(chan struct{}, 1),
+		serving: make(chan struct{}, 1),
+		ended:   ended,
+	}
+	k.snapshot.Store(&Snapshot{})
+	return k
+}
+
+// Start starts the control thread.
+func (k *Keeper) Start() {
+	k.thread.Start()
+}
+
+// Stop stops the control thread and waits for its end.
+func (k *Keeper) Stop() {
+	k.thread.Stop()
+}
+
+// Snapshot returns the newest snapshot.
+func (k *Keeper) Snapshot() Snapshot {
+	return *k.snapshot.Load()
+}
+
+// Behind returns a channel that receives when another process has newer rules or exclusions.
+func (k *Keeper) Behind() <-chan struct{} {
+	return k.behind
+}
+
+// Serving returns a channel that receives when the upstream says that it serves.
+func (k *Keeper) Serving() <-chan struct{} {
+	return k.serving
+}
+
+// Post hands a change to the control thread. It waits while the thread is behind.
+func (k *Keeper) Post(c landing.Change) {
+	k.thread.Post(func() {
+		s := k.handle(k.Snapshot(), c)
+		k.snapshot.Store(&s)
+	})
+}
+
+// Update hands a step that makes a new snapshot to the control thread.
+func (k *Keeper) Update(step func(Snapshot) Snapshot) {
+	k.thread.Post(func() {
+		s := step(k.Snapshot())
+		k.snapshot.Store(&s)
+	})
+}
+
+func (k *Keeper) handle(s Snapshot, c landing.Change) Snapshot {
+	switch c := c.(type) {
+	case landing.RulesChange:
+		return k.adopt(s, c.Rules())
+	case landing.ExclusionsChange:
+		return k.exclude(s, c.Exclusions())
+	case landing.SightChange:
+		return k.see(s, c.Sight())
+	case landing.GreetingChange:
+		g := c.Greeting()
+		k.compare(s, g.Rules(), g.Exclusions())
+		return s.WithHome(g.Home(), c.Now()).WithEnrolled(s.isEnrolled || g.Enrolled())
+	case landing.RevisionChange:
+		k.compare(s, c.Rules(), c.Exclusions())
+	case landing.RollChange, landing.StatusChange, landing.TimeChange:
+	}
+	return s
+}
+
+// adopt takes newer rules; older ones are refused, so that an accepted change never reverts.
+func (k *Keeper) adopt(s Snapshot, r landing.Rules) Snapshot {
+	if !rules.IsNewer(r, s.rules.Rules()) {
+		return s
+	}
+	k.common.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen())
+	return s.WithRules(r)
+}
+
+func (k *Keeper) exclude(s Snapshot, e landing.Exclusions) Snapshot {
+	if e.Revision() <= s.exclusions.Revision() {
+		return s
+	}
+	next := s.WithExclusions(e)
+	if next.IsExcluded(k.zone) != s.IsExcluded(k.zone) {
+		k.common.Log().Info("exclusions in force", "changed", e.Changed(), "out", next.IsExcluded(k.zone))
+	}
+	if s.IsExcluded(k.zone) && !next.IsExcluded(k.zone) {
+		cold := s.rules.Pool(k.service).Warmup()
+		return k.see(next, landing.Restored{}.WithNow(time.Now()).WithCold(cold))
+	}
+	return next
+}
+
+func (k *Keeper) see(s Snapshot, sight landing.Sight) Snapshot {
+	next := s.WithPresence(presence.Handle(s.presence, sight))
+	before, after := s.presence, next.presence
+	if presence.IsSuccessor(before, after) && before.Phase() != landing.PhaseLeft || isGone(before, after) {
+		k.ended()
+	}
+	if before.Incarnation() != after.Incarnation() || before.Phase() != after.Phase() {
+		k.common.Log().Info("upstream changed", "upstream", after.Incarnation(), "phase", after.Phase().String(),
+			"sequence", after.Sequence(), "witnessed", after.Witnessed())
+	}
+	if after.Phase() == landing.PhaseServing {
+		notify(k.serving)
+	}
+	return next
+}
+
+// isGone says whether the upstream's process has just ended.
+func isGone(before, after landing.Presence) bool {
+	return before.Phase() != landing.PhaseLeft && after.Phase() == landing.PhaseLeft
+}
+
+func (k *Keeper) compare(s Snapshot, rulesRevision, exclusionsChanged uint64) {
+	if rulesRevision > s.rules.Rules().Revision() || exclusionsChanged > s.exclusions.Revision() {
+		notify(k.behind)
+	}
+}
+
+func notify(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/relay/report.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/weight"
+)
+
+const (
+	// statusInterval is the time between two statuses to a balancer. A new flow is placed by a status of half
+	// this age on average, in which a balancer of today places a handful.
+	statusInterval = 250 * time.Millisecond
+	// expireTicks is the number of statuses between two sweeps of the flow table.
+	expireTicks = 8
+	// leastIdle is the least time without a packet after which a flow is forgotten, whatever the rules say.
+	leastIdle = 15 * time.Second
+)
+
+// report sends statuses until the traffic stops.
+func (t *Traffic) report() {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.done.C():
+			return
+		case <-ticker.C:
+			sequence := t.sequence.Add(1)
+			t.sendStatus(t.keeper.Snapshot(), sequence)
+			if sequence%expireTicks == 0 {
+				idle := max(t.keeper.Snapshot().rules.Rules().Idle(), leastIdle)
+				t.table.expire(2*idle, time.Now())
+			}
+		}
+	}
+}
+
+// sayStopping tells the balancers at once that no new flow is taken here.
+func (t *Traffic) sayStopping() {
+	t.sendStatus(t.keeper.Snapshot().WithStopping(), t.sequence.Add(1))
+}
+
+func (t *Traffic) sendStatus(s Snapshot, sequence uint64) {
+	now := time.Now()
+	l := t.table.load()
+	status := landing.Status{}.
+		WithInstance(t.settings.Instance()).
+		WithService(t.settings.Service()).
+		WithIncarnation(uint64(t.startedAt.UnixNano())).
+		WithSequence(sequence).
+		WithPhase(s.Phase(now, t.settings.Heartbeat())).
+		WithRunning(uint32(max(l.running, 0))).
+		WithSlots(s.presence.Slots()).
+		WithFlows(uint32(l.flows)).
+		WithWeight(weight.Of(s.presence.Slots(), l.usual)).
+		WithRoom(uint32(max(t.room(s, l, now), 0))).
+		WithRules(s.rules.Rules().Revision()).
+		WithExclusions(s.exclusions.Changed())
+	for _, h := range s.homes {
+		if now.Sub(h.greeted) <= homeTime {
+			t.link.Send(status, h.hop)
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/relay/snapshot.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+)
+
+// homeTime is the time for which a balancer that has greeted gets statuses: three greetings.
+const homeTime = 3 * time.Second
+
+// Snapshot is the control state that traffic reads. It is immutable.
+type Snapshot struct {
+	rules      *rules.View
+	exclusions landing.Exclusions
+	presence   landing.Presence
+	homes      []home
+	isEnrolled bool
+	isStopping bool
+}
+
+// home is a balancer that wants statuses.
+type home struct {
+	hop     uint64
+	greeted time.Time
+}
+
+// WithRules returns a copy with other rules in force.
+func (s Snapshot) WithRules(r landing.Rules) Snapshot {
+	s.rules = rules.New(r)
+	return s
+}
+
+// WithExclusions returns a copy with other exclusions in force.
+func (s Snapshot) WithExclusions(e landing.Exclusions) Snapshot {
+	s.exclusions = e
+	return s
+}
+
+// WithPresence returns a copy with another presence of the upstream.
+func (s Snapshot) WithPresence(p landing.Presence) Snapshot {
+	s.presence = p
+	return s
+}
+
+// WithEnrolled returns a copy that says whether the sidecar is known to the platform.
+func (s Snapshot) WithEnrolled(isEnrolled bool) Snapshot {
+	s.isEnrolled = isEnrolled
+	return s
+}
+
+// WithStopping returns a copy that takes no new flow.
+func (s Snapshot) WithStopping() Snapshot {
+	s.isStopping = true
+	return s
+}
+
+// WithHome returns a copy in which the balancer at this address has greeted now. Those that have not for a while
+// are left out.
+func (s Snapshot) WithHome(hop uint64, now time.Time) Snapshot {
+	s.homes = slices.DeleteFunc(slices.Clone(s.homes), func(h home) bool {
+		return h.hop == hop || now.Sub(h.greeted) > homeTime
+	})
+	s.homes = append(s.homes, home{hop: hop, greeted: now})
+	return s
+}
+
+// IsGreeted says whether any balancer has greeted in the last while.
+func (s Snapshot) IsGreeted(now time.Time) bool {
+	return slices.ContainsFunc(s.homes, func(h home) bool { return now.Sub(h.greeted) <= homeTime })
+}
+
+// IsExcluded says whether a zone is taken out.
+func (s Snapshot) IsExcluded(zone string) bool {
+	return slices.Contains(s.exclusions.Zones(), zone)
+}
+
+// Phase returns the phase of the upstream at this time, with this interval between heartbeats.
+func (s Snapshot) Phase(now time.Time, interval time.Duration) landing.Phase {
+	if s.isStopping {
+		return landing.PhaseUnspecified
+	}
+	return presence.PhaseAt(s.presence, now, interval)
+}
+
+// Unknown returns the stage of a flow that is not in the table.
+func (s Snapshot) Unknown() landing.Stage {
+	if s.presence.Witnessed() || s.presence.Phase() == landing.PhaseLeft {
+		return landing.Absent{}
+	}
+	return landing.Unsure{}
+}
+
+// Homes returns the addresses of the balancers that greeted last.
+func (s Snapshot) Homes() []uint64 {
+	hops := make([]uint64, 0, len(s.homes))
+	for _, h := range s.homes {
+		hops = append(hops, h.hop)
+	}
+	return hops
+}
--- /dev/null
+++ b/sidecar/pkg/relay/sync.go
@@ -0,0 +1,184 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+const (
+	// syncPause is the time between two reads at least, so that a storm of changes costs few calls.
+	syncPause = 250 * time.Millisecond
+	// aloneInterval is the time between two reads while no balancer greets, which else would tell of changes.
+	aloneInterval = 2 * time.Second
+	// enrollPause is the time between two tries to enroll.
+	enrollPause = 300 * time.Millisecond
+	// leavePause is the longest time for which a planned stop tries to take the enrollment back.
+	leavePause = 2 * time.Second
+)
+
+// Sync keeps rules and exclusions up to date and the sidecar enrolled.
+type Sync struct {
+	common   common.Common
+	settings landing.RelaySidecarSettings
+	keeper   *Keeper
+	store    *platform.Store
+	peers    *peer.Client
+	done     *common.Done
+	ctx      context.Context
+	cancel   context.CancelFunc
+	enrolled landing.Enrollment
+}
+
+// NewSync returns a sync that is not started.
+func NewSync(c common.Common, s landing.RelaySidecarSettings, k *Keeper, store *platform.Store) *Sync {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Sync{
+		common:   c,
+		settings: s,
+		keeper:   k,
+		store:    store,
+		peers:    peer.NewClient(s.Fleet(), s.Seeds()),
+		done:     common.NewDone(),
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+}
+
+// Start starts to read and to enroll.
+func (s *Sync) Start() {
+	s.done.Go(s.follow)
+	s.done.Go(s.enroll)
+}
+
+// Stop ends all calls and waits for their end.
+func (s *Sync) Stop() {
+	s.done.Close()
+	s.cancel()
+	s.done.Wait()
+}
+
+// follow reads what is behind: at the start, when a balancer has newer revisions, and now and then while no
+// balancer greets.
+func (s *Sync) follow() {
+	for {
+		s.read()
+		if !s.pause(syncPause) {
+			return
+		}
+		timer := time.NewTimer(aloneInterval)
+		isDue := false
+		for !isDue {
+			select {
+			case <-s.done.C():
+				timer.Stop()
+				return
+			case <-s.keeper.Behind():
+				isDue = true
+			case <-timer.C:
+				snapshot := s.keeper.Snapshot()
+				isDue = snapshot.rules == nil || !snapshot.IsGreeted(time.Now())
+				timer.Reset(aloneInterval)
+			}
+		}
+		timer.Stop()
+	}
+}
+
+// read reads rules and exclusions from the platform, or else from a balancer.
+func (s *Sync) read() {
+	rules, _, err := s.store.Rules(s.ctx, 0, 0)
+	if err == nil {
+		s.keeper.Post(landing.RulesChange{}.WithRules(rules))
+		var exclusions landing.Exclusions
+		exclusions, err = s.store.Exclusions(s.ctx, s.keeper.Snapshot().exclusions.WithRevision(0), 0)
+		if err == nil {
+			s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
+			return
+		}
+	}
+	s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
+	picture, err := s.peers.Picture(s.ctx, s.keeper.Snapshot().Homes())
+	if err != nil {
+		s.common.Log().V(1).Info("no peer answers", "error", err.Error())
+		notify(s.keeper.behind)
+		return
+	}
+	s.keeper.Post(landing.RulesChange{}.WithRules(picture.Rules()))
+	s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(picture.Exclusions()))
+}
+
+// enroll writes the sidecar's enrollment when its upstream serves for the first time.
+func (s *Sync) enroll() {
+	select {
+	case <-s.done.C():
+		return
+	case <-s.keeper.Serving():
+	}
+	for {
+		err := s.tryEnroll()
+		if err == nil {
+			s.keeper.Update(func(n Snapshot) Snapshot { return n.WithEnrolled(true) })
+			s.common.Log().Info("sidecar enrolled", "revision", s.enrolled.Revision())
+			return
+		}
+		s.common.Log().V(1).Info("sidecar cannot enroll", "error", err.Error())
+		if !s.pause(enrollPause) {
+			return
+		}
+	}
+}
+
+func (s *Sync) tryEnroll() error {
+	wanted := landing.Enrollment{}.
+		WithInstance(s.settings.Instance()).
+		WithService(s.settings.Service()).
+		WithZone(s.settings.Zone()).
+		WithFleet(s.settings.Fleet())
+	stands, err := s.store.Create(s.ctx, wanted)
+	if trace.IsAlreadyExists(err) && stands.WithRevision(0) != wanted {
+		stands, err = s.store.Replace(s.ctx, wanted.WithRevision(stands.Revision()))
+	}
+	if err != nil && !trace.IsAlreadyExists(err) {
+		return err
+	}
+	s.enrolled = stands
+	return nil
+}
+
+// Leave takes the enrollment back, since the upstream is gone for good.
+func (s *Sync) Leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leavePause)
+	defer cancel()
+	for ctx.Err() == nil {
+		err := s.store.Remove(ctx, s.enrolled)
+		if err == nil || trace.IsAlreadyExists(err) {
+			return
+		}
+		s.common.Log().Info("enrollment cannot be taken back", "error", err.Error())
+		timer := time.NewTimer(enrollPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// pause waits; it returns false when the sync stops.
+func (s *Sync) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s.done.C():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/relay/table.go
@@ -0,0 +1,209 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
+	"github.com/crocuslanding/crocuslanding/core/pkg/warmup"
+)
+
+const (
+	// handshakeTime is the longest time for which a caller tries to open a flow, with some slack: its attempt
+	// ends after 1.4 s.
+	handshakeTime = 3 * time.Second
+	// maxFlows bounds the memory of the table.
+	maxFlows = 1 << 16
+)
+
+// flow is what the sidecar knows of one flow at its upstream. It is immutable.
+type flow struct {
+	stage   landing.Stage
+	initial uint32
+	// acknowledged is the last number that the caller acknowledged.
+	acknowledged uint32
+	heard        time.Time
+	// asked is the time of a request that the upstream has not answered yet; the zero time when there is none.
+	asked time.Time
+}
+
+func (f flow) withStage(s landing.Stage) flow {
+	f.stage = s
+	return f
+}
+
+// table holds the flows of the upstream. Its methods may be called from several goroutines.
+type table struct {
+	mu      sync.Mutex
+	flows   map[landing.Key]flow
+	open    int
+	running int
+	usual   time.Duration
+	window  warmup.Window
+}
+
+func newTable() *table {
+	return &table{flows: map[landing.Key]flow{}}
+}
+
+// load is the work of the upstream as its sidecar sees it.
+type load struct {
+	flows   int
+	running int
+	usual   time.Duration
+	window  warmup.Window
+}
+
+func (t *table) load() load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return load{flows: len(t.flows), running: t.running, usual: t.usual, window: t.window}
+}
+
+// decide decides what to do with a caller's segment and notes the change of the flow's stage. Refuse is asked
+// for segments that open a flow.
+func (t *table) decide(s landing.Segment, at landing.Position, unknown landing.Stage, refuse func(load) landing.Refusal, now time.Time) landing.Step {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, found := t.flows[s.Key()]
+	if found && s.Opening() && f.initial != s.Sequence() {
+		// The caller uses its port again, so the new flow passes the gate like any other.
+		t.remove(s.Key())
+		found = false
+	}
+	if !found {
+		f = flow{stage: unknown}
+	}
+	refusal := landing.RefusalUnspecified
+	if s.Opening() && !found {
+		refusal = refuse(load{flows: len(t.flows), running: t.running, usual: t.usual, window: t.window})
+		if len(t.flows) >= maxFlows && refusal == landing.RefusalUnspecified {
+			refusal = landing.RefusalRoom
+		}
+	}
+	step := hold.Decide(f.stage, s, at, refusal)
+	switch step.(type) {
+	case landing.Take:
+		t.window = t.window.WithFlow(now)
+		t.flows[s.Key()] = flow{stage: landing.Taken{}.WithInitial(s.Sequence()), initial: s.Sequence(), heard: now}
+	case landing.Complete:
+		t.put(s.Key(), t.noteCaller(f.withStage(landing.Open{}), s, now))
+	case landing.Deliver, landing.Both:
+		if found {
+			t.put(s.Key(), t.noteCaller(f, s, now))
+		}
+	case landing.Pass, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall, landing.Ask:
+	}
+	return step
+}
+
+// noteCaller returns the flow after a segment of its caller.
+func (t *table) noteCaller(f flow, s landing.Segment, now time.Time) flow {
+	f.heard = now
+	if s.Acknowledges() {
+		f.acknowledged = s.Acknowledged()
+	}
+	if s.Payload() > 0 && f.asked.IsZero() {
+		f.asked = now
+		t.running++
+	}
+	return f
+}
+
+// noteUpstream notes a segment that the upstream sends to a caller.
+func (t *table) noteUpstream(s landing.Segment, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, found := t.flows[s.Key()]
+	if !found {
+		f = flow{stage: landing.Taken{}}
+	}
+	f.heard = now
+	switch stage := f.stage.(type) {
+	case landing.Taken:
+		if s.Answering() {
+			f.stage = landing.Half{}.WithInitial(stage.Initial()).WithExpected(s.Sequence() + 1)
+		} else if !s.Resets() {
+			f.stage = landing.Open{}
+		}
+	case landing.Half, landing.Open, landing.Absent, landing.Unsure:
+	}
+	if s.Payload() > 0 && !f.asked.IsZero() {
+		t.noteTime(now.Sub(f.asked))
+		f.asked = time.Time{}
+		t.running--
+	}
+	if s.Resets() {
+		t.put(s.Key(), f)
+		t.remove(s.Key())
+		return
+	}
+	t.put(s.Key(), f)
+}
+
+// usualShare is the share, one part in so many, of a new time in the average.
+const usualShare = 32
+
+func (t *table) noteTime(d time.Duration) {
+	if t.usual == 0 {
+		t.usual = d
+		return
+	}
+	t.usual += (d - t.usual) / usualShare
+}
+
+func (t *table) put(k landing.Key, f flow) {
+	t.flows[k] = f
+}
+
+// forget removes a flow that the upstream does not hold.
+func (t *table) forget(k landing.Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remove(k)
+}
+
+func (t *table) remove(k landing.Key) {
+	f, found := t.flows[k]
+	if !found {
+		return
+	}
+	if !f.asked.IsZero() {
+		t.running--
+	}
+	delete(t.flows, k)
+}
+
+// expire removes flows that have been silent for this time, and handshakes that were never completed.
+func (t *table) expire(idle time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, f := range t.flows {
+		_, isOpen := f.stage.(landing.Open)
+		silent := now.Sub(f.heard)
+		if silent > idle || (!isOpen && silent > handshakeTime) {
+			t.remove(k)
+		}
+	}
+}
+
+// lost is a flow whose upstream has ended.
+type lost struct {
+	key          landing.Key
+	acknowledged uint32
+}
+
+// clear removes all flows and returns them.
+func (t *table) clear() []lost {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]lost, 0, len(t.flows))
+	for k, f := range t.flows {
+		list = append(list, lost{key: k, acknowledged: f.acknowledged})
+	}
+	t.flows = map[landing.Key]flow{}
+	t.running = 0
+	t.usual = 0
+	return list
+}
--- /dev/null
+++ b/sidecar/pkg/relay/trace.go
@@ -0,0 +1,30 @@
+package relay
+
+import (
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+)
+
+// logStep writes a line for each decision that places, moves or refuses a flow. Plain forwarding has none.
+func (t *Traffic) logStep(s landing.Segment, p landing.Parcel, step landing.Step, refusal landing.Refusal) {
+	outcome := ""
+	switch step.(type) {
+	case landing.Take:
+		outcome = "taken"
+	case landing.Defer:
+		outcome = "deferred"
+	case landing.Recall:
+		outcome = "recalled"
+	case landing.Return, landing.Reset:
+		outcome = "returned"
+	case landing.Replace:
+		outcome = "replaced"
+	case landing.Deliver, landing.Complete, landing.Pass, landing.Both, landing.Drop, landing.Ask:
+		return
+	}
+	if refusal != landing.RefusalUnspecified {
+		t.common.Counters().Refused(refusal)
+	}
+	t.common.Log().Info("flow "+outcome, "flow", address.Flow(s.Key()), "opening", s.Opening(), "copies", s.Copies(),
+		"part", p.Part(), "position", p.Position(), "reason", refusal.String(), "rules", p.Rules())
+}
--- /dev/null
+++ b/sidecar/pkg/relay/traffic.go
@@ -0,0 +1,302 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/entry"
+	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
+	"github.com/crocuslanding/crocuslanding/core/pkg/link"
+	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
+	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+	"github.com/crocuslanding/crocuslanding/core/pkg/socket"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+// Traffic relays packets between the fleet, the upstream and the callers.
+type Traffic struct {
+	common    common.Common
+	settings  landing.RelaySidecarSettings
+	keeper    *Keeper
+	link      *link.Link
+	outbound  *net.UDPConn
+	upstream  *net.UDPConn
+	callers   uint16
+	service   uint32
+	table     *table
+	ring      *ring
+	done      *common.Done
+	startedAt time.Time
+	sequence  atomic.Uint64
+}
+
+// NewTraffic returns traffic whose sockets are open. It returns an error when an address cannot be used.
+func NewTraffic(c common.Common, s landing.RelaySidecarSettings, k *Keeper) (*Traffic, error) {
+	front, err := netip.ParseAddrPort(s.Front())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	app, err := netip.ParseAddrPort(s.Upstream())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	l, err := link.New(s.Fleet(), c.Counters())
+	if err != nil {
+		return nil, err
+	}
+	outbound, err := socket.Listen(s.Outbound())
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	// A connected socket learns when the upstream's socket is closed.
+	upstream, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(app))
+	if err != nil {
+		l.Close()
+		_ = outbound.Close()
+		return nil, trace.Wrap(err)
+	}
+	return &Traffic{
+		common:    c,
+		settings:  s,
+		keeper:    k,
+		link:      l,
+		outbound:  outbound,
+		upstream:  upstream,
+		callers:   front.Port(),
+		service:   plan.ServiceTag(s.Service()),
+		table:     newTable(),
+		ring:      newRing(),
+		done:      common.NewDone(),
+		startedAt: time.Now(),
+	}, nil
+}
+
+// Start starts to read packets.
+func (t *Traffic) Start() {
+	t.done.Go(func() { t.link.Receive(t.receive) })
+	t.done.Go(func() { link.ReadAll(t.outbound, t.common.Counters(), t.leave) })
+	t.done.Go(t.report)
+}
+
+// Stop closes the sockets and waits for the readers.
+func (t *Traffic) Stop() {
+	t.done.Close()
+	t.link.Close()
+	_ = t.outbound.Close()
+	_ = t.upstream.Close()
+	t.done.Wait()
+}
+
+// receive takes a datagram from another process of the fleet.
+func (t *Traffic) receive(d landing.Datagram, _ uint64) {
+	switch d := d.(type) {
+	case landing.Parcel:
+		t.arrive(d)
+	case landing.Greeting:
+		t.keeper.Post(landing.GreetingChange{}.WithGreeting(d).WithNow(time.Now()))
+	case landing.Refund, landing.Status, landing.Claim:
+		t.common.Counters().Refused(landing.RefusalMalformed)
+	}
+}
+
+// arrive takes a packet of a caller that came along its chain.
+func (t *Traffic) arrive(p landing.Parcel) {
+	packet, err := platform.OpenPacket(p.Packet())
+	if err != nil || int(p.Position()) >= p.HopsLen() {
+		t.common.Counters().Refused(landing.RefusalMalformed)
+		return
+	}
+	s := t.keeper.Snapshot()
+	if p.Rules() > s.rules.Rules().Revision() || p.Exclusions() > s.exclusions.Revision() {
+		t.keeper.Post(landing.RevisionChange{}.WithRules(p.Rules()).WithExclusions(p.Exclusions()))
+	}
+	now := time.Now()
+	segment := packet.FromCaller()
+	refusal := landing.RefusalUnspecified
+	refuse := func(l load) landing.Refusal {
+		refusal = t.refuse(s, p, segment, l, now)
+		return refusal
+	}
+	at := t.position(s, p)
+	step := t.table.decide(segment, at, t.unknown(s, segment), refuse, now)
+	t.logStep(segment, p, step, refusal)
+	t.carryOut(step, p, packet, segment, refusal)
+}
+
+// unknown returns the stage of a flow that is not in the table. A flow that never went to this service is not
+// asked for, so that no packet of another service reaches the upstream.
+func (t *Traffic) unknown(s Snapshot, segment landing.Segment) landing.Stage {
+	l, found := s.rules.Find(segment.Key())
+	if s.rules != nil && (!found || !rules.Allows(l, t.settings.Service())) {
+		return landing.Absent{}
+	}
+	return s.Unknown()
+}
+
+func (t *Traffic) position(s Snapshot, p landing.Parcel) landing.Position {
+	l := t.table.load()
+	return landing.Position{}.
+		WithNext(int(p.Position())+1 < p.HopsLen()).
+		WithMore(true).
+		WithBusy(s.presence.Slots() > 0 && l.running >= int(s.presence.Slots())).
+		WithDeferred(p.Deferred() > 0).
+		WithRecalled(p.Recalled())
+}
+
+// refuse is the last gate for a new flow.
+func (t *Traffic) refuse(s Snapshot, p landing.Parcel, segment landing.Segment, l load, now time.Time) landing.Refusal {
+	listener, found := s.rules.Find(segment.Key())
+	// A balancer with newer rules knows better than this sidecar.
+	isAllowed := p.Rules() > s.rules.Rules().Revision() || found && rules.Allows(listener, t.settings.Service())
+	return entry.Refuse(entry.Door{
+		IsForeign:  p.Service() != t.service,
+		IsEnrolled: s.isEnrolled,
+		IsAllowed:  s.rules != nil && isAllowed,
+		IsExcluded: s.IsExcluded(t.settings.Zone()),
+		Phase:      s.Phase(now, t.settings.Heartbeat()),
+		IsCold:     presence.IsCold(s.presence, now),
+		Room:       t.room(s, l, now),
+	})
+}
+
+// room returns the number of new flows that the upstream takes now.
+func (t *Traffic) room(s Snapshot, l load, now time.Time) int {
+	pool := s.rules.Pool(t.settings.Service())
+	room := int(pool.Connections()) - l.flows
+	if presence.IsCold(s.presence, now) {
+		return min(room, l.window.Room(pool.Rate(), now))
+	}
+	return room
+}
+
+// carryOut does what was decided about a caller's packet.
+func (t *Traffic) carryOut(step landing.Step, p landing.Parcel, packet platform.Packet, segment landing.Segment, refusal landing.Refusal) {
+	switch step := step.(type) {
+	case landing.Deliver, landing.Complete:
+		t.deliver(p, packet)
+		if p.Part() > 0 || p.Position() > 0 {
+			t.claim(p, segment.Key())
+		}
+	case landing.Take:
+		t.deliver(p, packet)
+		if p.Part() > 0 || p.Position() > 0 {
+			t.claim(p, segment.Key())
+		}
+	case landing.Ask:
+		t.deliver(p, packet)
+	case landing.Both:
+		t.deliver(p, packet)
+		t.pass(p)
+	case landing.Pass:
+		t.pass(p)
+	case landing.Defer:
+		if p.Deferred() == 0 {
+			p = p.WithDeferred(p.Position() + 1)
+		}
+		t.pass(p)
+	case landing.Recall:
+		t.send(p.WithPosition(p.Deferred() - 1).WithRecalled(true))
+	case landing.Return:
+		t.refund(p, refusal)
+	case landing.Reset:
+		t.refund(p, step.Reason())
+	case landing.Replace:
+		t.table.forget(segment.Key())
+	case landing.Drop:
+		t.common.Counters().Refused(step.Reason())
+	}
+}
+
+// deliver hands a packet to the upstream. Its chain is remembered for the case that it comes back.
+func (t *Traffic) deliver(p landing.Parcel, packet platform.Packet) {
+	packet.Mark(t.ring.put(p))
+	_, err := t.upstream.Write(packet.Bytes())
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		t.keeper.Post(landing.SightChange{}.WithSight(landing.Vanished{}))
+	}
+	t.common.Counters().Counter("write_failed").Inc(1)
+}
+
+func (t *Traffic) pass(p landing.Parcel) {
+	t.send(p.WithPosition(p.Position() + 1))
+}
+
+func (t *Traffic) send(p landing.Parcel) {
+	t.link.Send(p, p.HopsAt(int(p.Position())))
+}
+
+func (t *Traffic) refund(p landing.Parcel, reason landing.Refusal) {
+	s := t.keeper.Snapshot()
+	newest := max(p.Rules(), s.rules.Rules().Revision())
+	changed := max(p.Exclusions(), s.exclusions.Changed())
+	t.link.Send(landing.Refund{}.WithParcel(p.WithRules(newest).WithExclusions(changed)).WithReason(reason), p.Home())
+}
+
+func (t *Traffic) claim(p landing.Parcel, k landing.Key) {
+	t.link.Send(landing.Claim{}.WithKey(k), p.Home())
+}
+
+// leave takes a packet of the upstream.
+func (t *Traffic) leave(b []byte, _ netip.AddrPort) {
+	packet, err := platform.OpenPacket(b)
+	if err != nil {
+		t.common.Counters().Refused(landing.RefusalMalformed)
+		return
+	}
+	if packet.IsReturned() {
+		t.takeBack(packet)
+		return
+	}
+	segment := packet.FromUpstream()
+	t.table.noteUpstream(segment, time.Now())
+	t.toCaller(segment.Key(), packet)
+}
+
+func (t *Traffic) toCaller(k landing.Key, packet platform.Packet) {
+	t.link.SendBytes(packet.Bytes(), platform.Caller(k, t.callers))
+}
+
+// takeBack takes a packet that the upstream returned: it does not hold the flow or cannot take it.
+func (t *Traffic) takeBack(packet platform.Packet) {
+	p, found := t.ring.take(packet.Note())
+	packet.Restore()
+	segment := packet.FromCaller()
+	t.table.forget(segment.Key())
+	if !found {
+		t.common.Counters().Refused(landing.RefusalUnknown)
+		return
+	}
+	refusal := landing.RefusalUnspecified
+	if segment.Opening() {
+		refusal = landing.RefusalRoom
+	}
+	s := t.keeper.Snapshot()
+	step := hold.Decide(landing.Absent{}, segment, t.position(s, p), refusal)
+	t.logStep(segment, p, step, refusal)
+	t.carryOut(step, p.WithPacket(packet.Bytes()), packet, segment, refusal)
+}
+
+// resetLost resets the flows of an upstream whose process has ended, so that their callers try again at once.
+func (t *Traffic) resetLost() {
+	list := t.table.clear()
+	if len(list) > 0 {
+		t.common.Log().Info("flows reset", "reason", "upstream ended", "flows", len(list))
+	}
+	for _, f := range list {
+		t.common.Counters().Counter("reset.ended").Inc(1)
+		t.toCaller(f.key, platform.NewReset(f.key, f.acknowledged))
+	}
+}
--- a/valuegen/pkg/app/app.go
+++ b/valuegen/pkg/app/app.go
@@ -14,6 +14,9 @@
 func Run() {
 	var flags flag.FlagSet
 	pages := flags.Bool("pages", false, "write the page of settings in place of code")
+	var o value.Options
+	flags.StringVar(&o.Wire, "wire", "", "messages that get codecs without reflection")
+	flags.StringVar(&o.Form, "form", "", "messages that are read from JSON without reflection")
 	opts := protogen.Options{ParamFunc: flags.Set}
 	opts.Run(func(p *protogen.Plugin) error {
 		p.SupportedFeatures = uint64(pluginpb.CodeGeneratorResponse_FEATURE_PROTO3_OPTIONAL)
@@ -21,6 +24,6 @@
 			value.WriteSettingsPage(p)
 			return nil
 		}
-		return value.WriteCode(p)
+		return value.WriteCode(p, o)
 	})
 }
--- /dev/null
+++ b/valuegen/pkg/value/wire.go
@@ -0,0 +1,227 @@
+package value
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/compiler/protogen"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+const (
+	wirePath   = protogen.GoImportPath(module + "/gen/wire")
+	fieldPath  = protogen.GoImportPath(module + "/pkg/field")
+	formPath   = protogen.GoImportPath(module + "/gen/form")
+	readerPath = protogen.GoImportPath(module + "/pkg/reader")
+)
+
+// writeWireFile writes codecs that need no messages and no reflection: they read and write values directly
+// in the same encoding.
+func writeWireFile(p *protogen.Plugin, f *protogen.File, sealed sealedSet, messages reach) {
+	list := messages.messagesOf(f)
+	if len(list) == 0 {
+		return
+	}
+	g := p.NewGeneratedFile(string(wirePath)+"/"+stem(f)+".go", wirePath)
+	g.P(header)
+	g.P()
+	g.P("// Package wire encodes and decodes values without reflection.")
+	g.P("package wire")
+	for _, m := range list {
+		if sealed.isInterface(m) {
+			writeInterfaceAppend(g, m)
+			writeInterfaceParse(g, m)
+			continue
+		}
+		writeAppend(g, m)
+		writeParse(g, m)
+	}
+}
+
+func writeInterfaceAppend(g *protogen.GeneratedFile, m *protogen.Message) {
+	name := m.GoIdent.GoName
+	g.P()
+	g.P("// Append", name, " appends the encoding of v to b; nothing when v is nil.")
+	g.P("func Append", name, "(b []byte, v ", value(g, name), ") []byte {")
+	g.P("switch v := v.(type) {")
+	for _, f := range m.Fields {
+		g.P("case ", value(g, f.Message.GoIdent.GoName), ":")
+		g.P("return ", field(g, "AppendMessage"), "(b, ", f.Desc.Number(), ", func(b []byte) []byte { return Append", f.Message.GoIdent.GoName, "(b, v) })")
+	}
+	g.P("}")
+	g.P("return b")
+	g.P("}")
+}
+
+func writeInterfaceParse(g *protogen.GeneratedFile, m *protogen.Message) {
+	name := m.GoIdent.GoName
+	g.P()
+	g.P("// Parse", name, " returns the value encoded in b; nil when no case is set. It returns field.ErrMalformed for other bytes.")
+	g.P("func Parse", name, "(b []byte) (", value(g, name), ", error) {")
+	g.P("var v ", value(g, name))
+	g.P("r := ", field(g, "NewReader"), "(b)")
+	g.P("for r.Next() {")
+	g.P("switch r.Number() {")
+	for _, f := range m.Fields {
+		g.P("case ", f.Desc.Number(), ":")
+		g.P("c, err := Parse", f.Message.GoIdent.GoName, "(r.Bytes())")
+		g.P("if err != nil {")
+		g.P("return nil, err")
+		g.P("}")
+		g.P("v = c")
+	}
+	g.P("}")
+	g.P("}")
+	g.P("return v, r.Err()")
+	g.P("}")
+}
+
+func writeAppend(g *protogen.GeneratedFile, m *protogen.Message) {
+	name := m.GoIdent.GoName
+	g.P()
+	g.P("// Append", name, " appends the encoding of v to b.")
+	g.P("func Append", name, "(b []byte, v ", value(g, name), ") []byte {")
+	for _, f := range m.Fields {
+		get := "v." + f.GoName + "()"
+		if f.Desc.IsList() {
+			g.P("for i := range v.", f.GoName, "Len() {")
+			g.P("b = ", appendElement(g, f, "v."+f.GoName+"At(i)", "Element"))
+			g.P("}")
+			continue
+		}
+		g.P("b = ", appendElement(g, f, get, ""))
+	}
+	g.P("return b")
+	g.P("}")
+}
+
+// appendElement returns the expression that appends one field. Elements of lists are written when zero, too.
+func appendElement(g *protogen.GeneratedFile, f *protogen.Field, expr, suffix string) string {
+	number := f.Desc.Number()
+	switch f.Desc.Kind() {
+	case protoreflect.EnumKind:
+		return fmt.Sprint(field(g, "AppendUint"+suffix), "(b, ", number, ", uint64(", expr, "))")
+	case protoreflect.MessageKind:
+		return appendMessage(g, f, expr)
+	default:
+		return fmt.Sprint(field(g, "Append"+wireName(f.Desc.Kind())+suffix), "(b, ", number, ", ", wireArgument(f.Desc.Kind(), expr), ")")
+	}
+}
+
+func appendMessage(g *protogen.GeneratedFile, f *protogen.Field, expr string) string {
+	number := f.Desc.Number()
+	switch f.Message.Desc.FullName() {
+	case durationName:
+		return fmt.Sprint(field(g, "AppendDuration"), "(b, ", number, ", ", expr, ")")
+	case timestampName:
+		return fmt.Sprint(field(g, "AppendTime"), "(b, ", number, ", ", expr, ")")
+	default:
+		return fmt.Sprint(field(g, "AppendMessage"), "(b, ", number, ", func(b []byte) []byte { return Append", f.Message.GoIdent.GoName, "(b, ", expr, ") })")
+	}
+}
+
+func writeParse(g *protogen.GeneratedFile, m *protogen.Message) {
+	name := m.GoIdent.GoName
+	g.P()
+	g.P("// Parse", name, " returns the value encoded in b. It returns field.ErrMalformed when b holds other bytes.")
+	g.P("func Parse", name, "(b []byte) (", value(g, name), ", error) {")
+	g.P("v := ", value(g, name), "{}")
+	for _, f := range m.Fields {
+		if f.Desc.IsList() {
+			g.P("var ", lowerFirst(f.GoName), " []", elementType(g, f))
+		}
+	}
+	g.P("r := ", field(g, "NewReader"), "(b)")
+	g.P("for r.Next() {")
+	if len(m.Fields) > 0 {
+		g.P("switch r.Number() {")
+		for _, f := range m.Fields {
+			writeParseField(g, name, f)
+		}
+		g.P("}")
+	}
+	g.P("}")
+	for _, f := range m.Fields {
+		if f.Desc.IsList() {
+			g.P("v = v.With", f.GoName, "(", lowerFirst(f.GoName), "...)")
+		}
+	}
+	g.P("return v, r.Err()")
+	g.P("}")
+}
+
+func writeParseField(g *protogen.GeneratedFile, name string, f *protogen.Field) {
+	g.P("case ", f.Desc.Number(), ":")
+	expr := parseElement(g, f)
+	if f.Desc.Kind() == protoreflect.MessageKind && !isWellKnown(f.Message) {
+		g.P("e, err := ", expr)
+		g.P("if err != nil {")
+		g.P("return ", value(g, name), "{}, err")
+		g.P("}")
+		expr = "e"
+	}
+	if f.Desc.IsList() {
+		list := lowerFirst(f.GoName)
+		g.P(list, " = append(", list, ", ", expr, ")")
+		return
+	}
+	g.P("v = v.With", f.GoName, "(", expr, ")")
+}
+
+func parseElement(g *protogen.GeneratedFile, f *protogen.Field) string {
+	switch f.Desc.Kind() {
+	case protoreflect.EnumKind:
+		return value(g, f.Enum.GoIdent.GoName) + "(r.Uint())"
+	case protoreflect.MessageKind:
+		switch f.Message.Desc.FullName() {
+		case durationName:
+			return "r.Duration()"
+		case timestampName:
+			return "r.Time()"
+		default:
+			return "Parse" + f.Message.GoIdent.GoName + "(r.Bytes())"
+		}
+	case protoreflect.Uint32Kind:
+		return "uint32(r.Uint())"
+	default:
+		return "r." + wireName(f.Desc.Kind()) + "()"
+	}
+}
+
+// wireName returns the name of the pair of functions that write and read a kind.
+func wireName(k protoreflect.Kind) string {
+	switch k {
+	case protoreflect.BoolKind:
+		return "Bool"
+	case protoreflect.StringKind:
+		return "String"
+	case protoreflect.BytesKind:
+		return "Bytes"
+	case protoreflect.Uint32Kind, protoreflect.Uint64Kind:
+		return "Uint"
+	case protoreflect.Fixed32Kind:
+		return "Fixed32"
+	case protoreflect.Fixed64Kind:
+		return "Fixed64"
+	case protoreflect.DoubleKind:
+		return "Double"
+	default:
+		panic("kind not supported: " + k.String())
+	}
+}
+
+func wireArgument(k protoreflect.Kind, expr string) string {
+	if k == protoreflect.Uint32Kind {
+		return "uint64(" + expr + ")"
+	}
+	return expr
+}
+
+// value returns the qualified name of a value type.
+func value(g *protogen.GeneratedFile, name string) string {
+	return g.QualifiedGoIdent(valuePath.Ident(name))
+}
+
+// field returns the qualified name of a function of package field.
+func field(g *protogen.GeneratedFile, name string) string {
+	return g.QualifiedGoIdent(fieldPath.Ident(name))
+}
