--- a/core/pkg/warmup/warmup.go
+++ b/core/pkg/warmup/warmup.go
@@ -5,6 +5,7 @@
 package warmup
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -14,6 +15,8 @@
 	span = time.Second
 	// leastRate is the number of new flows a second that any upstream gets, so that a cold one warms up.
 	leastRate = 3
+	// unbounded is the room of an upstream for which the rules state no rate.
+	unbounded = math.MaxInt32
 )
 
 // Window is the record of the last new flows of one upstream. It is immutable.
@@ -21,14 +24,13 @@
 	taken []time.Time
 }
 
-// Rate returns the new flows that an upstream may get in one second when it is said to bear rate.
-func Rate(rate float64) int {
-	return max(int(rate), leastRate)
-}
-
-// Room returns the number of new flows that may still be taken at this time.
+// Room returns the number of new flows that may still be taken at this time by an upstream that bears this many a
+// second. A rate of 0 states no bound.
 func (w Window) Room(rate float64, now time.Time) int {
-	return max(Rate(rate)-len(w.recent(now)), 0)
+	if rate == 0 {
+		return unbounded
+	}
+	return max(max(int(rate), leastRate)-len(w.recent(now)), 0)
 }
 
 // WithFlow returns the record with one more new flow.
