--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -67,3 +67,14 @@
 		WithExclusions(s.exclusions).
 		WithRoll(s.directory.Roll())
 }
+
+// Ahead returns the addresses of the sidecars that have shown newer rules or exclusions.
+func (s Snapshot) Ahead() []uint64 {
+	var hops []uint64
+	for _, n := range s.directory.Neighbors() {
+		if n.Status().Rules() > s.rules.Rules().Revision() || n.Status().Exclusions() > s.exclusions.Revision() {
+			hops = append(hops, n.Hop())
+		}
+	}
+	return hops
+}
--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -151,12 +151,11 @@
 	}
 }
 
-// askPeers takes what another balancer knows while this one knows nothing and the platform is away.
+// askPeers takes what other processes know while the platform is away: another balancer, or a sidecar that has shown
+// newer revisions.
 func (s *Sync) askPeers() {
-	if s.keeper.Snapshot().IsKnown() {
-		return
-	}
-	picture, err := s.peers.Picture(s.ctx, nil)
+	snapshot := s.keeper.Snapshot()
+	picture, err := s.peers.Picture(s.ctx, snapshot.Ahead())
 	if err != nil {
 		s.common.Log().V(1).Info("no peer answers", "error", err.Error())
 		return
@@ -174,17 +173,9 @@
 			return
 		case <-s.keeper.Behind():
 		}
-		rules, _, err := s.store.Rules(s.ctx, 0, 0)
-		if err == nil {
-			s.keeper.Post(landing.RulesChange{}.WithRules(rules))
-			var exclusions landing.Exclusions
-			exclusions, err = s.store.Exclusions(s.ctx, s.keeper.Snapshot().exclusions.WithRevision(0), 0)
-			if err == nil {
-				s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
-			}
-		}
-		if err != nil {
+		if err := s.readNewest(); err != nil {
 			s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
+			s.askPeers()
 		}
 		if !s.pause(failPause) {
 			return
@@ -192,6 +183,20 @@
 	}
 }
 
+func (s *Sync) readNewest() error {
+	rules, _, err := s.store.Rules(s.ctx, 0, 0)
+	if err != nil {
+		return err
+	}
+	s.keeper.Post(landing.RulesChange{}.WithRules(rules))
+	exclusions, err := s.store.Exclusions(s.ctx, s.keeper.Snapshot().exclusions.WithRevision(0), 0)
+	if err != nil {
+		return err
+	}
+	s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
+	return nil
+}
+
 // greet greets all sidecars now and then, and at once when there are new ones.
 func (s *Sync) greet() {
 	ticker := time.NewTicker(greetInterval)
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -15,6 +15,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/link"
 	"github.com/crocuslanding/crocuslanding/core/pkg/placement"
 	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
+	"github.com/crocuslanding/crocuslanding/core/pkg/reject"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 	"github.com/crocuslanding/crocuslanding/core/pkg/socket"
 	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
@@ -342,8 +343,11 @@
 		t.place(s, service, segment, hops[:min(len(hops), walk.PartHops)], 1, packet)
 		return
 	}
-	if reason == landing.RefusalUnready || reason == landing.RefusalUnspecified {
-		t.common.Counters().Refused(landing.RefusalUnready)
+	isBehind := p.Rules() > s.rules.Rules().Revision() || p.Exclusions() > s.exclusions.Revision()
+	if !reject.IsFinal(reason, isBehind) {
+		t.common.Counters().Refused(reason)
+		t.common.Log().Info("flow left to its next copy", "flow", address.Flow(segment.Key()), "copies", segment.Copies(),
+			"reason", reason.String(), "behind", isBehind)
 		return
 	}
 	t.reset(segment, reason)
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -15,6 +15,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
 	"github.com/crocuslanding/crocuslanding/core/pkg/logline"
+	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
 	"github.com/crocuslanding/crocuslanding/core/pkg/reader"
 	"github.com/crocuslanding/crocuslanding/core/pkg/scrape"
 	"github.com/crocuslanding/crocuslanding/core/pkg/serve"
@@ -106,7 +107,11 @@
 		},
 	})
 	ready := platform.NewReadinessHandler(func() bool { return true })
-	handlers := map[string]http.Handler{s.Local(): local, s.Readiness(): ready}
+	picture := peer.NewHandler(func() (landing.Picture, bool) {
+		snapshot := sc.keeper.Snapshot()
+		return snapshot.Picture(), snapshot.rules != nil
+	})
+	handlers := map[string]http.Handler{s.Local(): local, s.Readiness(): ready, s.Fleet(): picture}
 	for address, handler := range handlers {
 		server, err := serve.New(address, handler)
 		if err != nil {
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -102,3 +102,8 @@
 	}
 	return hops
 }
+
+// Picture returns what another process may take over. A sidecar knows no other sidecars.
+func (s Snapshot) Picture() landing.Picture {
+	return landing.Picture{}.WithRules(s.rules.Rules()).WithExclusions(s.exclusions)
+}
