Opening packets wait at the sidecar for a free slot, newest first within a priority

Ruled out: refusing at once (callers use up their tries within 10 ms). Change: core/pkg/backlog orders opening packets; the sidecar lets in as many as the upstream has slots, and a quarter more.

--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -731,3 +731,23 @@
 	v = v.WithHop(m.GetHop())
 	return v
 }
+
+// EncodeWait returns the message for v.
+func EncodeWait(v landing.Wait) *landingpb.Wait {
+	m := &landingpb.Wait{}
+	m.Parcel = EncodeParcel(v.Parcel())
+	m.Key = EncodeKey(v.Key())
+	m.Priority = v.Priority()
+	m.Arrived = timestamppb.New(v.Arrived())
+	return m
+}
+
+// DecodeWait returns the value of m; the zero value when m is nil.
+func DecodeWait(m *landingpb.Wait) landing.Wait {
+	v := landing.Wait{}
+	v = v.WithParcel(DecodeParcel(m.GetParcel()))
+	v = v.WithKey(DecodeKey(m.GetKey()))
+	v = v.WithPriority(m.GetPriority())
+	v = v.WithArrived(m.GetArrived().AsTime())
+	return v
+}
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -1619,3 +1619,59 @@
 	v.hop = hop
 	return v
 }
+
+// Wait is an opening packet that waits for a free slot of the upstream.
+type Wait struct {
+	parcel   Parcel
+	key      Key
+	priority uint32
+	arrived  time.Time
+}
+
+// Parcel returns the field of this name:
+// The parcel that carries it.
+func (v Wait) Parcel() Parcel {
+	return v.parcel
+}
+
+// WithParcel returns a copy with another parcel.
+func (v Wait) WithParcel(parcel Parcel) Wait {
+	v.parcel = parcel
+	return v
+}
+
+// Key returns the field of this name:
+// The flow.
+func (v Wait) Key() Key {
+	return v.key
+}
+
+// WithKey returns a copy with another key.
+func (v Wait) WithKey(key Key) Wait {
+	v.key = key
+	return v
+}
+
+// Priority returns the field of this name:
+// Priority of its requests; 0 is the highest.
+func (v Wait) Priority() uint32 {
+	return v.priority
+}
+
+// WithPriority returns a copy with another priority.
+func (v Wait) WithPriority(priority uint32) Wait {
+	v.priority = priority
+	return v
+}
+
+// Arrived returns the field of this name:
+// Time of its last copy.
+func (v Wait) Arrived() time.Time {
+	return v.arrived
+}
+
+// WithArrived returns a copy with another arrived.
+func (v Wait) WithArrived(arrived time.Time) Wait {
+	v.arrived = arrived
+	return v
+}
--- a/sidecar/pkg/relay/report.go
+++ b/sidecar/pkg/relay/report.go
@@ -26,6 +26,7 @@
 		case <-t.done.C():
 			return
 		case <-ticker.C:
+			t.admit()
 			sequence := t.sequence.Add(1)
 			t.sendStatus(t.keeper.Snapshot(), sequence)
 			if sequence%expireTicks == 0 {
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -13,6 +13,9 @@
 	// handshakeTime is the longest time for which a caller tries to open a flow, with some slack: its attempt
 	// ends after 1.4 s.
 	handshakeTime = 3 * time.Second
+	// entryTime is the longest time from letting a flow in to its first request: a handshake and two crossings of
+	// the network. A flow without a request by then takes no slot.
+	entryTime = 40 * time.Millisecond
 	// maxFlows bounds the memory of the table.
 	maxFlows = 1 << 16
 )
@@ -41,10 +44,12 @@
 	running int
 	usual   time.Duration
 	window  warmup.Window
+	// entering are the flows that were just let in and whose first request is under way.
+	entering map[landing.Key]time.Time
 }
 
 func newTable() *table {
-	return &table{flows: map[landing.Key]flow{}}
+	return &table{flows: map[landing.Key]flow{}, entering: map[landing.Key]time.Time{}}
 }
 
 // load is the work of the upstream as its sidecar sees it.
@@ -98,6 +103,25 @@
 	return step
 }
 
+// noteEntry notes that a flow was let in.
+func (t *table) noteEntry(k landing.Key, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entering[k] = now
+}
+
+// work returns the number of requests that are at work or about to arrive.
+func (t *table) work(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, at := range t.entering {
+		if now.Sub(at) > entryTime {
+			delete(t.entering, k)
+		}
+	}
+	return t.running + len(t.entering)
+}
+
 // noteCaller returns the flow after a segment of its caller.
 func (t *table) noteCaller(f flow, s landing.Segment, now time.Time) flow {
 	f.heard = now
@@ -107,12 +131,13 @@
 	if s.Payload() > 0 && f.asked.IsZero() {
 		f.asked = now
 		t.running++
+		delete(t.entering, s.Key())
 	}
 	return f
 }
 
-// noteUpstream notes a segment that the upstream sends to a caller.
-func (t *table) noteUpstream(s landing.Segment, now time.Time) {
+// noteUpstream notes a segment that the upstream sends to a caller. It says whether it begins the answer to a request.
+func (t *table) noteUpstream(s landing.Segment, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f, found := t.flows[s.Key()]
@@ -129,17 +154,17 @@
 		}
 	case landing.Half, landing.Open, landing.Absent, landing.Unsure:
 	}
-	if s.Payload() > 0 && !f.asked.IsZero() {
+	isAnswer := s.Payload() > 0 && !f.asked.IsZero()
+	if isAnswer {
 		t.noteTime(now.Sub(f.asked))
 		f.asked = time.Time{}
 		t.running--
 	}
+	t.put(s.Key(), f)
 	if s.Resets() {
-		t.put(s.Key(), f)
 		t.remove(s.Key())
-		return
 	}
-	t.put(s.Key(), f)
+	return isAnswer
 }
 
 // usualShare is the share, one part in so many, of a new time in the average.
@@ -203,6 +228,7 @@
 		list = append(list, lost{key: k, acknowledged: f.acknowledged})
 	}
 	t.flows = map[landing.Key]flow{}
+	t.entering = map[landing.Key]time.Time{}
 	t.running = 0
 	t.usual = 0
 	return list
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -34,6 +34,7 @@
 	service   uint32
 	table     *table
 	ring      *ring
+	waiting   waiting
 	done      *common.Done
 	startedAt time.Time
 	sequence  atomic.Uint64
@@ -188,6 +189,12 @@
 			t.claim(p, segment.Key())
 		}
 	case landing.Take:
+		now := time.Now()
+		if s := t.keeper.Snapshot(); t.isFull(s, now) {
+			t.park(s, p, segment, now)
+			return
+		}
+		t.table.noteEntry(segment.Key(), now)
 		t.deliver(p, packet)
 		if p.Part() > 0 || p.Position() > 0 {
 			t.claim(p, segment.Key())
@@ -261,8 +268,11 @@
 		return
 	}
 	segment := packet.FromUpstream()
-	t.table.noteUpstream(segment, time.Now())
+	isAnswer := t.table.noteUpstream(segment, time.Now())
 	t.toCaller(segment.Key(), packet)
+	if isAnswer {
+		t.admit()
+	}
 }
 
 func (t *Traffic) toCaller(k landing.Key, packet platform.Packet) {
--- /dev/null
+++ b/sidecar/pkg/relay/waiting.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"bytes"
+	"sync"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/backlog"
+)
+
+// waiting holds the opening packets that wait for a free slot.
+type waiting struct {
+	mu      sync.Mutex
+	backlog backlog.Backlog
+}
+
+// add takes a packet and returns those that must be refused.
+func (w *waiting) add(wait landing.Wait, limit int) []landing.Wait {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var refused []landing.Wait
+	w.backlog, refused = w.backlog.With(wait).Cut(limit, wait.Arrived())
+	return refused
+}
+
+// next returns the packet that is served next.
+func (w *waiting) next(now time.Time) (landing.Wait, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backlog, _ = w.backlog.Cut(w.backlog.Len(), now)
+	var wait landing.Wait
+	var found bool
+	wait, w.backlog, found = w.backlog.Next()
+	return wait, found
+}
+
+func (w *waiting) len() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.backlog.Len()
+}
+
+// headroom is the part of the slots, one in so many, that is let in beyond them: between an answer and the next
+// request lie the handshake and two crossings of the network, in which a slot would be idle.
+const headroom = 4
+
+// isFull says whether the upstream has as much work as it can do at once.
+func (t *Traffic) isFull(s Snapshot, now time.Time) bool {
+	slots := int(s.presence.Slots())
+	if slots == 0 {
+		return false
+	}
+	return t.table.work(now) >= slots+max(slots/headroom, 1)
+}
+
+// park lets an opening packet wait for a slot.
+func (t *Traffic) park(s Snapshot, p landing.Parcel, segment landing.Segment, now time.Time) {
+	listener, _ := s.rules.Find(segment.Key())
+	t.table.forget(segment.Key())
+	wait := landing.Wait{}.
+		WithParcel(p.WithPacket(bytes.Clone(p.Packet()))).
+		WithKey(segment.Key()).
+		WithPriority(listener.Priority()).
+		WithArrived(now)
+	t.common.Counters().Counter("waited").Inc(1)
+	l := t.table.load()
+	for _, refused := range t.waiting.add(wait, backlog.Limit(s.presence.Slots(), l.usual)) {
+		t.common.Counters().Refused(landing.RefusalQueue)
+		t.common.Log().Info("flow refused", "flow", address.Flow(refused.Key()), "reason", landing.RefusalQueue.String(),
+			"priority", refused.Priority(), "running", l.running, "usual", l.usual.String())
+		t.refund(refused.Parcel(), landing.RefusalQueue)
+	}
+}
+
+// admit lets waiting packets in while the upstream has free slots.
+func (t *Traffic) admit() {
+	for t.waiting.len() > 0 {
+		now := time.Now()
+		if t.isFull(t.keeper.Snapshot(), now) {
+			return
+		}
+		wait, found := t.waiting.next(now)
+		if !found {
+			return
+		}
+		t.arrive(wait.Parcel().WithRecalled(true))
+	}
+}
