Sidecars that are gone for good lose their enrollment; requests sent again count once

Ruled out: sidecars that were merely late (their machines were gone). Change 1: core/pkg/absence. A silent sidecar is asked for by way of others, one of them in its own zone; after 2.5 s and three such inquiries without a sign its enrollment is removed. A sidecar whose upstream's port is closed says so when it stops. A sidecar that nobody greets takes no new flow until it has enrolled again. Change 2: data counts once; a caller that gives up frees its slot. TestRequestThatIsSentAgainCountsOnce, red before.

--- a/balancer/pkg/relay/app.go
+++ b/balancer/pkg/relay/app.go
@@ -71,6 +71,7 @@
 	traffic *Traffic
 	sync    *Sync
 	prover  *Prover
+	reaper  *Reaper
 	store   *platform.Store
 	servers []*serve.Server
 	scrape  *scrape.Server
@@ -94,6 +95,7 @@
 	b.store = platform.NewStore(s.Platform(), count, malformed)
 	b.sync = NewSync(c, s, b.keeper, b.store, traffic)
 	b.prover = NewProver(c, b.keeper, b.store, traffic, nobodies)
+	b.reaper = NewReaper(c, b.keeper, b.store, traffic)
 	return b, nil
 }
 
@@ -131,6 +133,7 @@
 	b.scrape.Start()
 	b.sync.Start()
 	b.prover.Start()
+	b.reaper.Start()
 }
 
 // Leave tells the routers to turn away and goes on serving for this time.
@@ -146,6 +149,7 @@
 func (b *Balancer) Stop() {
 	b.sync.Stop()
 	b.prover.Stop()
+	b.reaper.Stop()
 	b.stopServers()
 	b.scrape.Stop()
 	b.traffic.Stop()
--- a/balancer/pkg/relay/keeper.go
+++ b/balancer/pkg/relay/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
@@ -85,6 +86,10 @@
 		return s.WithDirectory(s.directory.WithStatus(c.Status(), c.Source(), c.Now()))
 	case landing.RevisionChange:
 		k.compare(s, c.Rules(), c.Exclusions())
+	case landing.VouchChange:
+		return s.WithDirectory(s.directory.WithVouch(c.Subject(), c.Now()))
+	case landing.InquiryChange:
+		return s.WithDirectory(s.directory.WithInquiries(c.Subjects()))
 	case landing.SightChange, landing.GreetingChange, landing.TimeChange:
 	}
 	return s
@@ -117,7 +122,7 @@
 		k.common.Log().Info("sidecars enrolled", "revision", r.Revision(), "sidecars", r.EnrollmentsLen())
 		notify(k.joined)
 	}
-	return s.WithDirectory(s.directory.WithRoll(r))
+	return s.WithDirectory(s.directory.WithRoll(r, time.Now()))
 }
 
 func (k *Keeper) compare(s Snapshot, rulesRevision, exclusionsChanged uint64) {
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -256,6 +256,9 @@
 	neighbors := s.directory.Neighbors()
 	list := make([]walk.Stop, 0, len(neighbors))
 	for _, n := range neighbors {
+		if n.Status().Phase() == landing.PhaseLeft {
+			continue
+		}
 		rank := rankHeard
 		if !rules.Allows(l, n.Enrollment().Service()) {
 			rank = rankOther
@@ -291,7 +294,9 @@
 		t.keeper.Post(landing.StatusChange{}.WithStatus(d).WithSource(from).WithNow(time.Now()))
 	case landing.Claim:
 		t.cache.put(d.Key(), from, time.Now())
-	case landing.Parcel, landing.Greeting:
+	case landing.Vouch:
+		t.keeper.Post(landing.VouchChange{}.WithSubject(d.Subject()).WithNow(time.Now()))
+	case landing.Parcel, landing.Greeting, landing.Inquiry:
 		t.common.Counters().Refused(landing.RefusalMalformed)
 	}
 }
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -319,6 +319,10 @@
 		return &landingpb.Datagram{Datagram: &landingpb.Datagram_Greeting{Greeting: EncodeGreeting(v)}}
 	case landing.Claim:
 		return &landingpb.Datagram{Datagram: &landingpb.Datagram_Claim{Claim: EncodeClaim(v)}}
+	case landing.Inquiry:
+		return &landingpb.Datagram{Datagram: &landingpb.Datagram_Inquiry{Inquiry: EncodeInquiry(v)}}
+	case landing.Vouch:
+		return &landingpb.Datagram{Datagram: &landingpb.Datagram_Vouch{Vouch: EncodeVouch(v)}}
 	default:
 		return &landingpb.Datagram{}
 	}
@@ -337,11 +341,49 @@
 		return DecodeGreeting(c.Greeting)
 	case *landingpb.Datagram_Claim:
 		return DecodeClaim(c.Claim)
+	case *landingpb.Datagram_Inquiry:
+		return DecodeInquiry(c.Inquiry)
+	case *landingpb.Datagram_Vouch:
+		return DecodeVouch(c.Vouch)
 	default:
 		return nil
 	}
 }
 
+// EncodeInquiry returns the message for v.
+func EncodeInquiry(v landing.Inquiry) *landingpb.Inquiry {
+	m := &landingpb.Inquiry{}
+	m.Subject = v.Subject()
+	m.Home = v.Home()
+	m.Proxy = v.Proxy()
+	return m
+}
+
+// DecodeInquiry returns the value of m; the zero value when m is nil.
+func DecodeInquiry(m *landingpb.Inquiry) landing.Inquiry {
+	v := landing.Inquiry{}
+	v = v.WithSubject(m.GetSubject())
+	v = v.WithHome(m.GetHome())
+	v = v.WithProxy(m.GetProxy())
+	return v
+}
+
+// EncodeVouch returns the message for v.
+func EncodeVouch(v landing.Vouch) *landingpb.Vouch {
+	m := &landingpb.Vouch{}
+	m.Subject = v.Subject()
+	m.Home = v.Home()
+	return m
+}
+
+// DecodeVouch returns the value of m; the zero value when m is nil.
+func DecodeVouch(m *landingpb.Vouch) landing.Vouch {
+	v := landing.Vouch{}
+	v = v.WithSubject(m.GetSubject())
+	v = v.WithHome(m.GetHome())
+	return v
+}
+
 // EncodeRefund returns the message for v.
 func EncodeRefund(v landing.Refund) *landingpb.Refund {
 	m := &landingpb.Refund{}
@@ -545,6 +587,10 @@
 		return &landingpb.Change{Change: &landingpb.Change_Revision{Revision: EncodeRevisionChange(v)}}
 	case landing.TimeChange:
 		return &landingpb.Change{Change: &landingpb.Change_Time{Time: EncodeTimeChange(v)}}
+	case landing.VouchChange:
+		return &landingpb.Change{Change: &landingpb.Change_Vouch{Vouch: EncodeVouchChange(v)}}
+	case landing.InquiryChange:
+		return &landingpb.Change{Change: &landingpb.Change_Inquiry{Inquiry: EncodeInquiryChange(v)}}
 	default:
 		return &landingpb.Change{}
 	}
@@ -569,6 +615,10 @@
 		return DecodeRevisionChange(c.Revision)
 	case *landingpb.Change_Time:
 		return DecodeTimeChange(c.Time)
+	case *landingpb.Change_Vouch:
+		return DecodeVouchChange(c.Vouch)
+	case *landingpb.Change_Inquiry:
+		return DecodeInquiryChange(c.Inquiry)
 	default:
 		return nil
 	}
@@ -680,6 +730,42 @@
 	return v
 }
 
+// EncodeVouchChange returns the message for v.
+func EncodeVouchChange(v landing.VouchChange) *landingpb.VouchChange {
+	m := &landingpb.VouchChange{}
+	m.Subject = v.Subject()
+	m.Now = timestamppb.New(v.Now())
+	return m
+}
+
+// DecodeVouchChange returns the value of m; the zero value when m is nil.
+func DecodeVouchChange(m *landingpb.VouchChange) landing.VouchChange {
+	v := landing.VouchChange{}
+	v = v.WithSubject(m.GetSubject())
+	v = v.WithNow(m.GetNow().AsTime())
+	return v
+}
+
+// EncodeInquiryChange returns the message for v.
+func EncodeInquiryChange(v landing.InquiryChange) *landingpb.InquiryChange {
+	m := &landingpb.InquiryChange{}
+	for i := range v.SubjectsLen() {
+		m.Subjects = append(m.Subjects, v.SubjectsAt(i))
+	}
+	return m
+}
+
+// DecodeInquiryChange returns the value of m; the zero value when m is nil.
+func DecodeInquiryChange(m *landingpb.InquiryChange) landing.InquiryChange {
+	v := landing.InquiryChange{}
+	var subjects []uint64
+	for _, e := range m.GetSubjects() {
+		subjects = append(subjects, e)
+	}
+	v = v.WithSubjects(subjects...)
+	return v
+}
+
 // EncodeTimeChange returns the message for v.
 func EncodeTimeChange(v landing.TimeChange) *landingpb.TimeChange {
 	m := &landingpb.TimeChange{}
@@ -719,6 +805,9 @@
 	m.Status = EncodeStatus(v.Status())
 	m.Heard = timestamppb.New(v.Heard())
 	m.Hop = v.Hop()
+	m.Known = timestamppb.New(v.Known())
+	m.Vouched = timestamppb.New(v.Vouched())
+	m.Inquiries = v.Inquiries()
 	return m
 }
 
@@ -729,6 +818,9 @@
 	v = v.WithStatus(DecodeStatus(m.GetStatus()))
 	v = v.WithHeard(m.GetHeard().AsTime())
 	v = v.WithHop(m.GetHop())
+	v = v.WithKnown(m.GetKnown().AsTime())
+	v = v.WithVouched(m.GetVouched().AsTime())
+	v = v.WithInquiries(m.GetInquiries())
 	return v
 }
 
--- a/core/gen/codec/settings.go
+++ b/core/gen/codec/settings.go
@@ -296,6 +296,7 @@
 	}
 	m.Heartbeat = durationpb.New(v.Heartbeat())
 	m.Verbosity = v.Verbosity()
+	m.Grace = durationpb.New(v.Grace())
 	return m
 }
 
@@ -320,5 +321,6 @@
 	v = v.WithSeeds(seeds...)
 	v = v.WithHeartbeat(m.GetHeartbeat().AsDuration())
 	v = v.WithVerbosity(m.GetVerbosity())
+	v = v.WithGrace(m.GetGrace().AsDuration())
 	return v
 }
--- a/core/gen/form/settings.go
+++ b/core/gen/form/settings.go
@@ -42,5 +42,6 @@
 	v = v.WithSeeds(r.Strings("seeds")...)
 	v = v.WithHeartbeat(r.Duration("heartbeat"))
 	v = v.WithVerbosity(r.Uint32("verbosity"))
+	v = v.WithGrace(r.Duration("grace"))
 	return v
 }
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -921,6 +921,83 @@
 	isDatagram()
 }
 
+// Inquiry asks, by way of another sidecar, whether a sidecar that a balancer does not hear is heard elsewhere.
+type Inquiry struct {
+	subject uint64
+	home    uint64
+	proxy   uint64
+}
+
+func (Inquiry) isDatagram() {}
+
+// Subject returns the field of this name:
+// Address of the sidecar that is not heard, see Parcel.
+func (v Inquiry) Subject() uint64 {
+	return v.subject
+}
+
+// WithSubject returns a copy with another subject.
+func (v Inquiry) WithSubject(subject uint64) Inquiry {
+	v.subject = subject
+	return v
+}
+
+// Home returns the field of this name:
+// Address of the balancer that asks.
+func (v Inquiry) Home() uint64 {
+	return v.home
+}
+
+// WithHome returns a copy with another home.
+func (v Inquiry) WithHome(home uint64) Inquiry {
+	v.home = home
+	return v
+}
+
+// Proxy returns the field of this name:
+// Address of the sidecar that passes the inquiry on; 0 on the way to it.
+func (v Inquiry) Proxy() uint64 {
+	return v.proxy
+}
+
+// WithProxy returns a copy with another proxy.
+func (v Inquiry) WithProxy(proxy uint64) Inquiry {
+	v.proxy = proxy
+	return v
+}
+
+// Vouch answers an inquiry by the way on which it came.
+type Vouch struct {
+	subject uint64
+	home    uint64
+}
+
+func (Vouch) isDatagram() {}
+
+// Subject returns the field of this name:
+// Address of the sidecar that was asked for.
+func (v Vouch) Subject() uint64 {
+	return v.subject
+}
+
+// WithSubject returns a copy with another subject.
+func (v Vouch) WithSubject(subject uint64) Vouch {
+	v.subject = subject
+	return v
+}
+
+// Home returns the field of this name:
+// Address of the balancer that asked.
+func (v Vouch) Home() uint64 {
+	return v.home
+}
+
+// WithHome returns a copy with another home.
+func (v Vouch) WithHome(home uint64) Vouch {
+	v.home = home
+	return v
+}
+
 // Refund returns a parcel to the balancer that sent it.
 type Refund struct {
 	parcel Parcel
@@ -1502,6 +1579,67 @@
 	return v
 }
 
+// VouchChange says that a silent sidecar is heard elsewhere.
+type VouchChange struct {
+	subject uint64
+	now     time.Time
+}
+
+func (VouchChange) isChange() {}
+
+// Subject returns the field of this name:
+// Address of the sidecar.
+func (v VouchChange) Subject() uint64 {
+	return v.subject
+}
+
+// WithSubject returns a copy with another subject.
+func (v VouchChange) WithSubject(subject uint64) VouchChange {
+	v.subject = subject
+	return v
+}
+
+// Now returns the field of this name:
+// Time of arrival.
+func (v VouchChange) Now() time.Time {
+	return v.now
+}
+
+// WithNow returns a copy with another now.
+func (v VouchChange) WithNow(now time.Time) VouchChange {
+	v.now = now
+	return v
+}
+
+// InquiryChange says for which sidecars others were asked, in their own zones.
+type InquiryChange struct {
+	subjects []uint64
+}
+
+func (InquiryChange) isChange() {}
+
+// Subjects returns a copy of the list of this name:
+// Addresses of the sidecars.
+func (v InquiryChange) Subjects() []uint64 {
+	return slices.Clone(v.subjects)
+}
+
+// SubjectsLen returns the number of elements of Subjects.
+func (v InquiryChange) SubjectsLen() int {
+	return len(v.subjects)
+}
+
+// SubjectsAt returns element i of Subjects, counted from 0.
+func (v InquiryChange) SubjectsAt(i int) uint64 {
+	return v.subjects[i]
+}
+
+// WithSubjects returns a copy with other subjects.
+func (v InquiryChange) WithSubjects(subjects ...uint64) InquiryChange {
+	v.subjects = slices.Clone(subjects)
+	return v
+}
+
 // TimeChange says what time it is.
 type TimeChange struct {
 	now time.Time
@@ -1570,6 +1708,9 @@
 	status     Status
 	heard      time.Time
 	hop        uint64
+	known      time.Time
+	vouched    time.Time
+	inquiries  uint32
 }
 
 // Enrollment returns the field of this name:
@@ -1620,6 +1761,42 @@
 	return v
 }
 
+// Known returns the field of this name:
+// Time at which the balancer learned of it.
+func (v Neighbor) Known() time.Time {
+	return v.known
+}
+
+// WithKnown returns a copy with another known.
+func (v Neighbor) WithKnown(known time.Time) Neighbor {
+	v.known = known
+	return v
+}
+
+// Vouched returns the field of this name:
+// Time at which another sidecar last vouched for it.
+func (v Neighbor) Vouched() time.Time {
+	return v.vouched
+}
+
+// WithVouched returns a copy with another vouched.
+func (v Neighbor) WithVouched(vouched time.Time) Neighbor {
+	v.vouched = vouched
+	return v
+}
+
+// Inquiries returns the field of this name:
+// Number of inquiries in its zone since any sign of life.
+func (v Neighbor) Inquiries() uint32 {
+	return v.inquiries
+}
+
+// WithInquiries returns a copy with another inquiries.
+func (v Neighbor) WithInquiries(inquiries uint32) Neighbor {
+	v.inquiries = inquiries
+	return v
+}
+
 // Wait is an opening packet that waits for a free slot of the upstream.
 type Wait struct {
 	parcel   Parcel
--- a/core/gen/landing/settings.go
+++ b/core/gen/landing/settings.go
@@ -955,6 +955,7 @@
 	seeds     []string
 	heartbeat time.Duration
 	verbosity uint32
+	grace     time.Duration
 }
 
 // Instance returns the field of this name:
@@ -1134,3 +1135,15 @@
 	v.verbosity = verbosity
 	return v
 }
+
+// Grace returns the field of this name:
+// Time from the request to stop until the process is killed.
+func (v RelaySidecarSettings) Grace() time.Duration {
+	return v.grace
+}
+
+// WithGrace returns a copy with another grace.
+func (v RelaySidecarSettings) WithGrace(grace time.Duration) RelaySidecarSettings {
+	v.grace = grace
+	return v
+}
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -443,6 +443,10 @@
 		return field.AppendMessage(b, 4, func(b []byte) []byte { return AppendGreeting(b, v) })
 	case landing.Claim:
 		return field.AppendMessage(b, 5, func(b []byte) []byte { return AppendClaim(b, v) })
+	case landing.Inquiry:
+		return field.AppendMessage(b, 6, func(b []byte) []byte { return AppendInquiry(b, v) })
+	case landing.Vouch:
+		return field.AppendMessage(b, 7, func(b []byte) []byte { return AppendVouch(b, v) })
 	}
 	return b
 }
@@ -483,6 +487,65 @@
 				return nil, err
 			}
 			v = c
+		case 6:
+			c, err := ParseInquiry(r.Bytes())
+			if err != nil {
+				return nil, err
+			}
+			v = c
+		case 7:
+			c, err := ParseVouch(r.Bytes())
+			if err != nil {
+				return nil, err
+			}
+			v = c
+		}
+	}
+	return v, r.Err()
+}
+
+// AppendInquiry appends the encoding of v to b.
+func AppendInquiry(b []byte, v landing.Inquiry) []byte {
+	b = field.AppendUint(b, 1, v.Subject())
+	b = field.AppendUint(b, 2, v.Home())
+	b = field.AppendUint(b, 3, v.Proxy())
+	return b
+}
+
+// ParseInquiry returns the value encoded in b. It returns field.ErrMalformed when b holds other bytes.
+func ParseInquiry(b []byte) (landing.Inquiry, error) {
+	v := landing.Inquiry{}
+	r := field.NewReader(b)
+	for r.Next() {
+		switch r.Number() {
+		case 1:
+			v = v.WithSubject(r.Uint())
+		case 2:
+			v = v.WithHome(r.Uint())
+		case 3:
+			v = v.WithProxy(r.Uint())
+		}
+	}
+	return v, r.Err()
+}
+
+// AppendVouch appends the encoding of v to b.
+func AppendVouch(b []byte, v landing.Vouch) []byte {
+	b = field.AppendUint(b, 1, v.Subject())
+	b = field.AppendUint(b, 2, v.Home())
+	return b
+}
+
+// ParseVouch returns the value encoded in b. It returns field.ErrMalformed when b holds other bytes.
+func ParseVouch(b []byte) (landing.Vouch, error) {
+	v := landing.Vouch{}
+	r := field.NewReader(b)
+	for r.Next() {
+		switch r.Number() {
+		case 1:
+			v = v.WithSubject(r.Uint())
+		case 2:
+			v = v.WithHome(r.Uint())
 		}
 	}
 	return v, r.Err()
--- /dev/null
+++ b/core/pkg/absence/absence.go
@@ -0,0 +1,92 @@
+// Package absence decides when an enrolled sidecar is taken to be gone for good, so that its enrollment is removed
+// and its flows are proved to be held by nobody.
+//
+// One balancer that does not hear a sidecar may be cut off from it. So it asks by way of others, one of them in the
+// silent sidecar's own availability zone (indirect probes, as in SWIM, Das et al. 2002). Only a sidecar that its
+// own neighbors have not heard either for a while is gone: its machine is dead, or cut off from everybody.
+package absence
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+const (
+	// InquireAfter is the silence after which others are asked: four statuses.
+	InquireAfter = time.Second
+	// goneAfter is the silence after which a sidecar is gone. A sidecar that is stopped and started again beside a
+	// living upstream is back within a second or so.
+	goneAfter = 2500 * time.Millisecond
+	// leastInquiries is the number of inquiries in its zone that must have stayed without an answer.
+	leastInquiries = 3
+	// heardWithin is the time since the last status within which a sidecar can be asked for another one.
+	heardWithin = time.Second
+)
+
+// Question says by way of which sidecars a silent one is asked for.
+type Question struct {
+	// Subject is the silent sidecar.
+	Subject landing.Neighbor
+	// Proxies are the addresses of the sidecars that are asked.
+	Proxies []uint64
+	// IsLocal says that one of them is in the zone of the silent one.
+	IsLocal bool
+}
+
+// Questions returns the questions that are due at this time.
+func Questions(neighbors []landing.Neighbor, now time.Time) []Question {
+	var due []Question
+	for _, n := range neighbors {
+		if now.Sub(lastSign(n)) <= InquireAfter {
+			continue
+		}
+		q := Question{Subject: n}
+		if local, found := proxy(neighbors, n, true, now); found {
+			q.Proxies = append(q.Proxies, local)
+			q.IsLocal = true
+		}
+		if remote, found := proxy(neighbors, n, false, now); found {
+			q.Proxies = append(q.Proxies, remote)
+		}
+		if len(q.Proxies) > 0 {
+			due = append(due, q)
+		}
+	}
+	return due
+}
+
+// IsGone says whether the sidecar is gone for good: it has said so itself, or nobody has heard it for long enough.
+func IsGone(n landing.Neighbor, now time.Time) bool {
+	if n.Status().Phase() == landing.PhaseLeft {
+		return true
+	}
+	return now.Sub(lastSign(n)) > goneAfter && n.Inquiries() >= leastInquiries
+}
+
+// lastSign returns the time of the last sign of life.
+func lastSign(n landing.Neighbor) time.Time {
+	last := n.Known()
+	for _, t := range []time.Time{n.Heard(), n.Vouched()} {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
+
+// proxy returns a sidecar that is heard well, in the zone of the silent one or outside it. It is another one each
+// second, so that one bad proxy does not decide.
+func proxy(neighbors []landing.Neighbor, silent landing.Neighbor, isLocal bool, now time.Time) (uint64, bool) {
+	var heard []uint64
+	for _, n := range neighbors {
+		inZone := n.Enrollment().Zone() == silent.Enrollment().Zone()
+		if n.Hop() != silent.Hop() && inZone == isLocal && now.Sub(n.Heard()) <= heardWithin {
+			heard = append(heard, n.Hop())
+		}
+	}
+	if len(heard) == 0 {
+		return 0, false
+	}
+	return heard[int(now.Unix())%len(heard)], true
+}
--- /dev/null
+++ b/core/pkg/absence/absence_test.go
@@ -0,0 +1,75 @@
+package absence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+var start = time.Unix(1000, 0)
+
+// neighbor returns a sidecar in this zone that was last heard at this time.
+func neighbor(hop uint64, zone string, heard time.Duration) landing.Neighbor {
+	return landing.Neighbor{}.
+		WithHop(hop).
+		WithEnrollment(landing.Enrollment{}.WithZone(zone)).
+		WithStatus(landing.Status{}.WithPhase(landing.PhaseServing)).
+		WithKnown(start).
+		WithHeard(start.Add(heard))
+}
+
+func ExampleIsGone() {
+	now := start.Add(5 * time.Second)
+	silent := neighbor(1, "a", 0)
+	fmt.Println(IsGone(silent, now), IsGone(silent.WithInquiries(3), now))
+	// Output: false true
+}
+
+func TestSilentSidecarIsAskedForInItsOwnZone(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(5 * time.Second)
+	list := []landing.Neighbor{
+		neighbor(1, "a", 0),
+		neighbor(2, "a", 5*time.Second),
+		neighbor(3, "b", 5*time.Second),
+	}
+	questions := Questions(list, now)
+	is.Equal(len(questions), 1)
+	is.Equal(questions[0].Subject.Hop(), uint64(1))
+	is.True(questions[0].IsLocal)
+	is.Equal(questions[0].Proxies, []uint64{2, 3})
+}
+
+// A balancer that is cut off from a whole zone hears none of its sidecars, and nobody there can vouch. Their flows live
+// on at other balancers.
+func TestZoneBehindACutIsNotGone(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(20 * time.Second)
+	list := []landing.Neighbor{neighbor(1, "a", 0), neighbor(2, "a", 0), neighbor(3, "b", 20*time.Second)}
+	for _, q := range Questions(list, now) {
+		is.True(!q.IsLocal)
+	}
+	is.True(!IsGone(list[0], now))
+}
+
+func TestVouchedSidecarIsNotGone(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(5 * time.Second)
+	is.True(!IsGone(neighbor(1, "a", 0).WithInquiries(9).WithVouched(now.Add(-time.Second)), now))
+}
+
+// A sidecar that restarts beside a living upstream is silent for a second or so.
+func TestRestartIsNotGone(t *testing.T) {
+	is := is.New(t)
+	is.True(!IsGone(neighbor(1, "a", 0).WithInquiries(3), start.Add(2*time.Second)))
+}
+
+func TestSidecarThatSaysItLeavesIsGoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	n := neighbor(1, "a", 0).WithStatus(landing.Status{}.WithPhase(landing.PhaseLeft))
+	is.True(IsGone(n, start))
+}
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -33,8 +33,9 @@
 	return d.neighbors
 }
 
-// WithRoll returns a directory of the sidecars of r. Statuses of those that stay at their address are kept.
-func (d *Directory) WithRoll(r landing.Roll) *Directory {
+// WithRoll returns a directory of the sidecars of r, learned now. What is known of those that stay at their address is
+// kept.
+func (d *Directory) WithRoll(r landing.Roll, now time.Time) *Directory {
 	next := &Directory{roll: r, byHop: map[uint64]int{}, byService: map[string][]int{}}
 	for i := range r.EnrollmentsLen() {
 		e := r.EnrollmentsAt(i)
@@ -42,9 +43,9 @@
 		if err != nil || !fleet.Addr().Is4() {
 			continue
 		}
-		n := landing.Neighbor{}.WithEnrollment(e).WithHop(address.Hop(fleet))
+		n := landing.Neighbor{}.WithEnrollment(e).WithHop(address.Hop(fleet)).WithKnown(now)
 		if before, found := d.Find(n.Hop()); found && before.Enrollment().Instance() == e.Instance() {
-			n = n.WithStatus(before.Status()).WithHeard(before.Heard())
+			n = before.WithEnrollment(e)
 		}
 		next.byHop[n.Hop()] = len(next.neighbors)
 		next.byService[e.Service()] = append(next.byService[e.Service()], len(next.neighbors))
@@ -60,9 +61,32 @@
 	if !found || before.Enrollment().Instance() != s.Instance() || !isNewer(s, before.Status()) {
 		return d
 	}
+	return d.with(before.WithStatus(s).WithHeard(now).WithInquiries(0))
+}
+
+// WithVouch returns a directory in which another sidecar has vouched for the one at this address.
+func (d *Directory) WithVouch(hop uint64, now time.Time) *Directory {
+	before, found := d.Find(hop)
+	if !found {
+		return d
+	}
+	return d.with(before.WithVouched(now).WithInquiries(0))
+}
+
+// WithInquiries returns a directory that counts one more inquiry for each sidecar at these addresses.
+func (d *Directory) WithInquiries(hops []uint64) *Directory {
+	for _, hop := range hops {
+		if before, found := d.Find(hop); found {
+			d = d.with(before.WithInquiries(before.Inquiries() + 1))
+		}
+	}
+	return d
+}
+
+func (d *Directory) with(n landing.Neighbor) *Directory {
 	next := *d
 	next.neighbors = slices.Clone(d.neighbors)
-	next.neighbors[d.byHop[hop]] = before.WithStatus(s).WithHeard(now)
+	next.neighbors[d.byHop[n.Hop()]] = n
 	return &next
 }
 
--- a/core/pkg/settings/settings.go
+++ b/core/pkg/settings/settings.go
@@ -159,4 +159,5 @@
 	checkAddress(report, "platform", s.Platform())
 	checkAddresses(report, "seeds", s.Seeds())
 	checkPositive(report, "heartbeat", s.Heartbeat())
+	checkPositive(report, "grace", s.Grace())
 }
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -72,12 +72,11 @@
 	servers []*serve.Server
 	scrape  *scrape.Server
 	common  common.Common
-	every   time.Duration
 }
 
 // New returns a sidecar whose sockets are open. It returns an error when an address cannot be used.
 func New(c common.Common, s landing.RelaySidecarSettings) (*Sidecar, error) {
-	sc := &Sidecar{common: c, every: s.Heartbeat()}
+	sc := &Sidecar{common: c}
 	sc.keeper = NewKeeper(c, s.Service(), s.Zone(), func() { sc.traffic.resetLost() })
 	traffic, err := NewTraffic(c, s, sc.keeper)
 	if err != nil {
@@ -163,10 +162,10 @@
 // is a restart beside an upstream that lives, and its flows are found again.
 func (sc *Sidecar) Stop() {
 	s := sc.keeper.Snapshot()
-	isGone := s.Phase(time.Now(), sc.every) != landing.PhaseServing
+	isGone := sc.traffic.hasEnded()
 	sc.keeper.Update(Snapshot.WithStopping)
-	sc.traffic.sayStopping()
-	if isGone && s.isEnrolled {
+	sc.traffic.sayStopping(isGone)
+	if isGone && !s.enrolled.IsZero() {
 		sc.sync.Leave()
 	}
 	sc.sync.Stop()
--- a/sidecar/pkg/relay/keeper.go
+++ b/sidecar/pkg/relay/keeper.go
@@ -92,10 +92,13 @@
 	case landing.GreetingChange:
 		g := c.Greeting()
 		k.compare(s, g.Rules(), g.Exclusions())
-		return s.WithHome(g.Home(), c.Now()).WithEnrolled(s.isEnrolled || g.Enrolled())
+		if g.Enrolled() {
+			s = s.WithEnrolled(c.Now())
+		}
+		return s.WithHome(g.Home(), c.Now())
 	case landing.RevisionChange:
 		k.compare(s, c.Rules(), c.Exclusions())
-	case landing.RollChange, landing.StatusChange, landing.TimeChange:
+	case landing.RollChange, landing.StatusChange, landing.TimeChange, landing.VouchChange, landing.InquiryChange:
 	}
 	return s
 }
--- a/sidecar/pkg/relay/report.go
+++ b/sidecar/pkg/relay/report.go
@@ -28,7 +28,8 @@
 		case <-ticker.C:
 			t.admit()
 			sequence := t.sequence.Add(1)
-			t.sendStatus(t.keeper.Snapshot(), sequence)
+			s := t.keeper.Snapshot()
+			t.sendStatus(s, sequence, s.Phase(time.Now(), t.settings.Heartbeat()))
 			if sequence%expireTicks == 0 {
 				idle := max(t.keeper.Snapshot().rules.Rules().Idle(), leastIdle)
 				t.table.expire(2*idle, time.Now())
@@ -37,12 +38,16 @@
 	}
 }
 
-// sayStopping tells the balancers at once that no new flow is taken here.
-func (t *Traffic) sayStopping() {
-	t.sendStatus(t.keeper.Snapshot().WithStopping(), t.sequence.Add(1))
+// sayStopping tells the balancers at once that no new flow is taken here, and whether the sidecar is gone for good.
+func (t *Traffic) sayStopping(isGone bool) {
+	phase := landing.PhaseUnspecified
+	if isGone {
+		phase = landing.PhaseLeft
+	}
+	t.sendStatus(t.keeper.Snapshot(), t.sequence.Add(1), phase)
 }
 
-func (t *Traffic) sendStatus(s Snapshot, sequence uint64) {
+func (t *Traffic) sendStatus(s Snapshot, sequence uint64, phase landing.Phase) {
 	now := time.Now()
 	l := t.table.load()
 	status := landing.Status{}.
@@ -50,7 +55,7 @@
 		WithService(t.settings.Service()).
 		WithIncarnation(uint64(t.startedAt.UnixNano())).
 		WithSequence(sequence).
-		WithPhase(s.Phase(now, t.settings.Heartbeat())).
+		WithPhase(phase).
 		WithRunning(uint32(max(l.running, 0))).
 		WithSlots(s.presence.Slots()).
 		WithFlows(uint32(l.flows)).
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -18,7 +18,7 @@
 	exclusions landing.Exclusions
 	presence   landing.Presence
 	homes      []home
-	isEnrolled bool
+	enrolled   time.Time
 	isStopping bool
 }
 
@@ -46,12 +46,18 @@
 	return s
 }
 
-// WithEnrolled returns a copy that says whether the sidecar is known to the platform.
-func (s Snapshot) WithEnrolled(isEnrolled bool) Snapshot {
-	s.isEnrolled = isEnrolled
+// WithEnrolled returns a copy in which the platform was last known to hold the sidecar's enrollment at this time.
+func (s Snapshot) WithEnrolled(now time.Time) Snapshot {
+	s.enrolled = now
 	return s
 }
 
+// IsEnrolled says whether every balancer can know of the sidecar. A sidecar that was cut off from everybody may have
+// been removed in the meantime.
+func (s Snapshot) IsEnrolled(now time.Time) bool {
+	return !s.enrolled.IsZero() && now.Sub(s.enrolled) <= homeTime
+}
+
 // WithStopping returns a copy that takes no new flow.
 func (s Snapshot) WithStopping() Snapshot {
 	s.isStopping = true
--- a/sidecar/pkg/relay/sync.go
+++ b/sidecar/pkg/relay/sync.go
@@ -19,8 +19,8 @@
 	aloneInterval = 2 * time.Second
 	// enrollPause is the time between two tries to enroll.
 	enrollPause = 300 * time.Millisecond
-	// leavePause is the longest time for which a planned stop tries to take the enrollment back.
-	leavePause = 2 * time.Second
+	// leaveMargin is the part of the grace of a planned stop that is left for all else than taking the enrollment back.
+	leaveMargin = time.Second
 )
 
 // Sync keeps rules and exclusions up to date and the sidecar enrolled.
@@ -114,7 +114,8 @@
 	s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(picture.Exclusions()))
 }
 
-// enroll writes the sidecar's enrollment when its upstream serves for the first time.
+// enroll writes the sidecar's enrollment when its upstream serves for the first time, and again when no balancer has
+// greeted for a while: it may have been removed while the sidecar was cut off.
 func (s *Sync) enroll() {
 	select {
 	case <-s.done.C():
@@ -122,14 +123,18 @@
 	case <-s.keeper.Serving():
 	}
 	for {
-		err := s.tryEnroll()
-		if err == nil {
-			s.keeper.Update(func(n Snapshot) Snapshot { return n.WithEnrolled(true) })
+		pause := enrollPause
+		if s.keeper.Snapshot().IsEnrolled(time.Now()) {
+			pause = aloneInterval
+		} else if err := s.tryEnroll(); err != nil {
+			s.common.Log().V(1).Info("sidecar cannot enroll", "error", err.Error())
+		} else {
+			now := time.Now()
+			s.keeper.Update(func(n Snapshot) Snapshot { return n.WithEnrolled(now) })
 			s.common.Log().Info("sidecar enrolled", "revision", s.enrolled.Revision())
-			return
+			pause = aloneInterval
 		}
-		s.common.Log().V(1).Info("sidecar cannot enroll", "error", err.Error())
-		if !s.pause(enrollPause) {
+		if !s.pause(pause) {
 			return
 		}
 	}
@@ -152,9 +157,10 @@
 	return nil
 }
 
-// Leave takes the enrollment back, since the upstream is gone for good.
+// Leave takes the enrollment back, since the upstream is gone for good. It goes on trying while the grace of the stop
+// lasts; after that it is up to the balancers.
 func (s *Sync) Leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), leavePause)
+	ctx, cancel := context.WithTimeout(context.Background(), max(s.settings.Grace()-leaveMargin, 0))
 	defer cancel()
 	for ctx.Err() == nil {
 		err := s.store.Remove(ctx, s.enrolled)
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -16,6 +16,9 @@
 	// entryTime is the longest time from letting a flow in to its first request: a handshake and two crossings of
 	// the network. A flow without a request by then takes no slot.
 	entryTime = 40 * time.Millisecond
+	// requestTime is the time after which a request without an answer no longer counts as work: longer than any
+	// caller of today waits.
+	requestTime = 10 * time.Second
 	// maxFlows bounds the memory of the table.
 	maxFlows = 1 << 16
 )
@@ -27,6 +30,8 @@
 	// acknowledged is the last number that the caller acknowledged.
 	acknowledged uint32
 	heard        time.Time
+	// sent is the end of the last data that the caller has sent; data up to it is sent again.
+	sent uint32
 	// asked is the time of a request that the upstream has not answered yet; the zero time when there is none.
 	asked time.Time
 }
@@ -91,7 +96,12 @@
 	switch step.(type) {
 	case landing.Take:
 		t.window = t.window.WithFlow(now)
-		t.flows[s.Key()] = flow{stage: landing.Taken{}.WithInitial(s.Sequence()), initial: s.Sequence(), heard: now}
+		t.flows[s.Key()] = flow{
+			stage:   landing.Taken{}.WithInitial(s.Sequence()),
+			initial: s.Sequence(),
+			sent:    s.Sequence(),
+			heard:   now,
+		}
 	case landing.Complete:
 		t.put(s.Key(), t.noteCaller(f.withStage(landing.Open{}), s, now))
 	case landing.Deliver, landing.Both:
@@ -128,10 +138,31 @@
 	if s.Acknowledges() {
 		f.acknowledged = s.Acknowledged()
 	}
-	if s.Payload() > 0 && f.asked.IsZero() {
-		f.asked = now
-		t.running++
-		delete(t.entering, s.Key())
+	end := s.Sequence() + s.Payload()
+	if s.Payload() > 0 && isAfter(end, f.sent) {
+		f.sent = end
+		if f.asked.IsZero() {
+			f.asked = now
+			t.running++
+			delete(t.entering, s.Key())
+		}
+	}
+	if s.Resets() || s.Finishes() {
+		f = t.endRequest(f)
+	}
+	return f
+}
+
+// isAfter compares sequence numbers, which wrap around.
+func isAfter(a, b uint32) bool {
+	return int32(a-b) > 0
+}
+
+// endRequest returns the flow without a request at work.
+func (t *table) endRequest(f flow) flow {
+	if !f.asked.IsZero() {
+		f.asked = time.Time{}
+		t.running--
 	}
 	return f
 }
@@ -142,7 +173,7 @@
 	defer t.mu.Unlock()
 	f, found := t.flows[s.Key()]
 	if !found {
-		f = flow{stage: landing.Taken{}}
+		f = flow{stage: landing.Taken{}, sent: s.Acknowledged()}
 	}
 	f.heard = now
 	switch stage := f.stage.(type) {
@@ -157,8 +188,7 @@
 	isAnswer := s.Payload() > 0 && !f.asked.IsZero()
 	if isAnswer {
 		t.noteTime(now.Sub(f.asked))
-		f.asked = time.Time{}
-		t.running--
+		f = t.endRequest(f)
 	}
 	t.put(s.Key(), f)
 	if s.Resets() {
@@ -194,9 +224,7 @@
 	if !found {
 		return
 	}
-	if !f.asked.IsZero() {
-		t.running--
-	}
+	t.endRequest(f)
 	delete(t.flows, k)
 }
 
@@ -209,6 +237,8 @@
 		silent := now.Sub(f.heard)
 		if silent > idle || (!isOpen && silent > handshakeTime) {
 			t.remove(k)
+		} else if !f.asked.IsZero() && now.Sub(f.asked) > requestTime {
+			t.flows[k] = t.endRequest(f)
 		}
 	}
 }
--- /dev/null
+++ b/sidecar/pkg/relay/table_test.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+var (
+	start   = time.Unix(1000, 0)
+	flowKey = landing.Key{}.WithSource(1).WithSport(2).WithDestination(3).WithDport(4)
+	always  = func(load) landing.Refusal { return landing.RefusalUnspecified }
+	alone   = landing.Position{}.WithMore(true)
+)
+
+// opened returns a table with one open flow.
+func opened(t *testing.T) *table {
+	is := is.New(t)
+	tb := newTable()
+	syn := landing.Segment{}.WithKey(flowKey).WithOpening(true).WithSequence(100)
+	is.Equal(tb.decide(syn, alone, landing.Absent{}, always, start), landing.Take{})
+	tb.noteUpstream(landing.Segment{}.WithKey(flowKey).WithAnswering(true).WithSequence(500), start)
+	ack := landing.Segment{}.WithKey(flowKey).WithAcknowledges(true).WithSequence(101).WithAcknowledged(501)
+	is.Equal(tb.decide(ack, alone, landing.Absent{}, always, start), landing.Complete{})
+	return tb
+}
+
+func request(sequence uint32) landing.Segment {
+	return landing.Segment{}.WithKey(flowKey).WithAcknowledges(true).WithSequence(sequence).WithAcknowledged(501).WithPayload(100)
+}
+
+var answer = landing.Segment{}.WithKey(flowKey).WithAcknowledges(true).WithSequence(501).WithPayload(100)
+
+// A request that is sent again after its answer has begun counted as a second one that never ended, until the upstream
+// seemed full for good: on nosa-lb trouble-1 all downloads waited from second 36 on.
+func TestRequestThatIsSentAgainCountsOnce(t *testing.T) {
+	is := is.New(t)
+	tb := opened(t)
+	tb.decide(request(101), alone, landing.Absent{}, always, start)
+	is.Equal(tb.work(start), 1)
+	is.True(tb.noteUpstream(answer, start))
+	is.Equal(tb.work(start), 0)
+	tb.decide(request(101), alone, landing.Absent{}, always, start)
+	is.Equal(tb.work(start), 0)
+	tb.decide(request(201), alone, landing.Absent{}, always, start)
+	is.Equal(tb.work(start), 1)
+}
+
+func TestRequestOfACallerThatGivesUpTakesNoSlot(t *testing.T) {
+	is := is.New(t)
+	tb := opened(t)
+	tb.decide(request(101), alone, landing.Absent{}, always, start)
+	reset := landing.Segment{}.WithKey(flowKey).WithResets(true).WithSequence(201)
+	tb.decide(reset, alone, landing.Absent{}, always, start)
+	is.Equal(tb.work(start), 0)
+}
+
+func TestRequestWithoutAnswerTakesNoSlotForEver(t *testing.T) {
+	is := is.New(t)
+	tb := opened(t)
+	tb.decide(request(101), alone, landing.Absent{}, always, start)
+	later := start.Add(requestTime + time.Second)
+	tb.expire(time.Hour, later)
+	is.Equal(tb.work(later), 0)
+}
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -22,6 +22,9 @@
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
+// probeTimeout bounds the question whether the upstream's port is open, which is asked on the same instance.
+const probeTimeout = 300 * time.Millisecond
+
 // Traffic relays packets between the fleet, the upstream and the callers.
 type Traffic struct {
 	common    common.Common
@@ -105,11 +108,26 @@
 		t.arrive(d)
 	case landing.Greeting:
 		t.keeper.Post(landing.GreetingChange{}.WithGreeting(d).WithNow(time.Now()))
+	case landing.Inquiry:
+		t.answer(d)
+	case landing.Vouch:
+		t.link.Send(d, d.Home())
 	case landing.Refund, landing.Status, landing.Claim:
 		t.common.Counters().Refused(landing.RefusalMalformed)
 	}
 }
 
+// answer passes an inquiry on to the sidecar that it asks for, or vouches when that is this one.
+func (t *Traffic) answer(q landing.Inquiry) {
+	if q.Subject() == t.link.Home() {
+		t.link.Send(landing.Vouch{}.WithSubject(q.Subject()).WithHome(q.Home()), q.Proxy())
+		return
+	}
+	if q.Proxy() == 0 {
+		t.link.Send(q.WithProxy(t.link.Home()), q.Subject())
+	}
+}
+
 // arrive takes a packet of a caller that came along its chain.
 func (t *Traffic) arrive(p landing.Parcel) {
 	packet, err := platform.OpenPacket(p.Packet())
@@ -161,7 +179,7 @@
 	isAllowed := p.Rules() > s.rules.Rules().Revision() || found && rules.Allows(listener, t.settings.Service())
 	return entry.Refuse(entry.Door{
 		IsForeign:  p.Service() != t.service,
-		IsEnrolled: s.isEnrolled,
+		IsEnrolled: s.IsEnrolled(now),
 		IsAllowed:  s.rules != nil && isAllowed,
 		IsExcluded: s.IsExcluded(t.settings.Zone()),
 		Phase:      s.Phase(now, t.settings.Heartbeat()),
@@ -299,6 +317,17 @@
 	t.carryOut(step, p.WithPacket(packet.Bytes()), packet, segment, refusal)
 }
 
+// hasEnded says whether the upstream's process has ended: its port is closed. That it says it leaves is no proof, since
+// it still serves what it holds.
+func (t *Traffic) hasEnded() bool {
+	conn, err := net.DialTimeout("tcp4", t.settings.Upstream(), probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // resetLost resets the flows of an upstream whose process has ended, so that their callers try again at once.
 func (t *Traffic) resetLost() {
 	list := t.table.clear()
