Stricter proofs around resets and incarnations

Cause: reading the relay path for ways in which an open flow could be reset while its upstream lives. Found: two late heartbeats in a row made a sidecar believe in an ended incarnation; a greeting for a former sidecar at the same address counted as enrollment; the read that confirms a walk was a watch, which is deaf while the store drops its history; a copy of an opening packet could be refused after an earlier copy had opened the flow; a sidecar that had just started denied flows of a listener that has moved to another service.

--- a/balancer/pkg/relay/prover.go
+++ b/balancer/pkg/relay/prover.go
@@ -84,7 +84,8 @@
 func (p *Prover) prove(list map[landing.Key]nobody) {
 	snapshot := p.keeper.Snapshot()
 	known := snapshot.directory.Roll()
-	read, err := p.store.Roll(p.ctx, known, 0)
+	// The whole list is read, since a watch can miss what happened while the store drops its history.
+	read, err := p.store.Roll(p.ctx, known.WithRevision(0), 0)
 	if err != nil {
 		p.common.Log().Info("flows not reset", "reason", "platform cannot be read", "flows", len(list), "error", err.Error())
 		return
--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -234,9 +234,8 @@
 		WithHome(t.link.Home()).
 		WithRules(s.rules.Rules().Revision()).
 		WithExclusions(s.exclusions.Changed()).
-		WithRoll(s.directory.Roll().Revision()).
-		WithEnrolled(true)
+		WithRoll(s.directory.Roll().Revision())
 	for _, n := range s.directory.Neighbors() {
-		t.link.Send(g, n.Hop())
+		t.link.Send(g.WithInstance(n.Enrollment().Instance()), n.Hop())
 	}
 }
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -120,8 +120,10 @@
 func (t *Traffic) refuseUnlisted(segment landing.Segment) {
 	t.common.Counters().Refused(landing.RefusalService)
 	hop, found := t.cache.find(segment.Key(), time.Now())
-	if segment.Opening() || found {
+	if found {
 		t.cache.forget(segment.Key(), hop)
+	}
+	if found || segment.Opening() && segment.Copies() == 0 {
 		t.reset(segment, landing.RefusalService)
 	}
 }
@@ -205,7 +207,7 @@
 			}
 		}
 	}
-	t.reset(segment, landing.RefusalZone)
+	t.refuseNew(segment, landing.RefusalZone)
 }
 
 // forward sends a packet of a flow that is not new to the sidecar that holds it.
@@ -363,6 +365,16 @@
 			"reason", reason.String(), "behind", isBehind)
 		return
 	}
+	t.refuseNew(segment, reason)
+}
+
+// refuseNew refuses a new flow at once. An earlier copy of its opening packet may have opened it meanwhile, so a copy
+// is not answered.
+func (t *Traffic) refuseNew(segment landing.Segment, reason landing.Refusal) {
+	if _, isHeld := t.cache.find(segment.Key(), time.Now()); isHeld || segment.Copies() > 0 {
+		t.common.Counters().Refused(reason)
+		return
+	}
 	t.reset(segment, reason)
 }
 
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -237,7 +237,7 @@
 	m.Rules = v.Rules()
 	m.Exclusions = v.Exclusions()
 	m.Roll = v.Roll()
-	m.Enrolled = v.Enrolled()
+	m.Instance = v.Instance()
 	return m
 }
 
@@ -248,7 +248,7 @@
 	v = v.WithRules(m.GetRules())
 	v = v.WithExclusions(m.GetExclusions())
 	v = v.WithRoll(m.GetRoll())
-	v = v.WithEnrolled(m.GetEnrolled())
+	v = v.WithInstance(m.GetInstance())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -670,7 +670,7 @@
 	rules      uint64
 	exclusions uint64
 	roll       uint64
-	enrolled   bool
+	instance   string
 }
 
 func (Greeting) isDatagram() {}
@@ -723,15 +723,15 @@
 	return v
 }
 
-// Enrolled returns the field of this name:
-// Whether the sidecar is enrolled as far as the balancer knows.
-func (v Greeting) Enrolled() bool {
-	return v.enrolled
+// Instance returns the field of this name:
+// Instance name under which the sidecar at this address is enrolled, as far as the balancer knows.
+func (v Greeting) Instance() string {
+	return v.instance
 }
 
-// WithEnrolled returns a copy with another enrolled.
-func (v Greeting) WithEnrolled(enrolled bool) Greeting {
-	v.enrolled = enrolled
+// WithInstance returns a copy with another instance.
+func (v Greeting) WithInstance(instance string) Greeting {
+	v.instance = instance
 	return v
 }
 
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -329,7 +329,7 @@
 	b = field.AppendUint(b, 2, v.Rules())
 	b = field.AppendUint(b, 3, v.Exclusions())
 	b = field.AppendUint(b, 4, v.Roll())
-	b = field.AppendBool(b, 5, v.Enrolled())
+	b = field.AppendString(b, 5, v.Instance())
 	return b
 }
 
@@ -348,7 +348,7 @@
 		case 4:
 			v = v.WithRoll(r.Uint())
 		case 5:
-			v = v.WithEnrolled(r.Bool())
+			v = v.WithInstance(r.String())
 		}
 	}
 	return v, r.Err()
--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -18,6 +18,8 @@
 	// Patience is the longest time for which an opening packet waits after its last copy: a caller sends copies
 	// 200 and 600 ms after the first and gives up 800 ms after the last.
 	Patience = 800 * time.Millisecond
+	// copyAfter is the time after which a caller sends the next copy of its opening packet.
+	copyAfter = 200 * time.Millisecond
 	// guess is the time that an upstream is taken to need for a request before any was measured.
 	guess = 50 * time.Millisecond
 )
@@ -61,7 +63,8 @@
 }
 
 // Cut returns the backlog without those whose callers have given up, and with at most limit packets. Those beyond it
-// are returned to be refused: of the lowest priority first, and of these the oldest.
+// go: of the lowest priority first, and of these the oldest. They are returned to be refused, but for those of which a
+// copy may already have opened the flow elsewhere.
 func (b Backlog) Cut(limit int, now time.Time) (Backlog, []landing.Wait) {
 	kept := slices.DeleteFunc(slices.Clone(b.waits), func(w landing.Wait) bool {
 		return now.Sub(w.Arrived()) > Patience
@@ -75,7 +78,10 @@
 		}
 		return 1
 	})
-	return Backlog{waits: kept[:limit:limit]}, kept[limit:]
+	refused := slices.DeleteFunc(slices.Clone(kept[limit:]), func(w landing.Wait) bool {
+		return now.Sub(w.Arrived()) >= copyAfter
+	})
+	return Backlog{waits: kept[:limit:limit]}, refused
 }
 
 // isBefore says whether a is served before b.
--- a/core/pkg/backlog/backlog_test.go
+++ b/core/pkg/backlog/backlog_test.go
@@ -107,3 +107,11 @@
 	is.True(replay(oldestFirst) < 0.5)
 	is.True(replay(Backlog.Next) > 0.8)
 }
+
+// The copy of a packet that has waited for 200 ms may have opened the flow at another sidecar by now.
+func TestPacketWhoseCopyMayHaveOpenedTheFlowIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	kept, refused := Backlog{}.With(wait(1, 2, 0)).With(wait(2, 2, 0)).Cut(1, start.Add(copyAfter))
+	is.Equal(kept.Len(), 1)
+	is.Equal(len(refused), 0)
+}
--- a/core/pkg/presence/presence.go
+++ b/core/pkg/presence/presence.go
@@ -14,9 +14,11 @@
 	// missedBeats is the number of heartbeats that may be missing before the upstream counts as silent.
 	// One can be lost, and one be under way.
 	missedBeats = 3
-	// contenderBeats is the number of heartbeats in a row after which an incarnation that seems older is believed:
-	// its clock may have been set back.
+	// contenderBeats is the number of later heartbeats after which an incarnation that seems older is believed, once
+	// the present one is silent: its clock may have been set back.
 	contenderBeats = 2
+	// contenderSilence is the time without a heartbeat of the present incarnation for that: several heartbeats.
+	contenderSilence = 3 * time.Second
 	// firstSequence is the number of an incarnation's first heartbeat, at most.
 	firstSequence = 1
 )
@@ -67,8 +69,8 @@
 		}
 		return update(p, b, now)
 	}
-	if p.Incarnation() != "" && b.Born().Before(p.Born()) && !isBelieved(p, b) {
-		return p.WithContender(b.Incarnation()).WithContending(b.Sequence())
+	if p.Incarnation() != "" && b.Born().Before(p.Born()) && !isBelieved(p, b, now) {
+		return contend(p, b)
 	}
 	next := landing.Presence{}.
 		WithIncarnation(b.Incarnation()).
@@ -77,9 +79,18 @@
 	return update(next, b, now)
 }
 
-// isBelieved says whether b is the next of several heartbeats of an incarnation that seems older.
-func isBelieved(p landing.Presence, b landing.Beat) bool {
-	return p.Contender() == b.Incarnation() && b.Sequence() >= p.Contending()+contenderBeats-1 && b.Sequence() > p.Contending()
+// contend notes a heartbeat of an incarnation that seems older.
+func contend(p landing.Presence, b landing.Beat) landing.Presence {
+	if p.Contender() == b.Incarnation() {
+		return p
+	}
+	return p.WithContender(b.Incarnation()).WithContending(b.Sequence())
+}
+
+// isBelieved says whether b is one of several heartbeats of an incarnation that seems older, while the present one is
+// silent. Late heartbeats of an incarnation that has ended arrive between those of the present one.
+func isBelieved(p landing.Presence, b landing.Beat, now time.Time) bool {
+	return p.Contender() == b.Incarnation() && b.Sequence() >= p.Contending()+contenderBeats && now.Sub(p.Heard()) > contenderSilence
 }
 
 func update(p landing.Presence, b landing.Beat, now time.Time) landing.Presence {
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -77,7 +77,7 @@
 // New returns a sidecar whose sockets are open. It returns an error when an address cannot be used.
 func New(c common.Common, s landing.RelaySidecarSettings) (*Sidecar, error) {
 	sc := &Sidecar{common: c}
-	sc.keeper = NewKeeper(c, s.Service(), s.Zone(), func() { sc.traffic.resetLost() })
+	sc.keeper = NewKeeper(c, s, func() { sc.traffic.resetLost() })
 	traffic, err := NewTraffic(c, s, sc.keeper)
 	if err != nil {
 		return nil, err
--- a/sidecar/pkg/relay/keeper.go
+++ b/sidecar/pkg/relay/keeper.go
@@ -18,6 +18,7 @@
 	common   common.Common
 	zone     string
 	service  string
+	instance string
 	thread   *common.Thread
 	snapshot atomic.Pointer[Snapshot]
 	behind   chan struct{}
@@ -25,16 +26,17 @@
 	ended    func()
 }
 
-// NewKeeper returns a keeper for a sidecar of this service in this zone. Ended is called when the upstream's
-// process has ended.
-func NewKeeper(c common.Common, service, zone string, ended func()) *Keeper {
+// NewKeeper returns a keeper for the sidecar with these settings. Ended is called when the upstream's process has ended.
+func NewKeeper(c common.Common, s landing.RelaySidecarSettings, ended func()) *Keeper {
 	k := &Keeper{
-		common:  c,
-		zone:    zone,
-		thread:  common.NewThread(changeBuffer),
-		behind:  make(chan struct{}, 1),
-		serving: make(chan struct{}, 1),
-		ended:   ended,
+		common:   c,
+		zone:     s.Zone(),
+		service:  s.Service(),
+		instance: s.Instance(),
+		thread:   common.NewThread(changeBuffer),
+		behind:   make(chan struct{}, 1),
+		serving:  make(chan struct{}, 1),
+		ended:    ended,
 	}
 	k.snapshot.Store(&Snapshot{})
 	return k
@@ -92,7 +94,7 @@
 	case landing.GreetingChange:
 		g := c.Greeting()
 		k.compare(s, g.Rules(), g.Exclusions())
-		if g.Enrolled() {
+		if g.Instance() == k.instance {
 			s = s.WithEnrolled(c.Now())
 		}
 		return s.WithHome(g.Home(), c.Now())
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -147,21 +147,11 @@
 		return refusal
 	}
 	at := t.position(s, p)
-	step := t.table.decide(segment, at, t.unknown(s, segment), refuse, now)
+	step := t.table.decide(segment, at, s.Unknown(), refuse, now)
 	t.logStep(segment, p, step, refusal)
 	t.carryOut(step, p, packet, segment, refusal)
 }
 
-// unknown returns the stage of a flow that is not in the table. A flow that never went to this service is not
-// asked for, so that no packet of another service reaches the upstream.
-func (t *Traffic) unknown(s Snapshot, segment landing.Segment) landing.Stage {
-	l, found := s.rules.Find(segment.Key())
-	if s.rules != nil && (!found || !rules.Allows(l, t.settings.Service())) {
-		return landing.Absent{}
-	}
-	return s.Unknown()
-}
-
 func (t *Traffic) position(s Snapshot, p landing.Parcel) landing.Position {
 	l := t.table.load()
 	return landing.Position{}.
