Decoded values own their bytes; walks are bounded

The chain that a sidecar remembers for a packet that may come back referred to the read buffer; when the upstream returned the packet, the set of asked sidecars was that of another datagram, and the walk never ended (part 303 over 44 sidecars). Ruled out: restarts by a changing roll (none in those seconds), relays by way of proxies. Change: decoded bytes are copied; a walk has at most 64 parts.

--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -29,6 +29,9 @@
 	// lastCopy is the number of the copy of an opening packet with which another sidecar is tried, although the
 	// first one is heard: two lost packets in a row are rare.
 	lastCopy = 2
+	// maxParts bounds a walk: 64 parts are 1,536 sidecars of one region, and a walk that begins anew with each change of
+	// the roll ends.
+	maxParts = 64
 	// freshStatus is the age of a status up to which its sidecar is taken to live: one interval and some slack.
 	freshStatus = 350 * time.Millisecond
 )
@@ -243,6 +246,10 @@
 		t.note(s, segment, p)
 		return
 	}
+	if p.Part() >= maxParts {
+		t.common.Counters().Counter("walks_broken_off").Inc(1)
+		return
+	}
 	t.send(p.WithHops(hops...).WithPosition(0).WithPart(p.Part() + 1))
 }
 
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -428,11 +428,11 @@
 		case 9:
 			v = v.WithRecalled(r.Bool())
 		case 10:
-			v = v.WithPacket(r.Bytes())
+			v = v.WithPacket(r.Copy())
 		case 11:
 			v = v.WithRoll(r.Uint())
 		case 12:
-			v = v.WithAsked(r.Bytes())
+			v = v.WithAsked(r.Copy())
 		}
 	}
 	v = v.WithHops(hops...)
--- a/core/pkg/field/field.go
+++ b/core/pkg/field/field.go
@@ -3,6 +3,7 @@
 package field
 
 import (
+	"bytes"
 	"math"
 	"time"
 
@@ -213,6 +214,11 @@
 	return r.bytes
 }
 
+// Copy returns a copy of the present field, so that a value outlives the buffer that it was read from.
+func (r *Reader) Copy() []byte {
+	return bytes.Clone(r.bytes)
+}
+
 // Duration returns the present field as a duration.
 func (r *Reader) Duration() time.Duration {
 	return time.Duration(r.number64)
--- a/sidecar/pkg/relay/waiting.go
+++ b/sidecar/pkg/relay/waiting.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"sync"
 	"time"
 
@@ -60,7 +59,7 @@
 	listener, _ := s.rules.Find(segment.Key())
 	t.table.forget(segment.Key())
 	wait := landing.Wait{}.
-		WithParcel(p.WithPacket(bytes.Clone(p.Packet()))).
+		WithParcel(p).
 		WithKey(segment.Key()).
 		WithPriority(listener.Priority()).
 		WithArrived(now)
--- a/valuegen/pkg/value/wire.go
+++ b/valuegen/pkg/value/wire.go
@@ -182,6 +182,8 @@
 		}
 	case protoreflect.Uint32Kind:
 		return "uint32(r.Uint())"
+	case protoreflect.BytesKind:
+		return "r.Copy()"
 	default:
 		return "r." + wireName(f.Desc.Kind()) + "()"
 	}
