Calls to the platform: watches paced by the size of the fleet, sidecars read recent answers

Change: core/pkg/pace spreads watches over the fleet (sidecars tell how many balancers greet); a pause after an event takes in a storm together; sidecars read only what is behind, with a recent answer when it is new enough.

--- a/balancer/pkg/relay/prover.go
+++ b/balancer/pkg/relay/prover.go
@@ -85,7 +85,7 @@
 	snapshot := p.keeper.Snapshot()
 	known := snapshot.directory.Roll()
 	// The whole list is read, since a watch can miss what happened while the store drops its history.
-	read, err := p.store.Roll(p.ctx, known.WithRevision(0), 0)
+	read, err := p.store.ReadRoll(p.ctx)
 	if err != nil {
 		p.common.Log().Info("flows not reset", "reason", "platform cannot be read", "flows", len(list), "error", err.Error())
 		return
--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -80,3 +80,12 @@
 	}
 	return hops
 }
+
+// Balancers returns the number of balancers in the fleet, as far as sidecars tell.
+func (s Snapshot) Balancers() int {
+	count := 1
+	for _, n := range s.directory.Neighbors() {
+		count = max(count, int(n.Status().Homes()))
+	}
+	return count
+}
--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -8,16 +8,15 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
+	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
 	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
 const (
-	// watchWait is the time for which a watch of rules or exclusions waits. A watch can go silent when the store
-	// drops its history; the next one begins well before a change must be in force (3 s).
-	watchWait = 1500 * time.Millisecond
-	// rollWait is the same for the roll, which no rule bounds.
-	rollWait = 3 * time.Second
+	// rollFactor is how many times as long a watch of the roll waits: no promise bounds how soon a sidecar is known.
+	rollFactor = 2
 	// failPause is the pause after a call that failed, on average.
 	failPause = 300 * time.Millisecond
 	// greetInterval is the time between two greetings to a sidecar; a sidecar forgets a balancer after three.
@@ -101,7 +100,14 @@
 func (s *Sync) watchRules() func() error {
 	since := uint64(0)
 	return func() error {
-		rules, revision, err := s.store.Rules(s.ctx, since, watchWait)
+		var rules landing.Rules
+		var revision uint64
+		var err error
+		if since == 0 {
+			rules, revision, err = s.store.ReadRules(s.ctx, platform.Newest)
+		} else {
+			rules, revision, err = s.store.WatchRules(s.ctx, since, s.wait())
+		}
 		if err != nil {
 			since = sinceAfter(err, since)
 			s.askPeers()
@@ -110,11 +116,17 @@
 		since = revision
 		if rules.Revision() > 0 {
 			s.keeper.Post(landing.RulesChange{}.WithRules(rules))
+			s.pause(pace.AfterEvent)
 		}
 		return nil
 	}
 }
 
+// wait returns the time for which the next watch waits.
+func (s *Sync) wait() time.Duration {
+	return pace.Wait(s.keeper.Snapshot().Balancers())
+}
+
 // sinceAfter returns the revision from which a watch goes on after an error; 0 when all must be read anew.
 func sinceAfter(err error, since uint64) uint64 {
 	if errors.Is(err, platform.ErrHistoryGone) {
@@ -126,7 +138,13 @@
 func (s *Sync) watchExclusions() func() error {
 	known := landing.Exclusions{}
 	return func() error {
-		next, err := s.store.Exclusions(s.ctx, known, watchWait)
+		var next landing.Exclusions
+		var err error
+		if known.Revision() == 0 {
+			next, err = s.store.ReadExclusions(s.ctx, known, platform.Newest)
+		} else {
+			next, err = s.store.WatchExclusions(s.ctx, known, s.wait())
+		}
 		if err != nil {
 			known = known.WithRevision(sinceAfter(err, known.Revision()))
 			return err
@@ -140,13 +158,23 @@
 func (s *Sync) watchRoll() func() error {
 	known := landing.Roll{}
 	return func() error {
-		next, err := s.store.Roll(s.ctx, known, rollWait)
+		var next landing.Roll
+		var err error
+		if known.Revision() == 0 {
+			next, err = s.store.ReadRoll(s.ctx)
+		} else {
+			next, err = s.store.WatchRoll(s.ctx, known, rollFactor*s.wait())
+		}
 		if err != nil {
 			known = known.WithRevision(sinceAfter(err, known.Revision()))
 			return err
 		}
+		isChanged := !directory.SameSidecars(known, next)
 		known = next
 		s.keeper.Post(landing.RollChange{}.WithRoll(next))
+		if isChanged {
+			s.pause(pace.AfterEvent)
+		}
 		return nil
 	}
 }
@@ -183,13 +211,14 @@
 	}
 }
 
+// readNewest reads what is behind.
 func (s *Sync) readNewest() error {
-	rules, _, err := s.store.Rules(s.ctx, 0, 0)
+	rules, _, err := s.store.ReadRules(s.ctx, platform.Newest)
 	if err != nil {
 		return err
 	}
 	s.keeper.Post(landing.RulesChange{}.WithRules(rules))
-	exclusions, err := s.store.Exclusions(s.ctx, s.keeper.Snapshot().exclusions.WithRevision(0), 0)
+	exclusions, err := s.store.ReadExclusions(s.ctx, s.keeper.Snapshot().exclusions, platform.Newest)
 	if err != nil {
 		return err
 	}
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -210,6 +210,7 @@
 	m.Rules = v.Rules()
 	m.Exclusions = v.Exclusions()
 	m.Born = v.Born()
+	m.Homes = v.Homes()
 	return m
 }
 
@@ -229,6 +230,7 @@
 	v = v.WithRules(m.GetRules())
 	v = v.WithExclusions(m.GetExclusions())
 	v = v.WithBorn(m.GetBorn())
+	v = v.WithHomes(m.GetHomes())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -517,6 +517,7 @@
 	rules       uint64
 	exclusions  uint64
 	born        uint64
+	homes       uint32
 }
 
 func (Status) isDatagram() {}
@@ -677,6 +678,18 @@
 	return v
 }
 
+// Homes returns the field of this name:
+// Number of balancers that greet the sidecar.
+func (v Status) Homes() uint32 {
+	return v.homes
+}
+
+// WithHomes returns a copy with another homes.
+func (v Status) WithHomes(homes uint32) Status {
+	v.homes = homes
+	return v
+}
+
 // Greeting is what a balancer tells a sidecar from which it wants statuses.
 type Greeting struct {
 	home       uint64
--- /dev/null
+++ b/core/pkg/pace/pace.go
@@ -0,0 +1,32 @@
+// Package pace decides how long watches of the platform wait, and how long a process pauses between two calls.
+//
+// It answers two loads. Every call is priced and the platform's rates are shared by the fleet, so the more balancers
+// there are, the fewer calls each of them makes: whoever sees a change first tells the others along with what it sends
+// anyway. And when the platform drops its history, all watches go silent at once, so across the fleet one watch must
+// begin anew often enough for a change to be in force in time.
+package pace
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// fleetInterval is the time between the begins of two watches of a topic anywhere in the fleet, on average. A change
+	// must be in force within 3 s.
+	fleetInterval = 500 * time.Millisecond
+	// leastWait bounds the calls of a single balancer.
+	leastWait = 1500 * time.Millisecond
+	// mostWait bounds the time for which a balancer that hears from no other one is behind: a part of the 12 s by which
+	// a change may be late after the platform has dropped its history.
+	mostWait = 8 * time.Second
+	// AfterEvent is the pause after a watch that brought a change, so that a storm of changes is taken in together.
+	AfterEvent = 250 * time.Millisecond
+)
+
+// Wait returns the time for which a watch waits in a fleet of this many balancers.
+func Wait(balancers int) time.Duration {
+	wait := min(max(time.Duration(balancers)*fleetInterval, leastWait), mostWait)
+	// Without jitter the watches of balancers that started together would begin together.
+	return wait*3/4 + rand.N(wait/2)
+}
--- /dev/null
+++ b/core/pkg/pace/pace_test.go
@@ -0,0 +1,31 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// With 17 balancers that each watched for 1.5 s the calls to the platform were the largest price of a quiet day.
+func TestFleetMakesNoMoreCallsWhenItGrows(t *testing.T) {
+	is := is.New(t)
+	for _, balancers := range []int{3, 5, 17} {
+		total := 0.0
+		for range balancers * 100 {
+			total += 1 / Wait(balancers).Seconds() / 100
+		}
+		is.True(total < 2.3)
+	}
+}
+
+func TestSomeWatchBeginsAnewInTime(t *testing.T) {
+	is := is.New(t)
+	for _, balancers := range []int{1, 5, 17, 200} {
+		for range 100 {
+			is.True(Wait(balancers) <= 10*time.Second)
+			is.True(Wait(balancers) >= time.Second)
+		}
+	}
+	is.True(Wait(1) <= 3*time.Second)
+}
--- a/sidecar/pkg/relay/keeper.go
+++ b/sidecar/pkg/relay/keeper.go
@@ -93,13 +93,13 @@
 		return k.see(s, c.Sight())
 	case landing.GreetingChange:
 		g := c.Greeting()
-		k.compare(s, g.Rules(), g.Exclusions())
+		s = k.compare(s, g.Rules(), g.Exclusions())
 		if g.Instance() == k.instance {
 			s = s.WithEnrolled(c.Now())
 		}
 		return s.WithHome(g.Home(), c.Now())
 	case landing.RevisionChange:
-		k.compare(s, c.Rules(), c.Exclusions())
+		return k.compare(s, c.Rules(), c.Exclusions())
 	case landing.RollChange, landing.StatusChange, landing.TimeChange, landing.VouchChange, landing.InquiryChange:
 	}
 	return s
@@ -150,10 +150,12 @@
 	return before.Phase() != landing.PhaseLeft && after.Phase() == landing.PhaseLeft
 }
 
-func (k *Keeper) compare(s Snapshot, rulesRevision, exclusionsChanged uint64) {
-	if rulesRevision > s.rules.Rules().Revision() || exclusionsChanged > s.exclusions.Revision() {
+func (k *Keeper) compare(s Snapshot, rulesRevision, exclusionsChanged uint64) Snapshot {
+	s = s.WithWanted(rulesRevision, exclusionsChanged)
+	if s.IsBehind() {
 		notify(k.behind)
 	}
+	return s
 }
 
 func notify(ch chan struct{}) {
--- a/sidecar/pkg/relay/report.go
+++ b/sidecar/pkg/relay/report.go
@@ -63,7 +63,8 @@
 		WithRoom(uint32(max(t.room(s, l, now), 0))).
 		WithRules(s.rules.Rules().Revision()).
 		WithExclusions(s.exclusions.Changed()).
-		WithBorn(bornMillis(s.presence))
+		WithBorn(bornMillis(s.presence)).
+		WithHomes(uint32(len(s.homes)))
 	for _, h := range s.homes {
 		if now.Sub(h.greeted) <= homeTime {
 			t.link.Send(status, h.hop)
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -20,6 +20,13 @@
 	homes      []home
 	enrolled   time.Time
 	isStopping bool
+	wanted     revisions
+}
+
+// revisions are the newest ones that other processes have shown.
+type revisions struct {
+	rules      uint64
+	exclusions uint64
 }
 
 // home is a balancer that wants statuses.
@@ -74,6 +81,20 @@
 	return s
 }
 
+// WithWanted returns a copy that knows of these revisions of rules and of the last change of exclusions.
+func (s Snapshot) WithWanted(rulesRevision, exclusionsChanged uint64) Snapshot {
+	s.wanted = revisions{
+		rules:      max(s.wanted.rules, rulesRevision),
+		exclusions: max(s.wanted.exclusions, exclusionsChanged),
+	}
+	return s
+}
+
+// IsBehind says whether other processes have shown newer rules or exclusions.
+func (s Snapshot) IsBehind() bool {
+	return s.wanted.rules > s.rules.Rules().Revision() || s.wanted.exclusions > s.exclusions.Revision()
+}
+
 // IsGreeted says whether any balancer has greeted in the last while.
 func (s Snapshot) IsGreeted(now time.Time) bool {
 	return slices.ContainsFunc(s.homes, func(h home) bool { return now.Sub(h.greeted) <= homeTime })
--- a/sidecar/pkg/relay/sync.go
+++ b/sidecar/pkg/relay/sync.go
@@ -91,17 +91,14 @@
 	}
 }
 
-// read reads rules and exclusions from the platform, or else from a balancer.
+// read reads what is behind from the platform, or else from a balancer.
 func (s *Sync) read() {
-	rules, _, err := s.store.Rules(s.ctx, 0, 0)
+	err := s.readRules()
 	if err == nil {
-		s.keeper.Post(landing.RulesChange{}.WithRules(rules))
-		var exclusions landing.Exclusions
-		exclusions, err = s.store.Exclusions(s.ctx, s.keeper.Snapshot().exclusions.WithRevision(0), 0)
-		if err == nil {
-			s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
-			return
-		}
+		err = s.readExclusions()
+	}
+	if err == nil {
+		return
 	}
 	s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
 	picture, err := s.peers.Picture(s.ctx, s.keeper.Snapshot().Homes())
@@ -114,6 +111,47 @@
 	s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(picture.Exclusions()))
 }
 
+// readRules reads the rules when a balancer has newer ones, or when none has told. A recent answer is enough when it is as
+// new as what the balancer has.
+func (s *Sync) readRules() error {
+	n := s.keeper.Snapshot()
+	known := n.rules.Rules().Revision()
+	if known > 0 && n.wanted.rules <= known && n.IsGreeted(time.Now()) {
+		return nil
+	}
+	for _, f := range []platform.Freshness{platform.Recent, platform.Newest} {
+		rules, _, err := s.store.ReadRules(s.ctx, f)
+		if err != nil {
+			return err
+		}
+		s.keeper.Post(landing.RulesChange{}.WithRules(rules))
+		if rules.Revision() > 0 && rules.Revision() >= n.wanted.rules {
+			return nil
+		}
+	}
+	return nil
+}
+
+// readExclusions does the same for the exclusions.
+func (s *Sync) readExclusions() error {
+	n := s.keeper.Snapshot()
+	known := n.exclusions
+	if known.Revision() > 0 && n.wanted.exclusions <= known.Revision() && n.IsGreeted(time.Now()) {
+		return nil
+	}
+	for _, f := range []platform.Freshness{platform.Recent, platform.Newest} {
+		exclusions, err := s.store.ReadExclusions(s.ctx, known, f)
+		if err != nil {
+			return err
+		}
+		s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
+		if exclusions.Revision() >= n.wanted.exclusions {
+			return nil
+		}
+	}
+	return nil
+}
+
 // enroll writes the sidecar's enrollment when its upstream serves for the first time, and again when no balancer has
 // greeted for a while: it may have been removed while the sidecar was cut off.
 func (s *Sync) enroll() {
