Sidecars record their long flows at the platform and reset them after a loss of power

Cause: after everything lost power nobody remembers which flows were open. Ruled out: finding the flows from packets of the same callers (ports and numbers are not known); records in other processes (all lose power). Change: each sidecar writes the flows that its upstream has held for 2 s to an object of its own, every 5 s and more slowly in larger fleets, and reads it at its start; flows of an earlier incarnation are reset at once. Tests: TestLongOpenFlowsAreHeld, TestRecordsTakeAFixedShareOfThePlatform.

--- a/balancer/pkg/relay/cache.go
+++ b/balancer/pkg/relay/cache.go
@@ -75,20 +75,14 @@
 	c.flows[k] = place{hop: hop, heard: now, born: born, acknowledged: p.acknowledged}
 }
 
-// lost is a flow whose upstream has ended.
-type lost struct {
-	key          landing.Key
-	acknowledged uint32
-}
-
 // takeLost forgets and returns the flows that earlier incarnations of a sidecar's upstream held.
-func (c *cache) takeLost(hop, born uint64) []lost {
+func (c *cache) takeLost(hop, born uint64) []landing.Held {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []lost
+	var list []landing.Held
 	for k, p := range c.flows {
 		if p.hop == hop && presence.IsEnded(p.born, born) {
-			list = append(list, lost{key: k, acknowledged: p.acknowledged})
+			list = append(list, landing.Held{}.WithKey(k).WithAcknowledged(p.acknowledged))
 			delete(c.flows, k)
 		}
 	}
--- a/balancer/pkg/relay/prover.go
+++ b/balancer/pkg/relay/prover.go
@@ -58,12 +58,8 @@
 		case n := <-p.nobodies:
 			p.prove(p.collect(n))
 		}
-		timer := time.NewTimer(provePause)
-		select {
-		case <-p.done.C():
-			timer.Stop()
+		if !common.Pause(p.done, provePause) {
 			return
-		case <-timer.C:
 		}
 	}
 }
--- a/balancer/pkg/relay/reaper.go
+++ b/balancer/pkg/relay/reaper.go
@@ -93,12 +93,8 @@
 
 // reap removes the enrollments of sidecars that are still gone after a pause. It returns false when the reaper stops.
 func (r *Reaper) reap() bool {
-	timer := time.NewTimer(rand.N(reapPause))
-	defer timer.Stop()
-	select {
-	case <-r.done.C():
+	if !common.Pause(r.done, rand.N(reapPause)) {
 		return false
-	case <-timer.C:
 	}
 	for _, n := range r.keeper.Snapshot().directory.Neighbors() {
 		if !absence.IsGone(n, time.Now()) {
--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -82,7 +82,7 @@
 			isLost = err != nil
 			s.logPlatform(err)
 		}
-		if err != nil && !s.pause(failPause/2+rand.N(failPause)) {
+		if err != nil && !common.Pause(s.done, failPause/2+rand.N(failPause)) {
 			return
 		}
 	}
@@ -116,7 +116,7 @@
 		since = revision
 		if rules.Revision() > 0 {
 			s.keeper.Post(landing.RulesChange{}.WithRules(rules))
-			s.pause(pace.AfterEvent)
+			common.Pause(s.done, pace.AfterEvent)
 		}
 		return nil
 	}
@@ -173,7 +173,7 @@
 		known = next
 		s.keeper.Post(landing.RollChange{}.WithRoll(next))
 		if isChanged {
-			s.pause(pace.AfterEvent)
+			common.Pause(s.done, pace.AfterEvent)
 		}
 		return nil
 	}
@@ -205,7 +205,7 @@
 			s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
 			s.askPeers()
 		}
-		if !s.pause(failPause) {
+		if !common.Pause(s.done, failPause) {
 			return
 		}
 	}
@@ -245,25 +245,14 @@
 	}
 }
 
-// pause waits; it returns false when the sync stops.
-func (s *Sync) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-s.done.C():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // greet asks all sidecars for statuses and tells them what this balancer knows.
 func (t *Traffic) greet(s Snapshot) {
 	g := landing.Greeting{}.
 		WithHome(t.link.Home()).
 		WithRules(s.rules.Rules().Revision()).
 		WithExclusions(s.exclusions.Changed()).
-		WithRoll(s.directory.Roll().Revision())
+		WithRoll(s.directory.Roll().Revision()).
+		WithSidecars(uint32(len(s.directory.Neighbors())))
 	for _, n := range s.directory.Neighbors() {
 		t.link.Send(g.WithInstance(n.Enrollment().Instance()), n.Hop())
 	}
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -418,7 +418,7 @@
 	}
 	for _, f := range list {
 		t.common.Counters().Counter("reset.ended").Inc(1)
-		t.resetCaller(f.key, f.acknowledged)
+		t.resetCaller(f.Key(), f.Acknowledged())
 	}
 }
 
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -242,6 +242,7 @@
 	m.Exclusions = v.Exclusions()
 	m.Roll = v.Roll()
 	m.Instance = v.Instance()
+	m.Sidecars = v.Sidecars()
 	return m
 }
 
@@ -253,6 +254,7 @@
 	v = v.WithExclusions(m.GetExclusions())
 	v = v.WithRoll(m.GetRoll())
 	v = v.WithInstance(m.GetInstance())
+	v = v.WithSidecars(m.GetSidecars())
 	return v
 }
 
@@ -855,3 +857,41 @@
 	v = v.WithArrived(m.GetArrived().AsTime())
 	return v
 }
+
+// EncodeHoldings returns the message for v.
+func EncodeHoldings(v landing.Holdings) *landingpb.Holdings {
+	m := &landingpb.Holdings{}
+	m.Born = v.Born()
+	for i := range v.FlowsLen() {
+		m.Flows = append(m.Flows, EncodeHeld(v.FlowsAt(i)))
+	}
+	return m
+}
+
+// DecodeHoldings returns the value of m; the zero value when m is nil.
+func DecodeHoldings(m *landingpb.Holdings) landing.Holdings {
+	v := landing.Holdings{}
+	v = v.WithBorn(m.GetBorn())
+	var flows []landing.Held
+	for _, e := range m.GetFlows() {
+		flows = append(flows, DecodeHeld(e))
+	}
+	v = v.WithFlows(flows...)
+	return v
+}
+
+// EncodeHeld returns the message for v.
+func EncodeHeld(v landing.Held) *landingpb.Held {
+	m := &landingpb.Held{}
+	m.Key = EncodeKey(v.Key())
+	m.Acknowledged = v.Acknowledged()
+	return m
+}
+
+// DecodeHeld returns the value of m; the zero value when m is nil.
+func DecodeHeld(m *landingpb.Held) landing.Held {
+	v := landing.Held{}
+	v = v.WithKey(DecodeKey(m.GetKey()))
+	v = v.WithAcknowledged(m.GetAcknowledged())
+	return v
+}
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -697,6 +697,7 @@
 	exclusions uint64
 	roll       uint64
 	instance   string
+	sidecars   uint32
 }
 
 func (Greeting) isDatagram() {}
@@ -761,6 +762,18 @@
 	return v
 }
 
+// Sidecars returns the field of this name:
+// Number of enrolled sidecars.
+func (v Greeting) Sidecars() uint32 {
+	return v.sidecars
+}
+
+// WithSidecars returns a copy with another sidecars.
+func (v Greeting) WithSidecars(sidecars uint32) Greeting {
+	v.sidecars = sidecars
+	return v
+}
+
 // Claim tells a balancer which sidecar holds a flow.
 type Claim struct {
 	key  Key
@@ -1930,3 +1943,74 @@
 	v.arrived = arrived
 	return v
 }
+
+// Holdings are what the platform keeps of the flows that an upstream holds, so that their callers can be told when a loss
+// of power has ended them.
+type Holdings struct {
+	born  uint64
+	flows []Held
+}
+
+// Born returns the field of this name:
+// Start of the upstream's incarnation that holds them, as in Status.
+func (v Holdings) Born() uint64 {
+	return v.born
+}
+
+// WithBorn returns a copy with another born.
+func (v Holdings) WithBorn(born uint64) Holdings {
+	v.born = born
+	return v
+}
+
+// Flows returns a copy of the list of this name:
+// The flows.
+func (v Holdings) Flows() []Held {
+	return slices.Clone(v.flows)
+}
+
+// FlowsLen returns the number of elements of Flows.
+func (v Holdings) FlowsLen() int {
+	return len(v.flows)
+}
+
+// FlowsAt returns element i of Flows, counted from 0.
+func (v Holdings) FlowsAt(i int) Held {
+	return v.flows[i]
+}
+
+// WithFlows returns a copy with other flows.
+func (v Holdings) WithFlows(flows ...Held) Holdings {
+	v.flows = slices.Clone(flows)
+	return v
+}
+
+// Held is one flow of the holdings.
+type Held struct {
+	key          Key
+	acknowledged uint32
+}
+
+// Key returns the field of this name:
+// The flow.
+func (v Held) Key() Key {
+	return v.key
+}
+
+// WithKey returns a copy with another key.
+func (v Held) WithKey(key Key) Held {
+	v.key = key
+	return v
+}
+
+// Acknowledged returns the field of this name:
+// Last number that the caller has acknowledged.
+func (v Held) Acknowledged() uint32 {
+	return v.acknowledged
+}
+
+// WithAcknowledged returns a copy with another acknowledged.
+func (v Held) WithAcknowledged(acknowledged uint32) Held {
+	v.acknowledged = acknowledged
+	return v
+}
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -336,6 +336,7 @@
 	b = field.AppendUint(b, 3, v.Exclusions())
 	b = field.AppendUint(b, 4, v.Roll())
 	b = field.AppendString(b, 5, v.Instance())
+	b = field.AppendUint(b, 6, uint64(v.Sidecars()))
 	return b
 }
 
@@ -355,6 +356,8 @@
 			v = v.WithRoll(r.Uint())
 		case 5:
 			v = v.WithInstance(r.String())
+		case 6:
+			v = v.WithSidecars(uint32(r.Uint()))
 		}
 	}
 	return v, r.Err()
@@ -588,3 +591,59 @@
 	}
 	return v, r.Err()
 }
+
+// AppendHoldings appends the encoding of v to b.
+func AppendHoldings(b []byte, v landing.Holdings) []byte {
+	b = field.AppendUint(b, 1, v.Born())
+	for i := range v.FlowsLen() {
+		b = field.AppendMessage(b, 2, func(b []byte) []byte { return AppendHeld(b, v.FlowsAt(i)) })
+	}
+	return b
+}
+
+// ParseHoldings returns the value encoded in b. It returns field.ErrMalformed when b holds other bytes.
+func ParseHoldings(b []byte) (landing.Holdings, error) {
+	v := landing.Holdings{}
+	var flows []landing.Held
+	r := field.NewReader(b)
+	for r.Next() {
+		switch r.Number() {
+		case 1:
+			v = v.WithBorn(r.Uint())
+		case 2:
+			e, err := ParseHeld(r.Bytes())
+			if err != nil {
+				return landing.Holdings{}, err
+			}
+			flows = append(flows, e)
+		}
+	}
+	v = v.WithFlows(flows...)
+	return v, r.Err()
+}
+
+// AppendHeld appends the encoding of v to b.
+func AppendHeld(b []byte, v landing.Held) []byte {
+	b = field.AppendMessage(b, 1, func(b []byte) []byte { return AppendKey(b, v.Key()) })
+	b = field.AppendUint(b, 2, uint64(v.Acknowledged()))
+	return b
+}
+
+// ParseHeld returns the value encoded in b. It returns field.ErrMalformed when b holds other bytes.
+func ParseHeld(b []byte) (landing.Held, error) {
+	v := landing.Held{}
+	r := field.NewReader(b)
+	for r.Next() {
+		switch r.Number() {
+		case 1:
+			e, err := ParseKey(r.Bytes())
+			if err != nil {
+				return landing.Held{}, err
+			}
+			v = v.WithKey(e)
+		case 2:
+			v = v.WithAcknowledged(uint32(r.Uint()))
+		}
+	}
+	return v, r.Err()
+}
--- /dev/null
+++ b/core/pkg/common/pause.go
@@ -0,0 +1,15 @@
+package common
+
+import "time"
+
+// Pause waits for this time. It returns false when done is closed first.
+func Pause(done *Done, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-done.C():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/core/pkg/pace/pace.go
+++ b/core/pkg/pace/pace.go
@@ -20,6 +20,13 @@
 	// mostWait bounds the time for which a balancer that hears from no other one is behind: a part of the 12 s by which
 	// a change may be late after the platform has dropped its history.
 	mostWait = 8 * time.Second
+	// recordInterval is the time between two records of an upstream's flows in a small fleet.
+	recordInterval = 5 * time.Second
+	// recordShare is the time between two records anywhere in the fleet: 4 writes a second of the platform's several
+	// hundred.
+	recordShare = 250 * time.Millisecond
+	// recordLimit is the interval past which records are too old to be of use, so that none are written.
+	recordLimit = time.Minute
 	// AfterEvent is the pause after a watch that brought a change, so that a storm of changes is taken in together.
 	AfterEvent = 250 * time.Millisecond
 )
@@ -30,3 +37,10 @@
 	// Without jitter the watches of balancers that started together would begin together.
 	return wait*3/4 + rand.N(wait/2)
 }
+
+// Record returns the time until an upstream's flows are recorded again in a fleet of this many sidecars, and whether
+// they are recorded at all.
+func Record(sidecars int) (time.Duration, bool) {
+	interval := max(time.Duration(sidecars)*recordShare, recordInterval)
+	return interval*3/4 + rand.N(interval/2), interval <= recordLimit
+}
--- a/core/pkg/pace/pace_test.go
+++ b/core/pkg/pace/pace_test.go
@@ -29,3 +29,18 @@
 	}
 	is.True(Wait(1) <= 3*time.Second)
 }
+
+func TestRecordsTakeAFixedShareOfThePlatform(t *testing.T) {
+	is := is.New(t)
+	for _, sidecars := range []int{10, 45, 200} {
+		writes := 0.0
+		for range sidecars {
+			interval, isRecorded := Record(sidecars)
+			is.True(isRecorded)
+			writes += 1 / interval.Seconds()
+		}
+		is.True(writes < 6)
+	}
+	_, isRecorded := Record(16000)
+	is.True(!isRecorded)
+}
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -68,6 +68,7 @@
 	keeper  *Keeper
 	traffic *Traffic
 	sync    *Sync
+	record  *Recorder
 	store   *platform.Store
 	servers []*serve.Server
 	scrape  *scrape.Server
@@ -91,6 +92,7 @@
 	malformed := func(err error) { c.Log().Info("object cannot be read", "error", err.Error()) }
 	sc.store = platform.NewStore(s.Platform(), count, malformed)
 	sc.sync = NewSync(c, s, sc.keeper, sc.store)
+	sc.record = NewRecorder(c, s, sc.keeper, sc.store, traffic)
 	return sc, nil
 }
 
@@ -156,6 +158,7 @@
 	}
 	sc.scrape.Start()
 	sc.sync.Start()
+	sc.record.Start()
 }
 
 // Stop takes no new flow and stops all parts. When the upstream is gone, the enrollment is taken back; else this
@@ -169,6 +172,7 @@
 		sc.sync.Leave()
 	}
 	sc.sync.Stop()
+	sc.record.Stop()
 	sc.stopServers()
 	sc.scrape.Stop()
 	sc.traffic.Stop()
--- a/sidecar/pkg/relay/keeper.go
+++ b/sidecar/pkg/relay/keeper.go
@@ -97,7 +97,7 @@
 		if g.Instance() == k.instance {
 			s = s.WithEnrolled(c.Now())
 		}
-		return s.WithHome(g.Home(), c.Now())
+		return s.WithHome(g.Home(), c.Now()).WithSidecars(int(g.Sidecars()))
 	case landing.RevisionChange:
 		return k.compare(s, c.Rules(), c.Exclusions())
 	case landing.RollChange, landing.StatusChange, landing.TimeChange, landing.VouchChange, landing.InquiryChange:
--- /dev/null
+++ b/sidecar/pkg/relay/recorder.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
+	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+const (
+	// recordAge is the age from which a flow is recorded. Shorter ones are mostly opened for a single request, whose
+	// caller notices a loss by itself.
+	recordAge = 2 * time.Second
+	// maxRecorded bounds a record: 30,000 flows of 30 bytes stay under a megabyte, with the encoding as text.
+	maxRecorded = 20000
+	// recallPause is the time between two tries to read the record at the start.
+	recallPause = 200 * time.Millisecond
+)
+
+// Recorder keeps a record of the upstream's long flows at the platform. After a loss of power nobody remembers them, and
+// each caller would lose one more request to learn that its flow is gone. The sidecar reads the record at its start, and
+// when the upstream is a later incarnation than the record's, it resets those flows at once.
+type Recorder struct {
+	common   common.Common
+	settings landing.RelaySidecarSettings
+	keeper   *Keeper
+	store    *platform.Store
+	traffic  *Traffic
+	done     *common.Done
+	ctx      context.Context
+	cancel   context.CancelFunc
+	written  []landing.Key
+}
+
+// NewRecorder returns a recorder that is not started.
+func NewRecorder(c common.Common, s landing.RelaySidecarSettings, k *Keeper, store *platform.Store, t *Traffic) *Recorder {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Recorder{common: c, settings: s, keeper: k, store: store, traffic: t, done: common.NewDone(), ctx: ctx, cancel: cancel}
+}
+
+// Start starts the recorder.
+func (r *Recorder) Start() {
+	r.done.Go(r.run)
+}
+
+// Stop ends all calls and waits for their end.
+func (r *Recorder) Stop() {
+	r.done.Close()
+	r.cancel()
+	r.done.Wait()
+}
+
+func (r *Recorder) run() {
+	r.recall()
+	for {
+		interval, isRecorded := pace.Record(r.keeper.Snapshot().sidecars)
+		if !common.Pause(r.done, interval) {
+			return
+		}
+		if isRecorded {
+			r.record()
+		}
+	}
+}
+
+// recall reads the record and resets its flows once the upstream is known to be a later incarnation.
+func (r *Recorder) recall() {
+	record, err := r.store.ReadRecord(r.ctx, r.settings.Instance())
+	for err != nil {
+		r.common.Log().V(1).Info("record cannot be read", "error", err.Error())
+		if !common.Pause(r.done, recallPause) {
+			return
+		}
+		record, err = r.store.ReadRecord(r.ctx, r.settings.Instance())
+	}
+	if record.FlowsLen() == 0 {
+		return
+	}
+	for r.keeper.Snapshot().presence.Incarnation() == "" {
+		if !common.Pause(r.done, recallPause/10) {
+			return
+		}
+	}
+	if presence.IsEnded(record.Born(), bornMillis(r.keeper.Snapshot().presence)) {
+		r.traffic.resetRecorded(record)
+	}
+}
+
+// record writes the flows when they are others than at the last time.
+func (r *Recorder) record() {
+	born := bornMillis(r.keeper.Snapshot().presence)
+	if born == 0 {
+		return
+	}
+	held := r.traffic.table.held(time.Now().Add(-recordAge), maxRecorded)
+	keys := make([]landing.Key, 0, len(held))
+	for _, h := range held {
+		keys = append(keys, h.Key())
+	}
+	if slices.Equal(keys, r.written) {
+		return
+	}
+	if err := r.store.WriteRecord(r.ctx, r.settings.Instance(), landing.Holdings{}.WithBorn(born).WithFlows(held...)); err != nil {
+		r.common.Log().V(1).Info("record cannot be written", "error", err.Error())
+		return
+	}
+	r.written = keys
+}
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -20,6 +20,7 @@
 	homes      []home
 	enrolled   time.Time
 	isStopping bool
+	sidecars   int
 	wanted     revisions
 }
 
@@ -59,6 +60,12 @@
 	return s
 }
 
+// WithSidecars returns a copy that knows the number of enrolled sidecars.
+func (s Snapshot) WithSidecars(n int) Snapshot {
+	s.sidecars = n
+	return s
+}
+
 // IsEnrolled says whether every balancer can know of the sidecar. A sidecar that was cut off from everybody may have
 // been removed in the meantime.
 func (s Snapshot) IsEnrolled(now time.Time) bool {
--- a/sidecar/pkg/relay/sync.go
+++ b/sidecar/pkg/relay/sync.go
@@ -69,7 +69,7 @@
 func (s *Sync) follow() {
 	for {
 		s.read()
-		if !s.pause(syncPause) {
+		if !common.Pause(s.done, syncPause) {
 			return
 		}
 		timer := time.NewTimer(aloneInterval)
@@ -172,7 +172,7 @@
 			s.common.Log().Info("sidecar enrolled", "revision", s.enrolled.Revision())
 			pause = aloneInterval
 		}
-		if !s.pause(pause) {
+		if !common.Pause(s.done, pause) {
 			return
 		}
 	}
@@ -203,6 +203,9 @@
 	for ctx.Err() == nil {
 		err := s.store.Remove(ctx, s.enrolled)
 		if err == nil || trace.IsAlreadyExists(err) {
+			err = s.store.RemoveRecord(ctx, s.settings.Instance())
+		}
+		if err == nil {
 			return
 		}
 		s.common.Log().Info("enrollment cannot be taken back", "error", err.Error())
@@ -214,15 +217,3 @@
 		}
 	}
 }
-
-// pause waits; it returns false when the sync stops.
-func (s *Sync) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-s.done.C():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,7 @@
 	initial uint32
 	// acknowledged is the last number that the caller acknowledged.
 	acknowledged uint32
+	since        time.Time
 	heard        time.Time
 	// sent is the end of the last data that the caller has sent; data up to it is sent again.
 	sent uint32
@@ -100,6 +103,7 @@
 			stage:   landing.Taken{}.WithInitial(s.Sequence()),
 			initial: s.Sequence(),
 			sent:    s.Sequence(),
+			since:   now,
 			heard:   now,
 		}
 	case landing.Complete:
@@ -173,7 +177,7 @@
 	defer t.mu.Unlock()
 	f, found := t.flows[s.Key()]
 	if !found {
-		f = flow{stage: landing.Taken{}, sent: s.Acknowledged()}
+		f = flow{stage: landing.Taken{}, sent: s.Acknowledged(), since: now}
 	}
 	f.heard = now
 	switch stage := f.stage.(type) {
@@ -220,6 +224,34 @@
 	return isOpen
 }
 
+// held returns the flows that have been open since before this time, in order, and at most this many.
+func (t *table) held(before time.Time, most int) []landing.Held {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []landing.Held
+	for k, f := range t.flows {
+		if _, isOpen := f.stage.(landing.Open); isOpen && f.since.Before(before) && len(list) < most {
+			list = append(list, landing.Held{}.WithKey(k).WithAcknowledged(f.acknowledged))
+		}
+	}
+	slices.SortFunc(list, func(a, b landing.Held) int { return compareKeys(a.Key(), b.Key()) })
+	return list
+}
+
+func compareKeys(a, b landing.Key) int {
+	return cmp.Or(
+		cmp.Compare(a.Source(), b.Source()), cmp.Compare(a.Sport(), b.Sport()),
+		cmp.Compare(a.Destination(), b.Destination()), cmp.Compare(a.Dport(), b.Dport()))
+}
+
+// has says whether the flow is in the table.
+func (t *table) has(k landing.Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, found := t.flows[k]
+	return found
+}
+
 // forget removes a flow that the upstream does not hold.
 func (t *table) forget(k landing.Key) {
 	t.mu.Lock()
@@ -251,19 +283,13 @@
 	}
 }
 
-// lost is a flow whose upstream has ended.
-type lost struct {
-	key          landing.Key
-	acknowledged uint32
-}
-
 // clear removes all flows and returns them.
-func (t *table) clear() []lost {
+func (t *table) clear() []landing.Held {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]lost, 0, len(t.flows))
+	list := make([]landing.Held, 0, len(t.flows))
 	for k, f := range t.flows {
-		list = append(list, lost{key: k, acknowledged: f.acknowledged})
+		list = append(list, landing.Held{}.WithKey(k).WithAcknowledged(f.acknowledged))
 	}
 	t.flows = map[landing.Key]flow{}
 	t.entering = map[landing.Key]time.Time{}
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -66,3 +66,24 @@
 	tb.expire(time.Hour, later)
 	is.Equal(tb.work(later), 0)
 }
+
+// Only flows that the upstream is known to hold are recorded, since their callers are reset after a loss of power; and
+// only long ones, since the others have ended by then.
+func TestLongOpenFlowsAreHeld(t *testing.T) {
+	is := is.New(t)
+	tb := opened(t)
+	halfOpen := flowKey.WithSport(9)
+	tb.decide(landing.Segment{}.WithKey(halfOpen).WithOpening(true), alone, landing.Absent{}, always, start)
+	is.Equal(len(tb.held(start, 10)), 0)
+	held := tb.held(start.Add(time.Second), 10)
+	is.Equal(held, []landing.Held{landing.Held{}.WithKey(flowKey).WithAcknowledged(501)})
+}
+
+func TestPortThatIsUsedAgainPassesTheGate(t *testing.T) {
+	is := is.New(t)
+	tb := opened(t)
+	closed := func(load) landing.Refusal { return landing.RefusalLeaving }
+	again := landing.Segment{}.WithKey(flowKey).WithOpening(true).WithSequence(9000)
+	step := tb.decide(again, alone, landing.Absent{}, closed, start)
+	is.Equal(step, landing.Return{})
+}
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -335,12 +335,28 @@
 
 // resetLost resets the flows of an upstream whose process has ended, so that their callers try again at once.
 func (t *Traffic) resetLost() {
-	list := t.table.clear()
-	if len(list) > 0 {
-		t.common.Log().Info("flows reset", "reason", "upstream ended", "flows", len(list))
+	t.resetAll(t.table.clear(), "upstream ended")
+}
+
+// resetRecorded resets the flows that an earlier incarnation of the upstream held. One that is in the table was opened
+// since.
+func (t *Traffic) resetRecorded(r landing.Holdings) {
+	var list []landing.Held
+	for _, h := range r.Flows() {
+		if !t.table.has(h.Key()) {
+			list = append(list, h)
+		}
+	}
+	t.resetAll(list, "upstream ended before the start")
+}
+
+func (t *Traffic) resetAll(list []landing.Held, reason string) {
+	if len(list) == 0 {
+		return
 	}
-	for _, f := range list {
+	t.common.Log().Info("flows reset", "reason", reason, "flows", len(list))
+	for _, h := range list {
 		t.common.Counters().Counter("reset.ended").Inc(1)
-		t.toCaller(f.key, platform.NewReset(f.key, f.acknowledged))
+		t.toCaller(h.Key(), platform.NewReset(h.Key(), h.Acknowledged()))
 	}
 }
