--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -209,6 +209,10 @@
 // refuse rejects a new flow for which no sidecar is open. While it is not known whether one will be in a moment,
 // the caller is left to send its packet again.
 func (t *Traffic) refuse(s Snapshot, l landing.Listener, segment landing.Segment) {
+	if !reject.IsSettled(s.directory.ChangedAt(), time.Now()) {
+		t.common.Counters().Refused(landing.RefusalUnready)
+		return
+	}
 	for i := range l.SharesLen() {
 		for _, n := range s.directory.OfService(l.SharesAt(i).Service()) {
 			if n.Status().Phase() == landing.PhaseUnspecified && !s.IsExcluded(n.Enrollment().Zone()) {
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -14,6 +14,7 @@
 type Directory struct {
 	roll      landing.Roll
 	changed   uint64
+	changedAt time.Time
 	neighbors []landing.Neighbor
 	byHop     map[uint64]int
 	byService map[string][]int
@@ -37,7 +38,7 @@
 // WithRoll returns a directory of the sidecars of r, learned now. What is known of those that stay at their address is
 // kept.
 func (d *Directory) WithRoll(r landing.Roll, now time.Time) *Directory {
-	next := &Directory{roll: r, changed: d.changed, byHop: map[uint64]int{}, byService: map[string][]int{}}
+	next := &Directory{roll: r, changed: d.changed, changedAt: d.changedAt, byHop: map[uint64]int{}, byService: map[string][]int{}}
 	for i := range r.EnrollmentsLen() {
 		e := r.EnrollmentsAt(i)
 		fleet, err := netip.ParseAddrPort(e.Fleet())
@@ -52,8 +53,9 @@
 		next.byService[e.Service()] = append(next.byService[e.Service()], len(next.neighbors))
 		next.neighbors = append(next.neighbors, n)
 	}
-	if !SameSidecars(r, d.roll) {
+	if !SameSidecars(r, d.roll) || d.changedAt.IsZero() {
 		next.changed = r.Revision()
+		next.changedAt = now
 	}
 	return next
 }
@@ -64,6 +66,11 @@
 	return d.changed
 }
 
+// ChangedAt returns the time of that.
+func (d *Directory) ChangedAt() time.Time {
+	return d.changedAt
+}
+
 // WithStatus returns a directory with a newer status of the sidecar at this address. Statuses of others and
 // older ones change nothing.
 func (d *Directory) WithStatus(s landing.Status, hop uint64, now time.Time) *Directory {
--- a/core/pkg/reject/reject.go
+++ b/core/pkg/reject/reject.go
@@ -5,7 +5,21 @@
 // 200 ms later, will be served; a caller that is refused then uses up its tries within milliseconds.
 package reject
 
-import "github.com/crocuslanding/crocuslanding/core/gen/landing"
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+// settleTime is the time after a change of the enrolled sidecars within which more are expected: upstreams that start
+// together enroll within a heartbeat of each other.
+const settleTime = time.Second
+
+// IsSettled says whether a balancer that knows no open sidecar for a service since this change of the roll can tell its
+// callers so. Right after a start it just does not know them yet.
+func IsSettled(changed, now time.Time) bool {
+	return now.Sub(changed) > settleTime
+}
 
 // IsFinal says whether the reason of the last sidecar holds for the caller's next copy as well. IsBehind says that the
 // sidecars have newer rules or exclusions than the balancer that chose them.
--- a/core/pkg/reject/reject_test.go
+++ b/core/pkg/reject/reject_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -29,3 +30,11 @@
 		is.True(IsFinal(r, true))
 	}
 }
+
+// A balancer that had heard of one of four sidecars refused callers when the zone of that one was taken out.
+func TestBalancerThatIsLearningTheSidecarsRefusesNobody(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	is.True(!IsSettled(now.Add(-500*time.Millisecond), now))
+	is.True(IsSettled(now.Add(-2*time.Second), now))
+}
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -171,6 +171,11 @@
 	if isGone && !s.enrolled.IsZero() {
 		sc.sync.Leave()
 	}
+	sc.Kill()
+}
+
+// Kill stops all parts without a word to anybody.
+func (sc *Sidecar) Kill() {
 	sc.sync.Stop()
 	sc.record.Stop()
 	sc.stopServers()
