--- a/core/pkg/hold/hold_test.go
+++ b/core/pkg/hold/hold_test.go
@@ -112,7 +112,7 @@
 		case landing.Recall:
 			i = deferred
 			isRecalled = true
-		case landing.Reset, landing.Drop, landing.Return, landing.Deliver, landing.Complete, landing.Both, landing.Replace:
+		case landing.Reset, landing.Drop, landing.Return, landing.Deliver, landing.Complete, landing.Both, landing.Replace, landing.Ask:
 			return -1
 		}
 	}
@@ -140,3 +140,15 @@
 	// landing.Pass
 	// landing.Deliver
 }
+
+// A sidecar that was started beside a living upstream leaves it to the upstream whether it holds a flow, and takes new
+// flows like any other.
+func TestUnsureSidecarAsksItsUpstream(t *testing.T) {
+	is := is.New(t)
+	at := landing.Position{}.WithMore(true)
+	data := landing.Segment{}.WithAcknowledges(true)
+	is.Equal(Decide(landing.Unsure{}, data, at, landing.RefusalUnspecified), landing.Ask{})
+	opening := landing.Segment{}.WithOpening(true)
+	is.Equal(Decide(landing.Unsure{}, opening, at, landing.RefusalUnspecified), landing.Take{})
+	is.Equal(Decide(landing.Unsure{}, opening, at, landing.RefusalUnready), landing.Return{})
+}
--- a/core/pkg/hold/world_test.go
+++ b/core/pkg/hold/world_test.go
@@ -144,7 +144,7 @@
 		w.offer(s, chain, position+1)
 	case landing.Reset:
 		w.toCaller = append(w.toCaller, answer{from: chain[position], isReset: true, sequence: s.Acknowledged()})
-	case landing.Return, landing.Drop, landing.Replace, landing.Recall:
+	case landing.Return, landing.Drop, landing.Replace, landing.Recall, landing.Ask:
 	}
 }
 
--- a/sidecar/pkg/flows/table.go
+++ b/sidecar/pkg/flows/table.go
@@ -69,7 +69,7 @@
 		t.add(sh, s.Key(), NewEntry(s.Key(), customer, s.Sequence(), *t.now.Load()))
 	case landing.Complete:
 		sh.entries[s.Key()] = entry.WithStage(landing.Open{})
-	case landing.Deliver, landing.Pass, landing.Both, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall:
+	case landing.Deliver, landing.Pass, landing.Both, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall, landing.Ask:
 	}
 	return step
 }
--- a/sidecar/pkg/front/handle.go
+++ b/sidecar/pkg/front/handle.go
@@ -108,6 +108,8 @@
 		f.common.Counters().Refused(step.Reason())
 	case landing.Replace:
 		f.replace(s.Key())
+	case landing.Ask:
+		// Flows end in this process, so it always knows which it holds.
 	}
 }
 
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -48,7 +48,6 @@
 type table struct {
 	mu      sync.Mutex
 	flows   map[landing.Key]flow
-	open    int
 	running int
 	usual   time.Duration
 	window  warmup.Window
