--- a/balancer/pkg/relay/cache.go
+++ b/balancer/pkg/relay/cache.go
@@ -39,6 +39,12 @@
 	return &cache{flows: map[landing.Key]place{}, sent: map[uint64]sent{}}
 }
 
+func (c *cache) len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.flows)
+}
+
 // find returns the sidecar at which the flow of a segment was last seen, and notes the segment.
 func (c *cache) find(s landing.Segment, now time.Time) (uint64, bool) {
 	c.mu.Lock()
--- a/balancer/pkg/relay/prover.go
+++ b/balancer/pkg/relay/prover.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		p.common.Counters().Counter("reset.nobody").Inc(1)
-		p.common.Log().Info("flow reset", "flow", address.Flow(n.key), "reason", "nobody holds it", "roll", n.roll, "sidecars", known.EnrollmentsLen())
+		p.common.Log().Info("flow reset", "flow", address.Flow(n.key), "request", n.request, "reason", "nobody holds it", "roll", n.roll, "sidecars", known.EnrollmentsLen())
 		p.traffic.resetCaller(n.key, n.acknowledged)
 	}
 }
--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -82,6 +82,9 @@
 			isLost = err != nil
 			s.logPlatform(err)
 		}
+		if err != nil {
+			s.common.Counters().Counter("retried.watch").Inc(1)
+		}
 		if err != nil && !common.Pause(s.done, failPause/2+rand.N(failPause)) {
 			return
 		}
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -53,6 +53,7 @@
 	key          landing.Key
 	acknowledged uint32
 	roll         uint64
+	request      string
 }
 
 // NewTraffic returns traffic whose sockets are open. Flows that nobody holds are sent to nobodies.
@@ -71,7 +72,7 @@
 		l.Close()
 		return nil, err
 	}
-	return &Traffic{
+	t := &Traffic{
 		common:   c,
 		keeper:   k,
 		link:     l,
@@ -80,7 +81,20 @@
 		cache:    newCache(),
 		nobodies: nobodies,
 		done:     common.NewDone(),
-	}, nil
+	}
+	t.registerGauges()
+	return t, nil
+}
+
+// registerGauges lets the metrics show what the balancer believes.
+func (t *Traffic) registerGauges() {
+	c := t.common.Counters()
+	c.Gauge("cached", func() int64 { return int64(t.cache.len()) })
+	c.Gauge("sidecars", func() int64 { return int64(len(t.keeper.Snapshot().directory.Neighbors())) })
+	c.Gauge("balancers", func() int64 { return int64(t.keeper.Snapshot().Balancers()) })
+	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Snapshot().rules.Rules().Revision()) })
+	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Snapshot().exclusions.Changed()) })
+	c.Gauge("revision.roll", func() int64 { return int64(t.keeper.Snapshot().directory.Roll().Revision()) })
 }
 
 // Start starts to read packets.
@@ -274,12 +288,21 @@
 		return
 	}
 	select {
-	case t.nobodies <- nobody{key: segment.Key(), acknowledged: segment.Acknowledged(), roll: p.Roll()}:
+	case t.nobodies <- nobody{key: segment.Key(), acknowledged: segment.Acknowledged(), roll: p.Roll(), request: requestOf(p)}:
 	default:
 		t.common.Counters().Counter("proofs_left_out").Inc(1)
 	}
 }
 
+// requestOf returns the identifier of the request that a parcel carries, if any.
+func requestOf(p landing.Parcel) string {
+	packet, err := platform.OpenPacket(p.Packet())
+	if err != nil {
+		return ""
+	}
+	return platform.RequestID(packet.Data())
+}
+
 // Ranks of the sidecars in a walk.
 const (
 	rankHeard = iota
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -74,10 +74,11 @@
 }
 
 // decide decides what to do with a caller's segment and notes the change of the flow's stage. Refuse is asked
-// for segments that open a flow.
-func (t *table) decide(s landing.Segment, at landing.Position, unknown landing.Stage, refuse func(load) landing.Refusal, now time.Time) landing.Step {
+// for segments that open a flow. It says whether the segment begins a request.
+func (t *table) decide(s landing.Segment, at landing.Position, unknown landing.Stage, refuse func(load) landing.Refusal, now time.Time) (landing.Step, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.running
 	f, found := t.flows[s.Key()]
 	if found && s.Opening() && f.initial != s.Sequence() {
 		// The caller uses its port again, so the new flow passes the gate like any other.
@@ -113,7 +114,7 @@
 		}
 	case landing.Pass, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall, landing.Ask:
 	}
-	return step
+	return step, t.running > before
 }
 
 // noteEntry notes that a flow was let in.
@@ -170,8 +171,9 @@
 	return f
 }
 
-// noteUpstream notes a segment that the upstream sends to a caller. It says whether it begins the answer to a request.
-func (t *table) noteUpstream(s landing.Segment, now time.Time) bool {
+// noteUpstream notes a segment that the upstream sends to a caller. It returns the time that a request took when the
+// segment begins its answer, else 0.
+func (t *table) noteUpstream(s landing.Segment, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f, found := t.flows[s.Key()]
@@ -188,16 +190,17 @@
 		}
 	case landing.Half, landing.Open, landing.Absent, landing.Unsure:
 	}
-	isAnswer := s.Payload() > 0 && !f.asked.IsZero()
-	if isAnswer {
-		t.noteTime(now.Sub(f.asked))
+	took := time.Duration(0)
+	if s.Payload() > 0 && !f.asked.IsZero() {
+		took = max(now.Sub(f.asked), 1)
+		t.noteTime(took)
 		f = t.endRequest(f)
 	}
 	t.put(s.Key(), f)
 	if s.Resets() {
 		t.remove(s.Key())
 	}
-	return isAnswer
+	return took
 }
 
 // usualShare is the share, one part in so many, of a new time in the average.
--- a/sidecar/pkg/relay/trace.go
+++ b/sidecar/pkg/relay/trace.go
@@ -1,10 +1,20 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/platform"
 )
 
+// logRequest writes a line for each request that arrives, so that its identifier leads to its flow.
+func (t *Traffic) logRequest(s landing.Segment, p landing.Parcel, packet platform.Packet) {
+	l := t.table.load()
+	t.common.Log().Info("request arrived", "request", platform.RequestID(packet.Data()), "flow", address.Flow(s.Key()),
+		"part", p.Part(), "position", p.Position(), "running", l.running, "usual", l.usual.Round(time.Millisecond).String())
+}
+
 // logStep writes a line for each decision that places, moves or refuses a flow. Plain forwarding has none.
 func (t *Traffic) logStep(s landing.Segment, p landing.Parcel, step landing.Step, refusal landing.Refusal) {
 	outcome := ""
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
@@ -41,6 +42,8 @@
 	done      *common.Done
 	startedAt time.Time
 	sequence  atomic.Uint64
+	answers   metrics.Histogram
+	waits     metrics.Histogram
 }
 
 // NewTraffic returns traffic whose sockets are open. It returns an error when an address cannot be used.
@@ -69,7 +72,7 @@
 		_ = outbound.Close()
 		return nil, trace.Wrap(err)
 	}
-	return &Traffic{
+	t := &Traffic{
 		common:    c,
 		settings:  s,
 		keeper:    k,
@@ -82,7 +85,28 @@
 		ring:      newRing(),
 		done:      common.NewDone(),
 		startedAt: time.Now(),
-	}, nil
+		answers:   c.Counters().Timer("answer"),
+		waits:     c.Counters().Timer("wait"),
+	}
+	t.registerGauges()
+	return t, nil
+}
+
+// registerGauges lets the metrics show the present work and what the sidecar believes.
+func (t *Traffic) registerGauges() {
+	c := t.common.Counters()
+	c.Gauge("flows", func() int64 { return int64(t.table.load().flows) })
+	c.Gauge("running", func() int64 { return int64(t.table.load().running) })
+	c.Gauge("waiting", func() int64 { return int64(t.waiting.len()) })
+	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Snapshot().rules.Rules().Revision()) })
+	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Snapshot().exclusions.Changed()) })
+	c.Gauge("heartbeat_age_ms", func() int64 {
+		heard := t.keeper.Snapshot().presence.Heard()
+		if heard.IsZero() {
+			return -1
+		}
+		return time.Since(heard).Milliseconds()
+	})
 }
 
 // Start starts to read packets.
@@ -147,8 +171,11 @@
 		return refusal
 	}
 	at := t.position(s, p)
-	step := t.table.decide(segment, at, s.Unknown(), refuse, now)
+	step, isRequest := t.table.decide(segment, at, s.Unknown(), refuse, now)
 	t.logStep(segment, p, step, refusal)
+	if isRequest {
+		t.logRequest(segment, p, packet)
+	}
 	t.carryOut(step, p, packet, segment, refusal)
 }
 
@@ -291,9 +318,10 @@
 		return
 	}
 	segment := packet.FromUpstream()
-	isAnswer := t.table.noteUpstream(segment, time.Now())
+	took := t.table.noteUpstream(segment, time.Now())
 	t.toCaller(segment.Key(), packet)
-	if isAnswer {
+	if took > 0 {
+		t.answers.Update(int64(took))
 		t.admit()
 	}
 }
--- a/sidecar/pkg/relay/waiting.go
+++ b/sidecar/pkg/relay/waiting.go
@@ -84,6 +84,7 @@
 		if !found {
 			return
 		}
+		t.waits.Update(int64(now.Sub(wait.Arrived())))
 		t.arrive(wait.Parcel().WithRecalled(true))
 	}
 }
