--- /dev/null
+++ b/core/pkg/logline/logline_test.go
@@ -0,0 +1,55 @@
+package logline
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestLinesAreWrittenInOrder(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New(&out)
+	w.Start()
+	for _, line := range []string{"a\n", "b\n"} {
+		_, err := w.Write([]byte(line))
+		is.NoErr(err)
+	}
+	w.Stop(time.Second)
+	is.Equal(out.String(), "a\nb\n")
+}
+
+// Nobody reads the output: the pipe is full at once.
+func TestOutputThatNobodyReadsHoldsUpNothing(t *testing.T) {
+	is := is.New(t)
+	reader, out := io.Pipe()
+	w := New(out)
+	w.Start()
+	start := time.Now()
+	for range 10 * waiting {
+		_, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	is.True(time.Since(start) < time.Second)
+	is.True(w.LeftOut() > 0)
+	w.Stop(10 * time.Millisecond)
+	is.NoErr(reader.Close())
+}
+
+func TestVolumeOfASecondIsBoundedAndWhatIsLeftOutIsCounted(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New(&out)
+	w.Start()
+	for range perSecond + 50 {
+		_, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	w.Stop(time.Second)
+	is.True(strings.Count(out.String(), "line\n") <= perSecond)
+	is.True(strings.Contains(out.String(), "log lines left out"))
+}
--- /dev/null
+++ b/core/pkg/placement/placement_test.go
@@ -0,0 +1,121 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+var now = time.Unix(1000, 0)
+
+// neighbor returns a sidecar whose upstream serves, heard now.
+func neighbor(hop uint64, flows, running, weight uint32) landing.Neighbor {
+	return landing.Neighbor{}.WithHop(hop).WithHeard(now).WithStatus(landing.Status{}.
+		WithPhase(landing.PhaseServing).
+		WithFlows(flows).WithRunning(running).WithSlots(8).WithWeight(weight).WithRoom(1000))
+}
+
+func ExampleOrder() {
+	list := []landing.Candidate{
+		Candidate(neighbor(1, 10, 0, 100), false, 0, now),
+		Candidate(neighbor(2, 2, 0, 100), false, 0, now),
+		Candidate(neighbor(3, 0, 0, 100), true, 0, now),
+	}
+	for _, c := range Order(list, 7) {
+		fmt.Println(c.Hop())
+	}
+	// Output:
+	// 2
+	// 1
+}
+
+// chooser picks the sidecar of a new flow.
+type chooser func(candidates []landing.Candidate, hash uint64) uint64
+
+func byOrder(candidates []landing.Candidate, hash uint64) uint64 {
+	return Order(candidates, hash)[0].Hop()
+}
+
+// leastLoaded runs to the best one of the last report.
+func leastLoaded(candidates []landing.Candidate, _ uint64) uint64 {
+	best := candidates[0]
+	for _, c := range candidates {
+		if c.Load() < best.Load() {
+			best = c
+		}
+	}
+	return best.Hop()
+}
+
+// morning plays the first second of traffic: each of ten balancers places 30 flows, and has statuses that are 250 ms
+// old. It returns the flows of the busiest upstream over the mean.
+func morning(choose chooser) float64 {
+	const (
+		balancers = 10
+		upstreams = 7
+		flows     = 300
+		perStatus = 75
+	)
+	random := rand.New(rand.NewPCG(3, 4))
+	held := make([]uint32, upstreams)
+	reported := make([]uint32, upstreams)
+	for i := range flows {
+		if i%perStatus == 0 {
+			copy(reported, held)
+		}
+		var candidates []landing.Candidate
+		for u := range upstreams {
+			candidates = append(candidates, Candidate(neighbor(uint64(u), reported[u], 0, 100), false, 0, now))
+		}
+		held[choose(candidates, random.Uint64())]++
+	}
+	busiest := uint32(0)
+	for _, n := range held {
+		busiest = max(busiest, n)
+	}
+	return float64(busiest) * upstreams / flows
+}
+
+func TestBalancersWithOldReportsDoNotRunToTheSameUpstream(t *testing.T) {
+	is := is.New(t)
+	is.True(morning(leastLoaded) > 1.7)
+	is.True(morning(byOrder) < 1.35)
+}
+
+func TestSilentAndFullSidecarsComeAfterOthers(t *testing.T) {
+	is := is.New(t)
+	silent := neighbor(1, 0, 0, 100).WithHeard(now.Add(-SilentAfter - time.Millisecond))
+	busy := neighbor(2, 0, 8, 100)
+	cold := neighbor(3, 0, 0, 100)
+	cold = cold.WithStatus(cold.Status().WithRoom(0))
+	ready := neighbor(4, 500, 0, 100)
+	var list []landing.Candidate
+	for _, n := range []landing.Neighbor{silent, busy, cold, ready} {
+		list = append(list, Candidate(n, false, 0, now))
+	}
+	for hash := range uint64(50) {
+		order := Order(list, hash)
+		is.Equal(order[0].Hop(), uint64(4))
+		is.Equal(order[1].Hop(), uint64(2))
+		is.Equal(order[3].Hop(), uint64(1))
+	}
+}
+
+func TestLeavingAndExcludedSidecarsTakeNothing(t *testing.T) {
+	is := is.New(t)
+	leaving := neighbor(1, 0, 0, 100)
+	leaving = leaving.WithStatus(leaving.Status().WithPhase(landing.PhaseDraining))
+	list := []landing.Candidate{Candidate(leaving, false, 0, now), Candidate(neighbor(2, 0, 0, 100), true, 0, now)}
+	is.Equal(len(Order(list, 1)), 0)
+}
+
+func TestFlowsSentSinceTheStatusCount(t *testing.T) {
+	is := is.New(t)
+	n := neighbor(1, 0, 0, 100)
+	is.True(Candidate(n, false, 3, now).Load() > Candidate(n, false, 0, now).Load())
+}
--- /dev/null
+++ b/core/pkg/rules/rules_test.go
@@ -0,0 +1,46 @@
+package rules
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+var shared = landing.Listener{}.WithAddress(1).WithPort(2).WithShares(
+	landing.Share{}.WithService("a").WithWeight(90),
+	landing.Share{}.WithService("b").WithWeight(10),
+	landing.Share{}.WithService("c"))
+
+func ExampleView_Find() {
+	v := New(landing.Rules{}.WithListeners(shared))
+	_, found := v.Find(landing.Key{}.WithDestination(1).WithDport(2))
+	_, other := v.Find(landing.Key{}.WithDestination(1).WithDport(3))
+	fmt.Println(found, other)
+	// Output: true false
+}
+
+func TestNoRulesFindNothing(t *testing.T) {
+	is := is.New(t)
+	var v *View
+	_, found := v.Find(landing.Key{})
+	is.True(!found)
+	is.Equal(v.Rules().Revision(), uint64(0))
+}
+
+func TestFlowsAreDrawnByWeight(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	first := map[string]int{}
+	for range 10000 {
+		services := Services(shared, random.Uint64())
+		is.Equal(len(services), 2)
+		first[services[0]]++
+	}
+	is.True(first["b"] > 800 && first["b"] < 1200)
+	is.Equal(first["c"], 0)
+	is.True(!Allows(shared, "c"))
+}
--- a/landingctl/pkg/app/app.go
+++ b/landingctl/pkg/app/app.go
@@ -38,6 +38,8 @@
 		return command.Status(e, args[1:])
 	case "explain":
 		return command.Explain(e, args[1:])
+	case "trace":
+		return command.Trace(e, args[1:])
 	case "rotate":
 		return command.Rotate(e, args[1:])
 	case "history":
--- /dev/null
+++ b/landingctl/pkg/command/trace_test.go
@@ -0,0 +1,48 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/pkg/program"
+)
+
+func runTrace(t *testing.T, log string, args ...string) (int, string, string) {
+	path := filepath.Join(t.TempDir(), "side.log")
+	is.New(t).NoErr(os.WriteFile(path, []byte(log), 0o600))
+	var out, errOut bytes.Buffer
+	status := Trace(NewEnv(context.Background(), &out, &errOut), append(args, path))
+	return status, out.String(), errOut.String()
+}
+
+const line = `"ts"="2026-05-05T06:23:10Z" "level"=0 "msg"="request arrived" "request"="8a67" "flow"="a>b"` + "\n"
+
+func TestTraceShowsTheLinesOfARequest(t *testing.T) {
+	is := is.New(t)
+	status, out, errOut := runTrace(t, line+"cut of", "8a67")
+	is.Equal(status, program.StatusOK)
+	is.Equal(out, line)
+	is.True(strings.Contains(errOut, "1 lines passed over"))
+}
+
+func TestTraceOfAnUnknownRequestFails(t *testing.T) {
+	is := is.New(t)
+	status, out, errOut := runTrace(t, line, "none")
+	is.Equal(status, program.StatusFailed)
+	is.Equal(out, "")
+	is.True(strings.Contains(errOut, "occurs in none of 1 lines"))
+}
+
+func TestTraceOfAMissingFileFails(t *testing.T) {
+	is := is.New(t)
+	var out, errOut bytes.Buffer
+	e := NewEnv(context.Background(), &out, &errOut)
+	is.Equal(Trace(e, []string{"8a67", filepath.Join(t.TempDir(), "none.log")}), program.StatusFailed)
+	is.Equal(Trace(e, []string{"8a67"}), program.StatusUsage)
+}
--- a/landingctl/pkg/text/text.go
+++ b/landingctl/pkg/text/text.go
@@ -11,6 +11,7 @@
   upstream out|back INSTANCE    take an upstream out, or put it back
   status                        show the state of the fleet
   explain CALLER SERVICE        show where a flow goes, or why it is refused
+  trace ID FILE...              show what the logs in FILEs say of a request or flow
   rotate                        replace the key for the tags of datagrams
   history                       show the changes of the lists, newest first
 
@@ -20,6 +21,12 @@
 4 done but not seen in force everywhere in time.
 `
 
+// Messages of the command trace.
+const (
+	LinesSkipped = "%s: %d lines passed over: cut off, or not of crocuslanding\n"
+	NoStory      = "%s occurs in none of %d lines\n"
+)
+
 // Texts of flags.
 const (
 	Platform  = "TCP address of the platform's object API"
