--- a/core/pkg/placement/placement_test.go
+++ b/core/pkg/placement/placement_test.go
@@ -119,3 +119,10 @@
 	n := neighbor(1, 0, 0, 100)
 	is.True(Candidate(n, false, 3, now).Load() > Candidate(n, false, 0, now).Load())
 }
+
+// Upstreams were bought over years: one that serves twice as many requests a second gets more of the flows.
+func TestFasterUpstreamsGetMore(t *testing.T) {
+	is := is.New(t)
+	fast, slow := Candidate(neighbor(1, 10, 2, 200), false, 0, now), Candidate(neighbor(2, 10, 2, 100), false, 0, now)
+	is.True(fast.Load() < slow.Load())
+}
