--- a/landingctl/pkg/command/trace.go
+++ b/landingctl/pkg/command/trace.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 
@@ -39,10 +40,9 @@
 }
 
 func readLog(path string) ([]logs.Line, int, error) {
-	f, err := os.Open(path)
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, 0, err
 	}
-	defer f.Close()
-	return logs.Read(f)
+	return logs.Read(bytes.NewReader(data))
 }
