Logs name each request whose head arrives; refusals of earlier copies answer nothing later

And a caller was reset 0.2 ms after a copy of its opening packet had been placed, since the refusal of the first copy came late. Change: a line for each packet with a head; routine lines have a budget of their own; the balancer remembers which copy it placed last.

--- a/balancer/pkg/relay/cache.go
+++ b/balancer/pkg/relay/cache.go
@@ -23,6 +23,8 @@
 type place struct {
 	hop   uint64
 	heard time.Time
+	// copies is the number of the opening packet that was placed last.
+	copies uint32
 	// born is the start of the upstream's incarnation that holds the flow, as its sidecar has claimed; 0 before that.
 	born uint64
 	// acknowledged is the last number that the caller acknowledged.
@@ -60,14 +62,22 @@
 	return p.hop, found
 }
 
-// put remembers the sidecar of a flow.
-func (c *cache) put(k landing.Key, hop uint64, now time.Time) {
+// put remembers the sidecar to which an opening packet was sent.
+func (c *cache) put(s landing.Segment, hop uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.flows) >= maxCached {
 		return
 	}
-	c.flows[k] = place{hop: hop, heard: now}
+	c.flows[s.Key()] = place{hop: hop, heard: now, copies: s.Copies()}
+}
+
+// isPlacedAgain says whether a later copy of the opening packet was placed, or the flow is held somewhere.
+func (c *cache) isPlacedAgain(s landing.Segment) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, found := c.flows[s.Key()]
+	return found && (p.copies > s.Copies() || p.born > 0)
 }
 
 // claim remembers that the upstream's incarnation that was born at this time holds the flow.
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -210,7 +210,7 @@
 
 // place sends an opening packet along hops and remembers where it went.
 func (t *Traffic) place(s Snapshot, service string, segment landing.Segment, hops []uint64, part uint32, packet platform.Packet) {
-	t.cache.put(segment.Key(), hops[0], time.Now())
+	t.cache.put(segment, hops[0], time.Now())
 	if n, found := s.directory.Find(hops[0]); found {
 		t.cache.noteSent(n)
 		t.common.Log().Info("flow placed", "flow", address.Flow(segment.Key()), "sidecar", n.Enrollment().Instance(),
@@ -400,6 +400,10 @@
 
 // openAgain offers a new flow to the sidecars that have not been asked yet.
 func (t *Traffic) openAgain(s Snapshot, l landing.Listener, segment landing.Segment, p landing.Parcel, reason landing.Refusal, packet platform.Packet) {
+	if t.cache.isPlacedAgain(segment) {
+		t.common.Counters().Refused(reason)
+		return
+	}
 	t.cache.forget(segment.Key(), p.HopsAt(0))
 	tried := p.Hops()[:p.Position()+1]
 	service, order := t.order(s, l, segment.Key(), time.Now())
--- a/core/pkg/logline/logline.go
+++ b/core/pkg/logline/logline.go
@@ -2,6 +2,7 @@
 package logline
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -13,17 +14,20 @@
 const (
 	// waiting is the number of lines that wait for a slow reader of the output.
 	waiting = 512
-	// perSecond is the number of lines written in one second at most; further ones are counted.
+	// perSecond is the number of lines of each class written in one second at most; further ones are counted.
 	perSecond = 200
 )
 
+// routine marks the lines of events that are as many as requests. They have a budget of their own, so that in a rush
+// they leave room for refusals, resets and what the process believes.
+var routine = [][]byte{[]byte(`"msg"="request arrived"`), []byte(`"msg"="flow placed"`), []byte(`"msg"="flow taken"`)}
+
 // Writer takes lines and writes them on a goroutine of its own. Lines that do not fit are left out and counted.
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
 	left    atomic.Int64
-	written atomic.Int64
-	second  atomic.Int64
+	budgets [2]budget
 	start   time.Time
 	done    *common.Done
 }
@@ -54,9 +58,15 @@
 	}
 }
 
+// budget counts the lines of one class in the present second.
+type budget struct {
+	second  atomic.Int64
+	written atomic.Int64
+}
+
 // Write takes one line. It never waits and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.mayWrite() {
+	if !w.mayWrite(&w.budgets[class(line)]) {
 		w.left.Add(1)
 		return len(line), nil
 	}
@@ -73,12 +83,21 @@
 	return w.left.Load()
 }
 
-func (w *Writer) mayWrite() bool {
+func class(line []byte) int {
+	for _, r := range routine {
+		if bytes.Contains(line, r) {
+			return 1
+		}
+	}
+	return 0
+}
+
+func (w *Writer) mayWrite(b *budget) bool {
 	second := int64(time.Since(w.start) / time.Second)
-	if w.second.Swap(second) != second {
-		w.written.Store(0)
+	if b.second.Swap(second) != second {
+		b.written.Store(0)
 	}
-	return w.written.Add(1) <= perSecond
+	return b.written.Add(1) <= perSecond
 }
 
 func (w *Writer) run() {
--- a/core/pkg/logline/logline_test.go
+++ b/core/pkg/logline/logline_test.go
@@ -53,3 +53,19 @@
 	is.True(strings.Count(out.String(), "line\n") <= perSecond)
 	is.True(strings.Contains(out.String(), "log lines left out"))
 }
+
+// In a rush the lines that are as many as requests do not push out a reset.
+func TestRoutineLinesLeaveRoomForResets(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New(&out)
+	w.Start()
+	for range 2 * perSecond {
+		_, err := w.Write([]byte(`"msg"="request arrived"` + "\n"))
+		is.NoErr(err)
+	}
+	_, err := w.Write([]byte(`"msg"="flow reset"` + "\n"))
+	is.NoErr(err)
+	w.Stop(time.Second)
+	is.True(strings.Contains(out.String(), "flow reset"))
+}
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -74,11 +74,10 @@
 }
 
 // decide decides what to do with a caller's segment and notes the change of the flow's stage. Refuse is asked
-// for segments that open a flow. It says whether the segment begins a request.
-func (t *table) decide(s landing.Segment, at landing.Position, unknown landing.Stage, refuse func(load) landing.Refusal, now time.Time) (landing.Step, bool) {
+// for segments that open a flow.
+func (t *table) decide(s landing.Segment, at landing.Position, unknown landing.Stage, refuse func(load) landing.Refusal, now time.Time) landing.Step {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.running
 	f, found := t.flows[s.Key()]
 	if found && s.Opening() && f.initial != s.Sequence() {
 		// The caller uses its port again, so the new flow passes the gate like any other.
@@ -114,7 +113,7 @@
 		}
 	case landing.Pass, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall, landing.Ask:
 	}
-	return step, t.running > before
+	return step
 }
 
 // noteEntry notes that a flow was let in.
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -16,19 +16,15 @@
 	alone   = landing.Position{}.WithMore(true)
 )
 
-func stepOf(step landing.Step, _ bool) landing.Step {
-	return step
-}
-
 // opened returns a table with one open flow.
 func opened(t *testing.T) *table {
 	is := is.New(t)
 	tb := newTable()
 	syn := landing.Segment{}.WithKey(flowKey).WithOpening(true).WithSequence(100)
-	is.Equal(stepOf(tb.decide(syn, alone, landing.Absent{}, always, start)), landing.Take{})
+	is.Equal(tb.decide(syn, alone, landing.Absent{}, always, start), landing.Take{})
 	tb.noteUpstream(landing.Segment{}.WithKey(flowKey).WithAnswering(true).WithSequence(500), start)
 	ack := landing.Segment{}.WithKey(flowKey).WithAcknowledges(true).WithSequence(101).WithAcknowledged(501)
-	is.Equal(stepOf(tb.decide(ack, alone, landing.Absent{}, always, start)), landing.Complete{})
+	is.Equal(tb.decide(ack, alone, landing.Absent{}, always, start), landing.Complete{})
 	return tb
 }
 
@@ -88,6 +84,6 @@
 	tb := opened(t)
 	closed := func(load) landing.Refusal { return landing.RefusalLeaving }
 	again := landing.Segment{}.WithKey(flowKey).WithOpening(true).WithSequence(9000)
-	step, _ := tb.decide(again, alone, landing.Absent{}, closed, start)
+	step := tb.decide(again, alone, landing.Absent{}, closed, start)
 	is.Equal(step, landing.Return{})
 }
--- a/sidecar/pkg/relay/trace.go
+++ b/sidecar/pkg/relay/trace.go
@@ -8,13 +8,26 @@
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
-// logRequest writes a line for each request that arrives, so that its identifier leads to its flow.
-func (t *Traffic) logRequest(s landing.Segment, p landing.Parcel, packet platform.Packet) {
+// logRequest writes a line for each packet with the head of a request that goes to the upstream, so that the request's
+// identifier leads to its flow. A head that is sent again has a line for each time.
+func (t *Traffic) logRequest(s landing.Segment, p landing.Parcel, packet platform.Packet, step landing.Step) {
+	switch step.(type) {
+	case landing.Deliver, landing.Complete, landing.Ask, landing.Both:
+	case landing.Take, landing.Pass, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall:
+		return
+	}
+	request := platform.RequestID(packet.Data())
+	if request == "" {
+		return
+	}
 	l := t.table.load()
-	t.common.Log().Info("request arrived", "request", platform.RequestID(packet.Data()), "flow", address.Flow(s.Key()),
+	t.common.Log().Info(routineRequest, "request", request, "flow", address.Flow(s.Key()),
 		"part", p.Part(), "position", p.Position(), "running", l.running, "usual", l.usual.Round(time.Millisecond).String())
 }
 
+// routineRequest is the event of a request that arrives. There are as many of them as requests.
+const routineRequest = "request arrived"
+
 // logStep writes a line for each decision that places, moves or refuses a flow. Plain forwarding has none.
 func (t *Traffic) logStep(s landing.Segment, p landing.Parcel, step landing.Step, refusal landing.Refusal) {
 	outcome := ""
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -171,11 +171,9 @@
 		return refusal
 	}
 	at := t.position(s, p)
-	step, isRequest := t.table.decide(segment, at, s.Unknown(), refuse, now)
+	step := t.table.decide(segment, at, s.Unknown(), refuse, now)
 	t.logStep(segment, p, step, refusal)
-	if isRequest {
-		t.logRequest(segment, p, packet)
-	}
+	t.logRequest(segment, p, packet, step)
 	t.carryOut(step, p, packet, segment, refusal)
 }
 
