--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -215,11 +215,19 @@
 		t.cache.noteSent(n)
 		t.common.Log().Info("flow placed", "flow", address.Flow(segment.Key()), "sidecar", n.Enrollment().Instance(),
 			"copies", segment.Copies(), "part", part, "running", n.Status().Running(), "flows", n.Status().Flows(),
-			"age", time.Since(n.Heard()).Round(time.Millisecond).String(), "rules", s.rules.Rules().Revision())
+			"age", ageOf(n), "rules", s.rules.Rules().Revision())
 	}
 	t.send(t.parcel(s, packet).WithService(plan.ServiceTag(service)).WithPart(part).WithHops(hops...))
 }
 
+// ageOf returns the age of a sidecar's status for the log.
+func ageOf(n landing.Neighbor) string {
+	if n.Heard().IsZero() {
+		return "none"
+	}
+	return time.Since(n.Heard()).Round(time.Millisecond).String()
+}
+
 // refuse rejects a new flow for which no sidecar is open. While it is not known whether one will be in a moment,
 // the caller is left to send its packet again.
 func (t *Traffic) refuse(s Snapshot, l landing.Listener, segment landing.Segment) {
--- a/core/pkg/logline/logline.go
+++ b/core/pkg/logline/logline.go
@@ -20,7 +20,7 @@
 
 // routine marks the lines of events that are as many as requests. They have a budget of their own, so that in a rush
 // they leave room for refusals, resets and what the process believes.
-var routine = [][]byte{[]byte(`"msg"="request arrived"`), []byte(`"msg"="flow placed"`), []byte(`"msg"="flow taken"`)}
+var routine = [][]byte{[]byte(`"msg"="request arrived"`), []byte(`"msg"="flow placed"`), []byte(`"msg"="flow taken"`), []byte(`"msg"="flow waits"`)}
 
 // Writer takes lines and writes them on a goroutine of its own. Lines that do not fit are left out and counted.
 type Writer struct {
--- a/sidecar/pkg/relay/trace.go
+++ b/sidecar/pkg/relay/trace.go
@@ -11,8 +11,11 @@
 // logRequest writes a line for each packet with the head of a request that goes to the upstream, so that the request's
 // identifier leads to its flow. A head that is sent again has a line for each time.
 func (t *Traffic) logRequest(s landing.Segment, p landing.Parcel, packet platform.Packet, step landing.Step) {
+	isAsked := false
 	switch step.(type) {
-	case landing.Deliver, landing.Complete, landing.Ask, landing.Both:
+	case landing.Deliver, landing.Complete, landing.Both:
+	case landing.Ask:
+		isAsked = true
 	case landing.Take, landing.Pass, landing.Return, landing.Reset, landing.Drop, landing.Replace, landing.Defer, landing.Recall:
 		return
 	}
@@ -22,7 +25,7 @@
 	}
 	l := t.table.load()
 	t.common.Log().Info(routineRequest, "request", request, "flow", address.Flow(s.Key()),
-		"part", p.Part(), "position", p.Position(), "running", l.running, "usual", l.usual.Round(time.Millisecond).String())
+		"asked", isAsked, "part", p.Part(), "position", p.Position(), "running", l.running, "usual", l.usual.Round(time.Millisecond).String())
 }
 
 // routineRequest is the event of a request that arrives. There are as many of them as requests.
--- a/sidecar/pkg/relay/waiting.go
+++ b/sidecar/pkg/relay/waiting.go
@@ -65,6 +65,8 @@
 		WithArrived(now)
 	t.common.Counters().Counter("waited").Inc(1)
 	l := t.table.load()
+	t.common.Log().Info("flow waits", "flow", address.Flow(segment.Key()), "copies", segment.Copies(),
+		"priority", listener.Priority(), "running", l.running, "waiting", t.waiting.len())
 	for _, refused := range t.waiting.add(wait, backlog.Limit(s.presence.Slots(), l.usual)) {
 		t.common.Counters().Refused(landing.RefusalQueue)
 		t.common.Log().Info("flow refused", "flow", address.Flow(refused.Key()), "reason", landing.RefusalQueue.String(),
