SIGHUP takes over new seeds; a restarted sidecar lets half into a cold upstream in its first second

Cause: a kill and start beside a cold upstream would have doubled what it gets in a second (the window is memory); the settings were not read again on SIGHUP. Tests: TestRestartDoesNotDoubleWhatAColdUpstreamGets (red with an empty window), reader.

--- a/balancer/pkg/relay/app.go
+++ b/balancer/pkg/relay/app.go
@@ -12,6 +12,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
 	"github.com/crocuslanding/crocuslanding/core/pkg/logline"
 	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
@@ -28,23 +29,37 @@
 // Run runs the program until it is asked to stop, and ends the process.
 func Run() {
 	path := launch.Path("balancer", os.Args[1:])
-	r := reader.Open(path)
-	s := form.ReadRelayBalancerSettings(r)
-	settings.CheckRelayBalancer(s, r.Report)
-	launch.ExitOnFindings(r)
+	s, findings := readSettings(path)
+	launch.ExitOnFindings(findings)
 	out := logline.New(os.Stdout)
 	out.Start()
 	c := common.New(common.NewLogger(out, s.Instance(), int(s.Verbosity())), counter.New())
 	ctx, cancel, reload := launch.Signals()
 	defer cancel()
-	err := Serve(ctx, c, s, reload)
+	err := Serve(ctx, c, s, Reload{Asked: reload, Read: func() (landing.RelayBalancerSettings, []landing.Finding) { return readSettings(path) }})
 	out.Stop(logPatience)
 	launch.Exit(err)
 }
 
+// readSettings reads and checks the settings file.
+func readSettings(path string) (landing.RelayBalancerSettings, []landing.Finding) {
+	r := reader.Open(path)
+	s := form.ReadRelayBalancerSettings(r)
+	settings.CheckRelayBalancer(s, r.Report)
+	return s, r.Findings()
+}
+
+// Reload is how a balancer reads its settings again.
+type Reload struct {
+	// Asked receives when the settings have changed.
+	Asked <-chan os.Signal
+	// Read reads them.
+	Read func() (landing.RelayBalancerSettings, []landing.Finding)
+}
+
 // Serve runs a balancer until ctx ends, and then for as long as the routers may take to turn away.
 // It returns an error when an address cannot be used.
-func Serve(ctx context.Context, c common.Common, s landing.RelayBalancerSettings, reload <-chan os.Signal) error {
+func Serve(ctx context.Context, c common.Common, s landing.RelayBalancerSettings, reload Reload) error {
 	b, err := New(c, s)
 	if err != nil {
 		return err
@@ -53,8 +68,8 @@
 	c.Log().Info("balancer started", "front", s.Front(), "fleet", s.Fleet())
 	for {
 		select {
-		case <-reload:
-			c.Log().Info("settings are read at the next start")
+		case <-reload.Asked:
+			b.reload(reload.Read())
 		case <-ctx.Done():
 			b.Leave(s.Leave())
 			b.Stop()
@@ -64,6 +79,17 @@
 	}
 }
 
+// reload takes over what can change while the process runs: the seeds. All else holds from the next start.
+func (b *Balancer) reload(s landing.RelayBalancerSettings, findings []landing.Finding) {
+	for _, f := range findings {
+		b.common.Log().Info("settings cannot be used", "finding", finding.Format(f))
+	}
+	if len(findings) == 0 {
+		b.sync.peers.SetSeeds(s.Seeds())
+		b.common.Log().Info("settings read again", "seeds", s.Seeds())
+	}
+}
+
 // Balancer is one balancer with all its parts.
 type Balancer struct {
 	common  common.Common
--- a/core/pkg/launch/launch.go
+++ b/core/pkg/launch/launch.go
@@ -13,7 +13,6 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
-	"github.com/crocuslanding/crocuslanding/core/pkg/reader"
 	"github.com/crocuslanding/crocuslanding/core/pkg/text"
 )
 
@@ -44,21 +43,15 @@
 	return *path
 }
 
-// ExitOnFindings prints all findings of r and ends the program with StatusUsage when there are any.
-func ExitOnFindings(r *reader.Reader) {
-	findings := r.Findings()
+// ExitOnFindings prints all findings on standard error and ends the program with StatusUsage when there are any.
+func ExitOnFindings(findings []landing.Finding) {
 	if len(findings) == 0 {
 		return
 	}
-	Print(findings)
-	os.Exit(StatusUsage)
-}
-
-// Print prints findings on standard error.
-func Print(findings []landing.Finding) {
 	for _, f := range findings {
 		fmt.Fprintln(os.Stderr, finding.Format(f))
 	}
+	os.Exit(StatusUsage)
 }
 
 // Signals returns a context that ends when the process is asked to stop, and a channel that receives when it is
--- a/core/pkg/peer/peer.go
+++ b/core/pkg/peer/peer.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -44,7 +45,7 @@
 type Client struct {
 	own   string
 	port  uint16
-	seeds []netip.Addr
+	seeds atomic.Pointer[[]netip.Addr]
 	http  *http.Client
 }
 
@@ -57,12 +58,19 @@
 	if own, err := netip.ParseAddrPort(fleet); err == nil {
 		c.own, c.port = fleet, own.Port()
 	}
+	c.SetSeeds(seeds)
+	return c
+}
+
+// SetSeeds replaces the balancers that are asked.
+func (c *Client) SetSeeds(seeds []string) {
+	var list []netip.Addr
 	for _, s := range seeds {
 		if a, err := netip.ParseAddrPort(s); err == nil {
-			c.seeds = append(c.seeds, a.Addr())
+			list = append(list, a.Addr())
 		}
 	}
-	return c
+	c.seeds.Store(&list)
 }
 
 // Picture returns the picture of one of the balancers at these addresses or at the seeds, asked in random order.
@@ -72,7 +80,7 @@
 	for _, h := range hops {
 		addresses = append(addresses, address.FromHop(h).String())
 	}
-	for _, s := range c.seeds {
+	for _, s := range *c.seeds.Load() {
 		addresses = append(addresses, netip.AddrPortFrom(s, c.port).String())
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
--- a/core/pkg/warmup/warmup.go
+++ b/core/pkg/warmup/warmup.go
@@ -22,6 +22,13 @@
 // Window is the record of the last new flows of one upstream. It is immutable.
 type Window struct {
 	taken []time.Time
+	since time.Time
+}
+
+// New returns the window of a process that starts now. It does not know what its predecessor let in just before, so in
+// its first second it lets in half.
+func New(now time.Time) Window {
+	return Window{since: now}
 }
 
 // Room returns the number of new flows that may still be taken at this time by an upstream that bears this many a
@@ -30,12 +37,15 @@
 	if rate == 0 {
 		return unbounded
 	}
+	if now.Sub(w.since) <= span {
+		rate /= 2
+	}
 	return max(max(int(rate), leastRate)-len(w.recent(now)), 0)
 }
 
 // WithFlow returns the record with one more new flow.
 func (w Window) WithFlow(now time.Time) Window {
-	return Window{taken: append(w.recent(now), now)}
+	return Window{taken: append(w.recent(now), now), since: w.since}
 }
 
 func (w Window) recent(now time.Time) []time.Time {
--- a/core/pkg/warmup/warmup_test.go
+++ b/core/pkg/warmup/warmup_test.go
@@ -58,3 +58,19 @@
 		w = w.WithFlow(now)
 	}
 }
+
+// A sidecar is killed and starts again within a second beside a cold upstream: the users allow one and a half times the
+// rate and 5 more in any second.
+func TestRestartDoesNotDoubleWhatAColdUpstreamGets(t *testing.T) {
+	is := is.New(t)
+	const rate = 40
+	now := time.Unix(1000, 0)
+	taken := 0
+	for _, w := range []Window{New(now.Add(-time.Minute)), New(now)} {
+		for w.Room(rate, now) > 0 {
+			w = w.WithFlow(now)
+			taken++
+		}
+	}
+	is.True(float64(taken) <= rate*1.5+5)
+}
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -13,6 +13,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
 	"github.com/crocuslanding/crocuslanding/core/pkg/logline"
 	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
@@ -29,22 +30,36 @@
 // Run runs the program until it is asked to stop, and ends the process.
 func Run() {
 	path := launch.Path("sidecar", os.Args[1:])
-	r := reader.Open(path)
-	s := form.ReadRelaySidecarSettings(r)
-	settings.CheckRelaySidecar(s, r.Report)
-	launch.ExitOnFindings(r)
+	s, findings := readSettings(path)
+	launch.ExitOnFindings(findings)
 	out := logline.New(os.Stdout)
 	out.Start()
 	c := common.New(common.NewLogger(out, s.Instance(), int(s.Verbosity())), counter.New())
 	ctx, cancel, reload := launch.Signals()
 	defer cancel()
-	err := Serve(ctx, c, s, reload)
+	err := Serve(ctx, c, s, Reload{Asked: reload, Read: func() (landing.RelaySidecarSettings, []landing.Finding) { return readSettings(path) }})
 	out.Stop(logPatience)
 	launch.Exit(err)
 }
 
+// readSettings reads and checks the settings file.
+func readSettings(path string) (landing.RelaySidecarSettings, []landing.Finding) {
+	r := reader.Open(path)
+	s := form.ReadRelaySidecarSettings(r)
+	settings.CheckRelaySidecar(s, r.Report)
+	return s, r.Findings()
+}
+
+// Reload is how a sidecar reads its settings again.
+type Reload struct {
+	// Asked receives when the settings have changed.
+	Asked <-chan os.Signal
+	// Read reads them.
+	Read func() (landing.RelaySidecarSettings, []landing.Finding)
+}
+
 // Serve runs a sidecar until ctx ends. It returns an error when an address cannot be used.
-func Serve(ctx context.Context, c common.Common, s landing.RelaySidecarSettings, reload <-chan os.Signal) error {
+func Serve(ctx context.Context, c common.Common, s landing.RelaySidecarSettings, reload Reload) error {
 	sc, err := New(c, s)
 	if err != nil {
 		return err
@@ -53,8 +68,8 @@
 	c.Log().Info("sidecar started", "fleet", s.Fleet(), "service", s.Service(), "zone", s.Zone(), "upstream", s.Upstream())
 	for {
 		select {
-		case <-reload:
-			c.Log().Info("settings are read at the next start")
+		case <-reload.Asked:
+			sc.reload(reload.Read())
 		case <-ctx.Done():
 			sc.Stop()
 			c.Log().Info("sidecar stopped")
@@ -63,6 +78,17 @@
 	}
 }
 
+// reload takes over what can change while the process runs: the seeds. All else holds from the next start.
+func (sc *Sidecar) reload(s landing.RelaySidecarSettings, findings []landing.Finding) {
+	for _, f := range findings {
+		sc.common.Log().Info("settings cannot be used", "finding", finding.Format(f))
+	}
+	if len(findings) == 0 {
+		sc.sync.peers.SetSeeds(s.Seeds())
+		sc.common.Log().Info("settings read again", "seeds", s.Seeds())
+	}
+}
+
 // Sidecar is one sidecar with all its parts.
 type Sidecar struct {
 	keeper  *Keeper
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -55,8 +55,8 @@
 	entering map[landing.Key]time.Time
 }
 
-func newTable() *table {
-	return &table{flows: map[landing.Key]flow{}, entering: map[landing.Key]time.Time{}}
+func newTable(now time.Time) *table {
+	return &table{flows: map[landing.Key]flow{}, entering: map[landing.Key]time.Time{}, window: warmup.New(now)}
 }
 
 // load is the work of the upstream as its sidecar sees it.
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -19,7 +19,7 @@
 // opened returns a table with one open flow.
 func opened(t *testing.T) *table {
 	is := is.New(t)
-	tb := newTable()
+	tb := newTable(start)
 	syn := landing.Segment{}.WithKey(flowKey).WithOpening(true).WithSequence(100)
 	is.Equal(tb.decide(syn, alone, landing.Absent{}, always, start), landing.Take{})
 	tb.noteUpstream(landing.Segment{}.WithKey(flowKey).WithAnswering(true).WithSequence(500), start)
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -81,7 +81,7 @@
 		upstream:  upstream,
 		callers:   front.Port(),
 		service:   plan.ServiceTag(s.Service()),
-		table:     newTable(),
+		table:     newTable(time.Now()),
 		ring:      newRing(),
 		done:      common.NewDone(),
 		startedAt: time.Now(),
