--- a/balancer/pkg/relay/keeper.go
+++ b/balancer/pkg/relay/keeper.go
@@ -85,9 +85,11 @@
 	case landing.RollChange:
 		return k.enroll(s, c.Roll())
 	case landing.StatusChange:
-		k.compare(s, c.Status().Rules(), c.Status().Exclusions())
-		k.notice(s, c)
-		return s.WithDirectory(s.directory.WithStatus(c.Status(), c.Source(), c.Now()))
+		for _, a := range c.Arrivals() {
+			k.compare(s, a.Status().Rules(), a.Status().Exclusions())
+			k.notice(s, a)
+		}
+		return s.WithDirectory(s.directory.WithStatuses(c.Arrivals()...))
 	case landing.RevisionChange:
 		k.compare(s, c.Rules(), c.Exclusions())
 	case landing.VouchChange:
@@ -130,11 +132,11 @@
 }
 
 // notice tells traffic of a new incarnation of an upstream.
-func (k *Keeper) notice(s Snapshot, c landing.StatusChange) {
-	before, found := s.directory.Find(c.Source())
-	born := c.Status().Born()
+func (k *Keeper) notice(s Snapshot, a landing.Arrival) {
+	before, found := s.directory.Find(a.Source())
+	born := a.Status().Born()
 	if found && born > 0 && born != before.Status().Born() {
-		k.reborn(c.Source(), born)
+		k.reborn(a.Source(), born)
 	}
 }
 
--- a/balancer/pkg/relay/reaper.go
+++ b/balancer/pkg/relay/reaper.go
@@ -78,7 +78,7 @@
 
 func (r *Reaper) inquire(s Snapshot) {
 	var local []uint64
-	for _, q := range absence.Questions(s.directory.Neighbors(), time.Now()) {
+	for _, q := range absence.Questions(s.Followed(r.traffic.link.Home()), time.Now()) {
 		for _, hop := range q.Proxies {
 			r.traffic.link.Send(landing.Inquiry{}.WithSubject(q.Subject.Hop()).WithHome(r.traffic.link.Home()), hop)
 		}
--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+	"github.com/crocuslanding/crocuslanding/core/pkg/subset"
 )
 
 // Snapshot is the control state that traffic reads. It is immutable.
@@ -81,6 +82,11 @@
 	return hops
 }
 
+// Followed returns the sidecars that the balancer at this address follows closely.
+func (s Snapshot) Followed(home uint64) []landing.Neighbor {
+	return subset.Pick(s.directory.Neighbors(), home)
+}
+
 // Balancers returns the number of balancers in the fleet, as far as sidecars tell.
 func (s Snapshot) Balancers() int {
 	count := 1
--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -229,7 +229,7 @@
 	return nil
 }
 
-// greet greets all sidecars now and then, and at once when there are new ones.
+// greet greets sidecars now and then, and at once when there are new ones.
 func (s *Sync) greet() {
 	ticker := time.NewTicker(greetInterval)
 	defer ticker.Stop()
@@ -248,7 +248,7 @@
 	}
 }
 
-// greet asks all sidecars for statuses and tells them what this balancer knows.
+// greet asks the sidecars that this balancer follows for statuses, and tells them what it knows.
 func (t *Traffic) greet(s Snapshot) {
 	g := landing.Greeting{}.
 		WithHome(t.link.Home()).
@@ -256,7 +256,7 @@
 		WithExclusions(s.exclusions.Changed()).
 		WithRoll(s.directory.Roll().Revision()).
 		WithSidecars(uint32(len(s.directory.Neighbors())))
-	for _, n := range s.directory.Neighbors() {
+	for _, n := range s.Followed(t.link.Home()) {
 		t.link.Send(g.WithInstance(n.Enrollment().Instance()), n.Hop())
 	}
 }
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -44,6 +44,7 @@
 	front    *net.UDPConn
 	callers  uint16
 	cache    *cache
+	inbox    inbox
 	nobodies chan<- nobody
 	done     *common.Done
 }
@@ -101,6 +102,7 @@
 func (t *Traffic) Start() {
 	t.done.Go(func() { link.ReadAll(t.front, t.common.Counters(), t.arrive) })
 	t.done.Go(func() { t.link.Receive(t.receive) })
+	t.done.Go(t.deliverStatuses)
 }
 
 // Stop closes the sockets and waits for the readers.
@@ -319,7 +321,7 @@
 	rankOtherSilent
 )
 
-// stops returns all sidecars as stops of a walk. Those of other services come last: rules that have changed leave
+// stops returns all sidecars as stops of a walk. Those that have fallen silent come later, and those of other services come last: rules that have changed leave
 // open flows where they are.
 func stops(s Snapshot, l landing.Listener) []walk.Stop {
 	now := time.Now()
@@ -330,7 +332,7 @@
 		if !rules.Allows(l, n.Enrollment().Service()) {
 			rank = rankOther
 		}
-		if now.Sub(n.Heard()) > placement.SilentAfter {
+		if !n.Heard().IsZero() && now.Sub(n.Heard()) > placement.SilentAfter {
 			rank++
 		}
 		list = append(list, walk.Stop{Hop: n.Hop(), Rank: rank})
@@ -358,7 +360,7 @@
 	case landing.Refund:
 		t.takeBack(d)
 	case landing.Status:
-		t.keeper.Post(landing.StatusChange{}.WithStatus(d).WithSource(from).WithNow(time.Now()))
+		t.inbox.add(landing.Arrival{}.WithStatus(d).WithSource(from).WithNow(time.Now()))
 	case landing.Claim:
 		t.cache.claim(d.Key(), from, d.Born(), time.Now())
 	case landing.Vouch:
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -679,15 +679,35 @@
 // EncodeStatusChange returns the message for v.
 func EncodeStatusChange(v landing.StatusChange) *landingpb.StatusChange {
 	m := &landingpb.StatusChange{}
-	m.Status = EncodeStatus(v.Status())
-	m.Source = v.Source()
-	m.Now = timestamppb.New(v.Now())
+	for i := range v.ArrivalsLen() {
+		m.Arrivals = append(m.Arrivals, EncodeArrival(v.ArrivalsAt(i)))
+	}
 	return m
 }
 
 // DecodeStatusChange returns the value of m; the zero value when m is nil.
 func DecodeStatusChange(m *landingpb.StatusChange) landing.StatusChange {
 	v := landing.StatusChange{}
+	var arrivals []landing.Arrival
+	for _, e := range m.GetArrivals() {
+		arrivals = append(arrivals, DecodeArrival(e))
+	}
+	v = v.WithArrivals(arrivals...)
+	return v
+}
+
+// EncodeArrival returns the message for v.
+func EncodeArrival(v landing.Arrival) *landingpb.Arrival {
+	m := &landingpb.Arrival{}
+	m.Status = EncodeStatus(v.Status())
+	m.Source = v.Source()
+	m.Now = timestamppb.New(v.Now())
+	return m
+}
+
+// DecodeArrival returns the value of m; the zero value when m is nil.
+func DecodeArrival(m *landingpb.Arrival) landing.Arrival {
+	v := landing.Arrival{}
 	v = v.WithStatus(DecodeStatus(m.GetStatus()))
 	v = v.WithSource(m.GetSource())
 	v = v.WithNow(m.GetNow().AsTime())
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -1516,47 +1516,74 @@
 	return v
 }
 
-// StatusChange hands over a status.
+// StatusChange hands over the statuses of a short while.
 type StatusChange struct {
+	arrivals []Arrival
+}
+
+func (StatusChange) isChange() {}
+
+// Arrivals returns a copy of the list of this name:
+// The statuses.
+func (v StatusChange) Arrivals() []Arrival {
+	return slices.Clone(v.arrivals)
+}
+
+// ArrivalsLen returns the number of elements of Arrivals.
+func (v StatusChange) ArrivalsLen() int {
+	return len(v.arrivals)
+}
+
+// ArrivalsAt returns element i of Arrivals, counted from 0.
+func (v StatusChange) ArrivalsAt(i int) Arrival {
+	return v.arrivals[i]
+}
+
+// WithArrivals returns a copy with other arrivals.
+func (v StatusChange) WithArrivals(arrivals ...Arrival) StatusChange {
+	v.arrivals = slices.Clone(arrivals)
+	return v
+}
+
+// Arrival is a status with its arrival.
+type Arrival struct {
 	status Status
 	source uint64
 	now    time.Time
 }
 
-func (StatusChange) isChange() {}
-
 // Status returns the field of this name:
 // The status.
-func (v StatusChange) Status() Status {
+func (v Arrival) Status() Status {
 	return v.status
 }
 
 // WithStatus returns a copy with another status.
-func (v StatusChange) WithStatus(status Status) StatusChange {
+func (v Arrival) WithStatus(status Status) Arrival {
 	v.status = status
 	return v
 }
 
 // Source returns the field of this name:
 // Address from which it came, see Parcel.
-func (v StatusChange) Source() uint64 {
+func (v Arrival) Source() uint64 {
 	return v.source
 }
 
 // WithSource returns a copy with another source.
-func (v StatusChange) WithSource(source uint64) StatusChange {
+func (v Arrival) WithSource(source uint64) Arrival {
 	v.source = source
 	return v
 }
 
 // Now returns the field of this name:
 // Time of arrival.
-func (v StatusChange) Now() time.Time {
+func (v Arrival) Now() time.Time {
 	return v.now
 }
 
 // WithNow returns a copy with another now.
-func (v StatusChange) WithNow(now time.Time) StatusChange {
+func (v Arrival) WithNow(now time.Time) Arrival {
 	v.now = now
 	return v
 }
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -71,14 +71,18 @@
 	return d.changedAt
 }
 
-// WithStatus returns a directory with a newer status of the sidecar at this address. Statuses of others and
-// older ones change nothing.
-func (d *Directory) WithStatus(s landing.Status, hop uint64, now time.Time) *Directory {
-	before, found := d.Find(hop)
-	if !found || before.Enrollment().Instance() != s.Instance() || !isNewer(s, before.Status()) {
-		return d
+// WithStatuses returns a directory with newer statuses. Those of others than the sidecars at their addresses and older
+// ones change nothing.
+func (d *Directory) WithStatuses(arrivals ...landing.Arrival) *Directory {
+	next := *d
+	next.neighbors = slices.Clone(d.neighbors)
+	for _, a := range arrivals {
+		before, found := next.Find(a.Source())
+		if found && before.Enrollment().Instance() == a.Status().Instance() && isNewer(a.Status(), before.Status()) {
+			next.neighbors[d.byHop[a.Source()]] = before.WithStatus(a.Status()).WithHeard(a.Now()).WithInquiries(0)
+		}
 	}
-	return d.with(before.WithStatus(s).WithHeard(now).WithInquiries(0))
+	return &next
 }
 
 // WithVouch returns a directory in which the sidecar at the address proxy has vouched for the one at hop.
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -30,25 +30,29 @@
 	return landing.Status{}.WithInstance("a").WithIncarnation(incarnation).WithSequence(sequence).WithPhase(landing.PhaseServing)
 }
 
+func arrival(s landing.Status) landing.Arrival {
+	return landing.Arrival{}.WithStatus(s).WithSource(hopA).WithNow(now)
+}
+
 func TestStatusesThatCrossOnTheirWayDoNotGoBack(t *testing.T) {
 	is := is.New(t)
-	d := New().WithRoll(roll, now).WithStatus(status(2, 7), hopA, now)
+	d := New().WithRoll(roll, now).WithStatuses(arrival(status(2, 7)))
 	for _, old := range []landing.Status{status(2, 6), status(1, 900)} {
-		n, _ := d.WithStatus(old, hopA, now).Find(hopA)
+		n, _ := d.WithStatuses(arrival(old)).Find(hopA)
 		is.Equal(n.Status().Sequence(), uint64(7))
 	}
-	n, _ := d.WithStatus(status(3, 1), hopA, now).Find(hopA)
+	n, _ := d.WithStatuses(arrival(status(3, 1))).Find(hopA)
 	is.Equal(n.Status().Incarnation(), uint64(3))
 }
 
 // An address that is used again belongs to another sidecar, of which nothing is known.
 func TestAddressThatIsUsedAgainStartsAnew(t *testing.T) {
 	is := is.New(t)
-	d := New().WithRoll(roll, now).WithStatus(status(1, 7), hopA, now)
+	d := New().WithRoll(roll, now).WithStatuses(arrival(status(1, 7)))
 	d = d.WithRoll(landing.Roll{}.WithRevision(6).WithEnrollments(a.WithInstance("c")), now)
 	n, _ := d.Find(hopA)
 	is.Equal(n.Status().Sequence(), uint64(0))
-	n, _ = d.WithStatus(status(1, 8), hopA, now).Find(hopA)
+	n, _ = d.WithStatuses(arrival(status(1, 8))).Find(hopA)
 	is.Equal(n.Status().Sequence(), uint64(0))
 }
 
--- /dev/null
+++ b/core/pkg/subset/subset_test.go
@@ -0,0 +1,54 @@
+package subset
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+func fleet(n int) []landing.Neighbor {
+	var list []landing.Neighbor
+	for i := range n {
+		list = append(list, landing.Neighbor{}.WithHop(uint64(i+1)).WithEnrollment(landing.Enrollment{}.WithService("s")))
+	}
+	return list
+}
+
+func TestSmallServicesAreFollowedWhole(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(Pick(fleet(Size), 1)), Size)
+}
+
+// 200 sidecars and 100 balancers: 20,000 pairs before.
+func TestLargeServicesAreFollowedInPartAndEverySidecarBySome(t *testing.T) {
+	is := is.New(t)
+	followers := map[uint64]int{}
+	for balancer := range uint64(100) {
+		picked := Pick(fleet(200), balancer*7919)
+		is.Equal(len(picked), Size)
+		for _, n := range picked {
+			followers[n.Hop()]++
+		}
+	}
+	is.Equal(len(followers), 200)
+	for _, n := range followers {
+		is.True(n >= 3)
+	}
+}
+
+func TestOneSidecarMoreChangesOneOfTheSet(t *testing.T) {
+	is := is.New(t)
+	before := map[uint64]bool{}
+	for _, n := range Pick(fleet(200), 5) {
+		before[n.Hop()] = true
+	}
+	changed := 0
+	for _, n := range Pick(fleet(201), 5) {
+		if !before[n.Hop()] {
+			changed++
+		}
+	}
+	is.True(changed <= 1)
+}
