--- /dev/null
+++ b/balancer/pkg/relay/opening.go
@@ -0,0 +1,171 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
+	"github.com/crocuslanding/crocuslanding/core/pkg/placement"
+	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
+	"github.com/crocuslanding/crocuslanding/core/pkg/reject"
+	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+const (
+	// firstHops is the number of sidecars to which a new flow is offered before the balancer orders the rest.
+	firstHops = 3
+	// lastCopy is the number of the copy of an opening packet with which another sidecar is tried, although the
+	// first one is heard: two lost packets in a row are rare.
+	lastCopy = 2
+	// freshStatus is the age of a status up to which its sidecar is taken to live: one interval and some slack.
+	freshStatus = 350 * time.Millisecond
+)
+
+// refuseUnlisted takes a packet to an address that is in no rule. An open flow is reset only when this balancer
+// knew it: another balancer may have newer rules.
+func (t *Traffic) refuseUnlisted(segment landing.Segment) {
+	t.common.Counters().Refused(landing.RefusalService)
+	hop, found := t.cache.find(segment, time.Now())
+	if found {
+		t.cache.forget(segment.Key(), hop)
+	}
+	if found || segment.Opening() && segment.Copies() == 0 {
+		t.reset(segment, landing.RefusalService)
+	}
+}
+
+// open sends an opening packet to the sidecars that are best for the flow.
+func (t *Traffic) open(s Snapshot, l landing.Listener, segment landing.Segment, packet platform.Packet) {
+	now := time.Now()
+	service, order := t.order(s, l, segment.Key(), now)
+	before, isCopy := t.cache.find(segment, now)
+	if isCopy && segment.Copies() > 0 {
+		isHeard := false
+		if n, known := s.directory.Find(before); known {
+			isHeard = now.Sub(n.Heard()) <= freshStatus
+		}
+		order = orderForCopy(order, before, segment.Copies(), isHeard)
+	}
+	if len(order) == 0 {
+		t.refuse(s, l, segment)
+		return
+	}
+	hops := hopsOf(order)
+	hops = hops[:min(len(hops), firstHops)]
+	t.place(s, service, segment, hops, 0, packet)
+}
+
+// orderForCopy keeps the flow at the sidecar to which it was sent while that one is heard, and tries another one
+// with the last copy.
+func orderForCopy(order []landing.Candidate, before uint64, copies uint32, isHeard bool) []landing.Candidate {
+	i := slices.IndexFunc(order, func(c landing.Candidate) bool { return c.Hop() == before })
+	if i < 0 || len(order) == 1 {
+		return order
+	}
+	same := order[i]
+	rest := slices.Delete(slices.Clone(order), i, i+1)
+	if copies >= lastCopy || !isHeard {
+		return append(rest, same)
+	}
+	return append([]landing.Candidate{same}, rest...)
+}
+
+// order returns the first service of the listener with sidecars that may take the flow, and those in order.
+func (t *Traffic) order(s Snapshot, l landing.Listener, k landing.Key, now time.Time) (string, []landing.Candidate) {
+	hash := chain.HashKey(k)
+	for _, service := range rules.Services(l, hash) {
+		var candidates []landing.Candidate
+		for _, n := range s.directory.OfService(service) {
+			isExcluded := s.IsExcluded(n.Enrollment().Zone())
+			candidates = append(candidates, placement.Candidate(n, isExcluded, t.cache.sentSince(n), now))
+		}
+		if order := placement.Order(candidates, hash); len(order) > 0 {
+			return service, order
+		}
+	}
+	return "", nil
+}
+
+func hopsOf(order []landing.Candidate) []uint64 {
+	hops := make([]uint64, 0, len(order))
+	for _, c := range order {
+		hops = append(hops, c.Hop())
+	}
+	return hops
+}
+
+// place sends an opening packet along hops and remembers where it went.
+func (t *Traffic) place(s Snapshot, service string, segment landing.Segment, hops []uint64, part uint32, packet platform.Packet) {
+	t.cache.put(segment, hops[0], time.Now())
+	if n, found := s.directory.Find(hops[0]); found {
+		t.cache.noteSent(n)
+		t.common.Log().Info("flow placed", "flow", address.Flow(segment.Key()), "sidecar", n.Enrollment().Instance(),
+			"copies", segment.Copies(), "part", part, "running", n.Status().Running(), "flows", n.Status().Flows(),
+			"age", ageOf(n), "rules", s.rules.Rules().Revision())
+	}
+	t.send(t.parcel(s, packet).WithService(plan.ServiceTag(service)).WithPart(part).WithHops(hops...))
+}
+
+// ageOf returns the age of a sidecar's status for the log.
+func ageOf(n landing.Neighbor) string {
+	if n.Heard().IsZero() {
+		return "none"
+	}
+	return time.Since(n.Heard()).Round(time.Millisecond).String()
+}
+
+// refuse rejects a new flow for which no sidecar is open. While it is not known whether one will be in a moment,
+// the caller is left to send its packet again.
+func (t *Traffic) refuse(s Snapshot, l landing.Listener, segment landing.Segment) {
+	if !reject.IsSettled(s.directory.ChangedAt(), time.Now()) {
+		t.common.Counters().Refused(landing.RefusalUnready)
+		return
+	}
+	for i := range l.SharesLen() {
+		for _, n := range s.directory.OfService(l.SharesAt(i).Service()) {
+			if n.Status().Phase() == landing.PhaseUnspecified && !s.IsExcluded(n.Enrollment().Zone()) {
+				t.common.Counters().Refused(landing.RefusalUnready)
+				return
+			}
+		}
+	}
+	t.refuseNew(segment, landing.RefusalZone)
+}
+
+// openAgain offers a new flow to the sidecars that have not been asked yet.
+func (t *Traffic) openAgain(s Snapshot, l landing.Listener, segment landing.Segment, p landing.Parcel, reason landing.Refusal, packet platform.Packet) {
+	if t.cache.isPlacedAgain(segment) {
+		t.common.Counters().Refused(reason)
+		return
+	}
+	t.cache.forget(segment.Key(), p.HopsAt(0))
+	tried := p.Hops()[:p.Position()+1]
+	service, order := t.order(s, l, segment.Key(), time.Now())
+	hops := slices.DeleteFunc(hopsOf(order), func(hop uint64) bool { return slices.Contains(tried, hop) })
+	if p.Part() == 0 && len(hops) > 0 {
+		t.place(s, service, segment, hops[:min(len(hops), walk.PartHops)], 1, packet)
+		return
+	}
+	isBehind := p.Rules() > s.rules.Rules().Revision() || p.Exclusions() > s.exclusions.Revision()
+	if !reject.IsFinal(reason, isBehind) {
+		t.common.Counters().Refused(reason)
+		t.common.Log().Info("flow left to its next copy", "flow", address.Flow(segment.Key()), "copies", segment.Copies(),
+			"reason", reason.String(), "behind", isBehind)
+		return
+	}
+	t.refuseNew(segment, reason)
+}
+
+// refuseNew refuses a new flow at once. An earlier copy of its opening packet may have opened it meanwhile, so a copy
+// is not answered.
+func (t *Traffic) refuseNew(segment landing.Segment, reason landing.Refusal) {
+	if _, isHeld := t.cache.find(segment, time.Now()); isHeld || segment.Copies() > 0 {
+		t.common.Counters().Refused(reason)
+		return
+	}
+	t.reset(segment, reason)
+}
--- /dev/null
+++ b/balancer/pkg/relay/search.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
+	"github.com/crocuslanding/crocuslanding/core/pkg/placement"
+	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+// nobody is a flow that no sidecar of a whole walk holds.
+type nobody struct {
+	key          landing.Key
+	acknowledged uint32
+	roll         uint64
+	request      string
+}
+
+// forward sends a packet of a flow that is not new to the sidecar that holds it.
+func (t *Traffic) forward(s Snapshot, l landing.Listener, segment landing.Segment, packet platform.Packet) {
+	hop, found := t.cache.find(segment, time.Now())
+	if found {
+		t.send(t.parcel(s, packet).WithHops(t.way(s, hop)...))
+		return
+	}
+	t.search(s, l, segment, t.parcel(s, packet))
+}
+
+// way returns the hops to the sidecar at this address: by way of the one that vouches for it while it is not heard here.
+func (t *Traffic) way(s Snapshot, hop uint64) []uint64 {
+	n, found := s.directory.Find(hop)
+	if found && absence.IsBehindCut(n, time.Now()) {
+		return []uint64{n.Proxy(), hop}
+	}
+	return []uint64{hop}
+}
+
+// search sends a packet along the next part of the walk over all sidecars.
+func (t *Traffic) search(s Snapshot, l landing.Listener, segment landing.Segment, p landing.Parcel) {
+	hops := walk.Next(stops(s, l), withGone(s, p.Asked()), chain.HashKey(segment.Key()))
+	if len(hops) == 0 {
+		t.note(s, segment, p)
+		return
+	}
+	if p.Part() >= maxParts {
+		t.common.Counters().Counter("walks_broken_off").Inc(1)
+		return
+	}
+	t.send(p.WithHops(hops...).WithPosition(0).WithPart(p.Part() + 1))
+}
+
+// withGone returns the set with the sidecars that have said that their upstream has ended.
+func withGone(s Snapshot, asked walk.Asked) walk.Asked {
+	for i, n := range s.directory.Neighbors() {
+		if n.Status().Phase() == landing.PhaseLeft {
+			asked = asked.With(i)
+		}
+	}
+	return asked
+}
+
+// note hands over a flow that no sidecar holds, if all of them were asked.
+func (t *Traffic) note(s Snapshot, segment landing.Segment, p landing.Parcel) {
+	t.common.Counters().Refused(landing.RefusalUnknown)
+	if p.Roll() != s.directory.Changed() || segment.Resets() {
+		return
+	}
+	select {
+	case t.nobodies <- nobody{key: segment.Key(), acknowledged: segment.Acknowledged(), roll: p.Roll(), request: requestOf(p)}:
+	default:
+		t.common.Counters().Counter("proofs_left_out").Inc(1)
+	}
+}
+
+// requestOf returns the identifier of the request that a parcel carries, if any.
+func requestOf(p landing.Parcel) string {
+	packet, err := platform.OpenPacket(p.Packet())
+	if err != nil {
+		return ""
+	}
+	return platform.RequestID(packet.Data())
+}
+
+// maxParts bounds a walk: 64 parts are 1,536 sidecars of one region, and a walk that begins anew with each change of
+// the roll ends.
+const maxParts = 64
+
+// Ranks of the sidecars in a walk.
+const (
+	rankHeard = iota
+	rankSilent
+	rankOther
+	rankOtherSilent
+)
+
+// stops returns all sidecars as stops of a walk. Those that have fallen silent come later, and those of other services come last: rules that have changed leave
+// open flows where they are.
+func stops(s Snapshot, l landing.Listener) []walk.Stop {
+	now := time.Now()
+	neighbors := s.directory.Neighbors()
+	list := make([]walk.Stop, 0, len(neighbors))
+	for _, n := range neighbors {
+		rank := rankHeard
+		if !rules.Allows(l, n.Enrollment().Service()) {
+			rank = rankOther
+		}
+		if !n.Heard().IsZero() && now.Sub(n.Heard()) > placement.SilentAfter {
+			rank++
+		}
+		list = append(list, walk.Stop{Hop: n.Hop(), Rank: rank})
+	}
+	return list
+}
+
+// withAsked returns a parcel that counts its hops as asked. When the roll has changed since the walk began, it begins
+// anew, since the indexes are those of the roll.
+func withAsked(s Snapshot, l landing.Listener, p landing.Parcel) landing.Parcel {
+	roll := s.directory.Changed()
+	if p.Roll() != roll {
+		return p.WithRoll(roll).WithAsked(nil)
+	}
+	return p.WithAsked(walk.Asked(p.Asked()).WithHops(stops(s, l), p.Hops()))
+}
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -12,10 +12,8 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/form"
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
-	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
-	"github.com/crocuslanding/crocuslanding/core/pkg/logline"
 	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
 	"github.com/crocuslanding/crocuslanding/core/pkg/reader"
 	"github.com/crocuslanding/crocuslanding/core/pkg/scrape"
@@ -24,22 +22,23 @@
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
-// logPatience is the longest time for which a process that ends waits for a slow reader of its log.
-const logPatience = 200 * time.Millisecond
-
 // Run runs the program until it is asked to stop, and ends the process.
 func Run() {
-	path := launch.Path("sidecar", os.Args[1:])
-	s, findings := readSettings(path)
-	launch.ExitOnFindings(findings)
-	out := logline.New(os.Stdout)
-	out.Start()
-	c := common.New(common.NewLogger(out, s.Instance(), int(s.Verbosity())), counter.New())
-	ctx, cancel, reload := launch.Signals()
-	defer cancel()
-	err := Serve(ctx, c, s, Reload{Asked: reload, Read: func() (landing.RelaySidecarSettings, []landing.Finding) { return readSettings(path) }})
-	out.Stop(logPatience)
-	launch.Exit(err)
+	var path string
+	var s landing.RelaySidecarSettings
+	launch.Run(launch.Program{
+		Name: "sidecar",
+		Read: func(at string) (string, uint32, []landing.Finding) {
+			var findings []landing.Finding
+			path = at
+			s, findings = readSettings(path)
+			return s.Instance(), s.Verbosity(), findings
+		},
+		Serve: func(ctx context.Context, c common.Common, reload <-chan os.Signal) error {
+			again := func() (landing.RelaySidecarSettings, []landing.Finding) { return readSettings(path) }
+			return Serve(ctx, c, s, Reload{Asked: reload, Read: again})
+		},
+	}, os.Args[1:])
 }
 
 // readSettings reads and checks the settings file.
--- /dev/null
+++ b/sidecar/pkg/relay/gate.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/entry"
+	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+)
+
+func (t *Traffic) position(s Snapshot, p landing.Parcel) landing.Position {
+	l := t.table.load()
+	return landing.Position{}.
+		WithNext(int(p.Position())+1 < p.HopsLen()).
+		WithMore(true).
+		WithBusy(s.presence.Slots() > 0 && l.running >= int(s.presence.Slots())).
+		WithDeferred(p.Deferred() > 0).
+		WithRecalled(p.Recalled())
+}
+
+// refuse is the last gate for a new flow.
+func (t *Traffic) refuse(s Snapshot, p landing.Parcel, segment landing.Segment, l load, now time.Time) landing.Refusal {
+	listener, found := s.rules.Find(segment.Key())
+	// A balancer with newer rules knows better than this sidecar.
+	isAllowed := p.Rules() > s.rules.Rules().Revision() || found && rules.Allows(listener, t.settings.Service())
+	return entry.Refuse(entry.Door{
+		IsForeign:  p.Service() != t.service,
+		IsEnrolled: s.IsEnrolled(now),
+		IsAllowed:  s.rules != nil && isAllowed,
+		IsExcluded: s.IsExcluded(t.settings.Zone()),
+		Phase:      s.Phase(now, t.settings.Heartbeat()),
+		IsCold:     presence.IsCold(s.presence, now),
+		Room:       t.room(s, l, now),
+	})
+}
+
+// room returns the number of new flows that the upstream takes now.
+func (t *Traffic) room(s Snapshot, l load, now time.Time) int {
+	pool := s.rules.Pool(t.settings.Service())
+	room := int(pool.Connections()) - l.flows
+	if presence.IsCold(s.presence, now) {
+		return min(room, l.window.Room(pool.Rate(), now))
+	}
+	return room
+}
--- /dev/null
+++ b/sidecar/pkg/relay/reset.go
@@ -0,0 +1,34 @@
+package relay
+
+import (
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+// resetLost resets the flows of an upstream whose process has ended, so that their callers try again at once.
+func (t *Traffic) resetLost() {
+	t.resetAll(t.table.clear(), "upstream ended")
+}
+
+// resetRecorded resets the flows that an earlier incarnation of the upstream held. One that is in the table was opened
+// since.
+func (t *Traffic) resetRecorded(r landing.Holdings) {
+	var list []landing.Held
+	for _, h := range r.Flows() {
+		if !t.table.has(h.Key()) {
+			list = append(list, h)
+		}
+	}
+	t.resetAll(list, "upstream ended before the start")
+}
+
+func (t *Traffic) resetAll(list []landing.Held, reason string) {
+	if len(list) == 0 {
+		return
+	}
+	t.common.Log().Info("flows reset", "reason", reason, "flows", len(list))
+	for _, h := range list {
+		t.common.Counters().Counter("reset.ended").Inc(1)
+		t.toCaller(h.Key(), platform.NewReset(h.Key(), h.Acknowledged()))
+	}
+}
--- /dev/null
+++ b/sidecar/pkg/relay/step.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+// carryOut does what was decided about a caller's packet.
+func (t *Traffic) carryOut(step landing.Step, p landing.Parcel, packet platform.Packet, segment landing.Segment, refusal landing.Refusal) {
+	switch step := step.(type) {
+	case landing.Complete:
+		t.deliver(p, packet)
+		t.claim(p, segment.Key())
+	case landing.Deliver:
+		t.deliver(p, packet)
+		if p.Part() > 0 || p.Position() > 0 {
+			t.claim(p, segment.Key())
+		}
+	case landing.Take:
+		now := time.Now()
+		if s := t.keeper.Snapshot(); t.isFull(s, now) {
+			t.park(s, p, segment, now)
+			return
+		}
+		t.table.noteEntry(segment.Key(), now)
+		t.deliver(p, packet)
+		if p.Part() > 0 || p.Position() > 0 {
+			t.claim(p, segment.Key())
+		}
+	case landing.Ask:
+		t.deliver(p, packet)
+	case landing.Both:
+		t.deliver(p, packet)
+		t.pass(p)
+	case landing.Pass:
+		t.pass(p)
+	case landing.Defer:
+		if p.Deferred() == 0 {
+			p = p.WithDeferred(p.Position() + 1)
+		}
+		t.pass(p)
+	case landing.Recall:
+		t.send(p.WithPosition(p.Deferred() - 1).WithRecalled(true))
+	case landing.Return:
+		t.refund(p, refusal)
+	case landing.Reset:
+		t.refund(p, step.Reason())
+	case landing.Replace:
+		t.table.forget(segment.Key())
+	case landing.Drop:
+		t.common.Counters().Refused(step.Reason())
+	}
+}
+
+func (t *Traffic) pass(p landing.Parcel) {
+	t.send(p.WithPosition(p.Position() + 1))
+}
+
+func (t *Traffic) send(p landing.Parcel) {
+	t.link.Send(p, p.HopsAt(int(p.Position())))
+}
+
+func (t *Traffic) refund(p landing.Parcel, reason landing.Refusal) {
+	s := t.keeper.Snapshot()
+	newest := max(p.Rules(), s.rules.Rules().Revision())
+	changed := max(p.Exclusions(), s.exclusions.Changed())
+	t.link.Send(landing.Refund{}.WithParcel(p.WithRules(newest).WithExclusions(changed)).WithReason(reason), p.Home())
+}
+
+func (t *Traffic) claim(p landing.Parcel, k landing.Key) {
+	t.link.Send(landing.Claim{}.WithKey(k).WithBorn(t.born(k)), p.Home())
+}
+
+// born returns the start of the upstream's incarnation if it is known to hold the flow, else 0.
+func (t *Traffic) born(k landing.Key) uint64 {
+	if !t.table.isOpen(k) {
+		return 0
+	}
+	return bornMillis(t.keeper.Snapshot().presence)
+}
+
+func bornMillis(p landing.Presence) uint64 {
+	return uint64(max(p.Born().UnixMilli(), 0))
+}
--- /dev/null
+++ b/sidecar/pkg/relay/upstream.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
+	"github.com/crocuslanding/crocuslanding/platform"
+)
+
+// probeTimeout bounds the question whether the upstream's port is open, which is asked on the same instance.
+const probeTimeout = 300 * time.Millisecond
+
+// deliver hands a packet to the upstream. Its chain is remembered for the case that it comes back.
+func (t *Traffic) deliver(p landing.Parcel, packet platform.Packet) {
+	packet.Mark(t.ring.put(p))
+	_, err := t.upstream.Write(packet.Bytes())
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		t.keeper.Post(landing.SightChange{}.WithSight(landing.Vanished{}))
+	}
+	t.common.Counters().Counter("write_failed").Inc(1)
+}
+
+// leave takes a packet of the upstream.
+func (t *Traffic) leave(b []byte, _ netip.AddrPort) {
+	packet, err := platform.OpenPacket(b)
+	if err != nil {
+		t.common.Counters().Refused(landing.RefusalMalformed)
+		return
+	}
+	if packet.IsReturned() {
+		t.takeBack(packet)
+		return
+	}
+	segment := packet.FromUpstream()
+	took := t.table.noteUpstream(segment, time.Now())
+	t.toCaller(segment.Key(), packet)
+	if took > 0 {
+		t.answers.Update(int64(took))
+		t.admit()
+	}
+}
+
+func (t *Traffic) toCaller(k landing.Key, packet platform.Packet) {
+	t.link.SendBytes(packet.Bytes(), platform.Caller(k, t.callers))
+}
+
+// takeBack takes a packet that the upstream returned: it does not hold the flow or cannot take it.
+func (t *Traffic) takeBack(packet platform.Packet) {
+	p, found := t.ring.take(packet.Note())
+	packet.Restore()
+	segment := packet.FromCaller()
+	t.table.forget(segment.Key())
+	if !found {
+		t.common.Counters().Refused(landing.RefusalUnknown)
+		return
+	}
+	refusal := landing.RefusalUnspecified
+	if segment.Opening() {
+		refusal = landing.RefusalRoom
+	}
+	s := t.keeper.Snapshot()
+	step := hold.Decide(landing.Absent{}, segment, t.position(s, p), refusal)
+	t.logStep(segment, p, step, refusal)
+	t.carryOut(step, p.WithPacket(packet.Bytes()), packet, segment, refusal)
+}
+
+// hasEnded says whether the upstream's process has ended: its port is closed. That it says it leaves is no proof, since
+// it still serves what it holds.
+func (t *Traffic) hasEnded() bool {
+	conn, err := net.DialTimeout("tcp4", t.settings.Upstream(), probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
