Upstreams that are not measured count as the mean of the others

Change: a measurement takes 16 requests, and the mean of the service stands for the rest. Tests: TestUpstreamThatIsNotMeasuredCountsAsTheMean.

--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -79,9 +79,11 @@
 	hash := chain.HashKey(k)
 	for _, service := range rules.Services(l, hash) {
 		var candidates []landing.Candidate
-		for _, n := range s.directory.OfService(service) {
+		neighbors := s.directory.OfService(service)
+		mean := placement.MeanWeight(neighbors)
+		for _, n := range neighbors {
 			isExcluded := s.IsExcluded(n.Enrollment().Zone())
-			candidates = append(candidates, placement.Candidate(n, isExcluded, t.cache.sentSince(n), now))
+			candidates = append(candidates, placement.Candidate(n, mean, isExcluded, t.cache.sentSince(n), now))
 		}
 		if order := placement.Order(candidates, hash); len(order) > 0 {
 			return service, order
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -619,7 +619,7 @@
 }
 
 // Weight returns the field of this name:
-// Requests a second that the upstream can serve.
+// Requests a second that the upstream can serve; 0 while too few have been measured.
 func (v Status) Weight() uint32 {
 	return v.weight
 }
--- a/core/pkg/placement/placement.go
+++ b/core/pkg/placement/placement.go
@@ -27,15 +27,34 @@
 	leastWeight = 1
 )
 
-// Candidate returns the sidecar as a candidate. Sent is the number of new flows that this balancer has sent
-// it since its last status.
-func Candidate(n landing.Neighbor, isExcluded bool, sent int, now time.Time) landing.Candidate {
+// MeanWeight returns the mean weight of the upstreams that have been measured; 0 when none has.
+func MeanWeight(neighbors []landing.Neighbor) float64 {
+	total, measured := 0.0, 0
+	for _, n := range neighbors {
+		if n.Status().Weight() > 0 {
+			total += float64(n.Status().Weight())
+			measured++
+		}
+	}
+	if measured == 0 {
+		return 0
+	}
+	return total / float64(measured)
+}
+
+// Candidate returns the sidecar as a candidate. Mean is the mean weight of the service's upstreams, which stands for one
+// that has not been measured. Sent is the number of new flows that this balancer has sent it since its last status.
+func Candidate(n landing.Neighbor, mean float64, isExcluded bool, sent int, now time.Time) landing.Candidate {
 	s := n.Status()
 	work := float64(s.Flows()) + float64(runningWeight*s.Running()) + float64((1+runningWeight)*sent)
+	weight := float64(s.Weight())
+	if weight == 0 {
+		weight = mean
+	}
 	return landing.Candidate{}.
 		WithHop(n.Hop()).
 		WithStanding(standing(n, isExcluded, sent, now)).
-		WithLoad(work / float64(max(s.Weight(), leastWeight)))
+		WithLoad(work / max(weight, leastWeight))
 }
 
 func standing(n landing.Neighbor, isExcluded bool, sent int, now time.Time) landing.Standing {
--- a/core/pkg/placement/placement_test.go
+++ b/core/pkg/placement/placement_test.go
@@ -22,9 +22,9 @@
 
 func ExampleOrder() {
 	list := []landing.Candidate{
-		Candidate(neighbor(1, 10, 0, 100), false, 0, now),
-		Candidate(neighbor(2, 2, 0, 100), false, 0, now),
-		Candidate(neighbor(3, 0, 0, 100), true, 0, now),
+		Candidate(neighbor(1, 10, 0, 100), 100, false, 0, now),
+		Candidate(neighbor(2, 2, 0, 100), 100, false, 0, now),
+		Candidate(neighbor(3, 0, 0, 100), 100, true, 0, now),
 	}
 	for _, c := range Order(list, 7) {
 		fmt.Println(c.Hop())
@@ -70,7 +70,7 @@
 		}
 		var candidates []landing.Candidate
 		for u := range upstreams {
-			candidates = append(candidates, Candidate(neighbor(uint64(u), reported[u], 0, 100), false, 0, now))
+			candidates = append(candidates, Candidate(neighbor(uint64(u), reported[u], 0, 100), 100, false, 0, now))
 		}
 		held[choose(candidates, random.Uint64())]++
 	}
@@ -96,7 +96,7 @@
 	ready := neighbor(4, 500, 0, 100)
 	var list []landing.Candidate
 	for _, n := range []landing.Neighbor{silent, busy, cold, ready} {
-		list = append(list, Candidate(n, false, 0, now))
+		list = append(list, Candidate(n, 100, false, 0, now))
 	}
 	for hash := range uint64(50) {
 		order := Order(list, hash)
@@ -110,19 +110,30 @@
 	is := is.New(t)
 	leaving := neighbor(1, 0, 0, 100)
 	leaving = leaving.WithStatus(leaving.Status().WithPhase(landing.PhaseDraining))
-	list := []landing.Candidate{Candidate(leaving, false, 0, now), Candidate(neighbor(2, 0, 0, 100), true, 0, now)}
+	list := []landing.Candidate{Candidate(leaving, 100, false, 0, now), Candidate(neighbor(2, 0, 0, 100), 100, true, 0, now)}
 	is.Equal(len(Order(list, 1)), 0)
 }
 
 func TestFlowsSentSinceTheStatusCount(t *testing.T) {
 	is := is.New(t)
 	n := neighbor(1, 0, 0, 100)
-	is.True(Candidate(n, false, 3, now).Load() > Candidate(n, false, 0, now).Load())
+	is.True(Candidate(n, 100, false, 3, now).Load() > Candidate(n, 100, false, 0, now).Load())
 }
 
 // Upstreams were bought over years: one that serves twice as many requests a second gets more of the flows.
 func TestFasterUpstreamsGetMore(t *testing.T) {
 	is := is.New(t)
-	fast, slow := Candidate(neighbor(1, 10, 2, 200), false, 0, now), Candidate(neighbor(2, 10, 2, 100), false, 0, now)
+	fast, slow := Candidate(neighbor(1, 10, 2, 200), 100, false, 0, now), Candidate(neighbor(2, 10, 2, 100), 100, false, 0, now)
 	is.True(fast.Load() < slow.Load())
 }
+
+// In the first second some upstreams have been measured and others have not. When a guess stood for those, it was four
+// times what the others had shown, and two of seven upstreams got twice the flows of the rest for the day.
+func TestUpstreamThatIsNotMeasuredCountsAsTheMean(t *testing.T) {
+	is := is.New(t)
+	list := []landing.Neighbor{neighbor(1, 10, 2, 80), neighbor(2, 10, 2, 120), neighbor(3, 10, 2, 0)}
+	mean := MeanWeight(list)
+	is.Equal(mean, 100.0)
+	is.Equal(Candidate(list[2], mean, false, 0, now).Load(), Candidate(neighbor(4, 10, 2, 100), mean, false, 0, now).Load())
+	is.Equal(MeanWeight(nil), 0.0)
+}
--- a/sidecar/pkg/relay/report.go
+++ b/sidecar/pkg/relay/report.go
@@ -50,6 +50,10 @@
 func (t *Traffic) sendStatus(s Snapshot, sequence uint64, phase landing.Phase) {
 	now := time.Now()
 	l := t.table.load()
+	measured := uint32(0)
+	if l.isMeasured {
+		measured = weight.Of(s.presence.Slots(), l.usual)
+	}
 	status := landing.Status{}.
 		WithInstance(t.settings.Instance()).
 		WithService(t.settings.Service()).
@@ -59,7 +63,7 @@
 		WithRunning(uint32(max(l.running, 0))).
 		WithSlots(s.presence.Slots()).
 		WithFlows(uint32(l.flows)).
-		WithWeight(weight.Of(s.presence.Slots(), l.usual)).
+		WithWeight(measured).
 		WithRoom(uint32(max(t.room(s, l, now), 0))).
 		WithRules(s.rules.Rules().Revision()).
 		WithExclusions(s.exclusions.Changed()).
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -50,7 +50,9 @@
 	flows   map[landing.Key]flow
 	running int
 	usual   time.Duration
-	window  warmup.Window
+	// measured is the number of requests in the average.
+	measured int
+	window   warmup.Window
 	// entering are the flows that were just let in and whose first request is under way.
 	entering map[landing.Key]time.Time
 }
@@ -61,16 +63,27 @@
 
 // load is the work of the upstream as its sidecar sees it.
 type load struct {
-	flows   int
-	running int
-	usual   time.Duration
-	window  warmup.Window
+	flows      int
+	running    int
+	usual      time.Duration
+	isMeasured bool
+	window     warmup.Window
 }
 
 func (t *table) load() load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return load{flows: len(t.flows), running: t.running, usual: t.usual, window: t.window}
+	return t.present()
+}
+
+func (t *table) present() load {
+	return load{
+		flows:      len(t.flows),
+		running:    t.running,
+		usual:      t.usual,
+		isMeasured: t.measured >= leastMeasured,
+		window:     t.window,
+	}
 }
 
 // decide decides what to do with a caller's segment and notes the change of the flow's stage. Refuse is asked
@@ -89,7 +102,7 @@
 	}
 	refusal := landing.RefusalUnspecified
 	if s.Opening() && !found {
-		refusal = refuse(load{flows: len(t.flows), running: t.running, usual: t.usual, window: t.window})
+		refusal = refuse(t.present())
 		if len(t.flows) >= maxFlows && refusal == landing.RefusalUnspecified {
 			refusal = landing.RefusalRoom
 		}
@@ -202,15 +215,17 @@
 	return took
 }
 
-// usualShare is the share, one part in so many, of a new time in the average.
-const usualShare = 32
+const (
+	// usualShare is the share, one part in so many, of a new time in the average.
+	usualShare = 32
+	// leastMeasured is the number of requests from which the average is shown as a measurement.
+	leastMeasured = 16
+)
 
+// noteTime takes a request's time into the average: all times alike at first, later the last ones.
 func (t *table) noteTime(d time.Duration) {
-	if t.usual == 0 {
-		t.usual = d
-		return
-	}
-	t.usual += (d - t.usual) / usualShare
+	t.measured++
+	t.usual += (d - t.usual) / time.Duration(min(t.measured, usualShare))
 }
 
 func (t *table) put(k landing.Key, f flow) {
@@ -295,6 +310,6 @@
 	t.flows = map[landing.Key]flow{}
 	t.entering = map[landing.Key]time.Time{}
 	t.running = 0
-	t.usual = 0
+	t.usual, t.measured = 0, 0
 	return list
 }
