Walks pass over zones that have gone silent, and take another way with each copy

Ruled out: placement (unfollowed sidecars already come last there). Change: a zone of which all followed sidecars are silent is taken to be silent; unfollowed ones are asked in an order that turns. Tests: walk (three).

--- a/balancer/pkg/relay/search.go
+++ b/balancer/pkg/relay/search.go
@@ -6,7 +6,6 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
-	"github.com/crocuslanding/crocuslanding/core/pkg/placement"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
 	"github.com/crocuslanding/crocuslanding/platform"
@@ -89,31 +88,10 @@
 // the roll ends.
 const maxParts = 64
 
-// Ranks of the sidecars in a walk.
-const (
-	rankHeard = iota
-	rankSilent
-	rankOther
-	rankOtherSilent
-)
-
-// stops returns all sidecars as stops of a walk. Those that have fallen silent come later, and those of other services come last: rules that have changed leave
-// open flows where they are.
+// stops returns all sidecars as stops of a walk for a flow of the listener.
 func stops(s Snapshot, l landing.Listener) []walk.Stop {
-	now := time.Now()
-	neighbors := s.directory.Neighbors()
-	list := make([]walk.Stop, 0, len(neighbors))
-	for _, n := range neighbors {
-		rank := rankHeard
-		if !rules.Allows(l, n.Enrollment().Service()) {
-			rank = rankOther
-		}
-		if !n.Heard().IsZero() && now.Sub(n.Heard()) > placement.SilentAfter {
-			rank++
-		}
-		list = append(list, walk.Stop{Hop: n.Hop(), Rank: rank})
-	}
-	return list
+	isAllowed := func(service string) bool { return rules.Allows(l, service) }
+	return walk.Stops(s.directory.Neighbors(), isAllowed, time.Now())
 }
 
 // withAsked returns a parcel that counts its hops as asked. When the roll has changed since the walk began, it begins
--- a/core/pkg/placement/placement.go
+++ b/core/pkg/placement/placement.go
@@ -18,9 +18,6 @@
 const (
 	// Choices is the number of hashed choices of a flow.
 	Choices = 2
-	// SilentAfter is the time without a status after which a sidecar is passed over while others are heard: three
-	// statuses of a sidecar that this balancer greets.
-	SilentAfter = 800 * time.Millisecond
 	// runningWeight is how many open flows a request at work counts as.
 	runningWeight = 4
 	// leastWeight bounds the division.
@@ -62,7 +59,7 @@
 	switch {
 	case isExcluded:
 		return landing.StandingClosed
-	case now.Sub(n.Heard()) > SilentAfter:
+	case now.Sub(n.Heard()) > walk.SilentAfter:
 		return landing.StandingSilent
 	case s.Phase() != landing.PhaseServing:
 		return landing.StandingClosed
--- a/core/pkg/placement/placement_test.go
+++ b/core/pkg/placement/placement_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
 )
 
 var now = time.Unix(1000, 0)
@@ -89,7 +90,7 @@
 
 func TestSilentAndFullSidecarsComeAfterOthers(t *testing.T) {
 	is := is.New(t)
-	silent := neighbor(1, 0, 0, 100).WithHeard(now.Add(-SilentAfter - time.Millisecond))
+	silent := neighbor(1, 0, 0, 100).WithHeard(now.Add(-walk.SilentAfter - time.Millisecond))
 	busy := neighbor(2, 0, 8, 100)
 	cold := neighbor(3, 0, 0, 100)
 	cold = cold.WithStatus(cold.Status().WithRoom(0))
--- a/core/pkg/walk/walk.go
+++ b/core/pkg/walk/walk.go
@@ -24,6 +24,8 @@
 	Hop uint64
 	// Rank orders classes of sidecars; a lower one is asked first.
 	Rank int
+	// Salt changes the order within the rank.
+	Salt uint64
 }
 
 // Asked is the set of stops that have denied the flow, by their index in the list of all stops. It is immutable.
@@ -64,7 +66,7 @@
 		}
 	}
 	slices.SortFunc(order, func(a, b Stop) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(Score(b.Hop, hash), Score(a.Hop, hash)))
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(Score(b.Hop, hash^b.Salt), Score(a.Hop, hash^a.Salt)))
 	})
 	hops := make([]uint64, 0, PartHops)
 	for _, s := range order[:min(len(order), PartHops)] {
--- a/core/pkg/walk/walk_test.go
+++ b/core/pkg/walk/walk_test.go
@@ -5,8 +5,11 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
 func ExampleNext() {
@@ -70,3 +73,46 @@
 	is.True(missed(byNumber) > 0)
 	is.Equal(missed(func(stops []Stop, asked Asked, _ int) []uint64 { return Next(stops, asked, 42) }), 0)
 }
+
+var now = time.Unix(1000, 0)
+
+func neighbor(hop uint64, zone string, heard time.Time) landing.Neighbor {
+	return landing.Neighbor{}.WithHop(hop).WithHeard(heard).WithEnrollment(landing.Enrollment{}.WithZone(zone).WithService("s"))
+}
+
+func all(string) bool { return true }
+
+// A zone loses its power. A balancer follows a part of the sidecars; a packet that came to one of the others in that zone
+// was lost, and so were its copies, which took the same way.
+func TestSidecarsOfASilentZoneAreAskedLast(t *testing.T) {
+	is := is.New(t)
+	old := now.Add(-2 * time.Second)
+	list := []landing.Neighbor{
+		neighbor(1, "a", old), neighbor(2, "a", time.Time{}),
+		neighbor(3, "b", now), neighbor(4, "b", time.Time{}),
+	}
+	for hash := range uint64(20) {
+		hops := Next(Stops(list, all, now), nil, hash)
+		is.Equal(hops[:2], []uint64{3, 4})
+	}
+}
+
+func TestCopiesTakeAnotherWayAmongSidecarsThatAreNotFollowed(t *testing.T) {
+	is := is.New(t)
+	var list []landing.Neighbor
+	for i := range uint64(20) {
+		list = append(list, neighbor(i+1, "a", time.Time{}))
+	}
+	first := Next(Stops(list, all, now), nil, 7)
+	second := Next(Stops(list, all, now.Add(200*time.Millisecond)), nil, 7)
+	is.True(!slices.Equal(first, second))
+}
+
+func TestSidecarsOfOtherServicesAreAskedLast(t *testing.T) {
+	is := is.New(t)
+	other := neighbor(1, "a", now)
+	other = other.WithEnrollment(other.Enrollment().WithService("t"))
+	silent := neighbor(2, "a", now.Add(-time.Minute))
+	hops := Next(Stops([]landing.Neighbor{other, silent}, func(s string) bool { return s == "s" }, now), nil, 1)
+	is.Equal(hops, []uint64{2, 1})
+}
