--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -15,15 +15,8 @@
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
-const (
-	// firstHops is the number of sidecars to which a new flow is offered before the balancer orders the rest.
-	firstHops = 3
-	// lastCopy is the number of the copy of an opening packet with which another sidecar is tried, although the
-	// first one is heard: two lost packets in a row are rare.
-	lastCopy = 2
-	// freshStatus is the age of a status up to which its sidecar is taken to live: one interval and some slack.
-	freshStatus = 350 * time.Millisecond
-)
+// firstHops is the number of sidecars to which a new flow is offered before the balancer orders the rest.
+const firstHops = 3
 
 // refuseUnlisted takes a packet to an address that is in no rule. An open flow is reset only when this balancer
 // knew it: another balancer may have newer rules.
@@ -42,13 +35,9 @@
 func (t *Traffic) open(s Snapshot, l landing.Listener, segment landing.Segment, packet platform.Packet) {
 	now := time.Now()
 	service, order := t.order(s, l, segment.Key(), now)
-	before, isCopy := t.cache.find(segment, now)
-	if isCopy && segment.Copies() > 0 {
-		isHeard := false
-		if n, known := s.directory.Find(before); known {
-			isHeard = now.Sub(n.Heard()) <= freshStatus
-		}
-		order = orderForCopy(order, before, segment.Copies(), isHeard)
+	if before, isCopy := t.cache.find(segment, now); isCopy && segment.Copies() > 0 {
+		n, _ := s.directory.Find(before)
+		order = placement.OrderForCopy(order, n, segment.Copies(), now)
 	}
 	if len(order) == 0 {
 		t.refuse(s, l, segment)
@@ -59,21 +48,6 @@
 	t.place(s, service, segment, hops, 0, packet)
 }
 
-// orderForCopy keeps the flow at the sidecar to which it was sent while that one is heard, and tries another one
-// with the last copy.
-func orderForCopy(order []landing.Candidate, before uint64, copies uint32, isHeard bool) []landing.Candidate {
-	i := slices.IndexFunc(order, func(c landing.Candidate) bool { return c.Hop() == before })
-	if i < 0 || len(order) == 1 {
-		return order
-	}
-	same := order[i]
-	rest := slices.Delete(slices.Clone(order), i, i+1)
-	if copies >= lastCopy || !isHeard {
-		return append(rest, same)
-	}
-	return append([]landing.Candidate{same}, rest...)
-}
-
 // order returns the first service of the listener with sidecars that may take the flow, and those in order.
 func (t *Traffic) order(s Snapshot, l landing.Listener, k landing.Key, now time.Time) (string, []landing.Candidate) {
 	hash := chain.HashKey(k)
--- a/core/pkg/placement/placement.go
+++ b/core/pkg/placement/placement.go
@@ -18,6 +18,11 @@
 const (
 	// Choices is the number of hashed choices of a flow.
 	Choices = 2
+	// lastCopy is the number of the copy of an opening packet with which another sidecar is tried, although the first
+	// one is heard: two lost packets in a row are rare.
+	lastCopy = 2
+	// freshStatus is the age of a status up to which its sidecar is taken to live: one interval and some slack.
+	freshStatus = 350 * time.Millisecond
 	// runningWeight is how many open flows a request at work counts as.
 	runningWeight = 4
 	// leastWeight bounds the division.
@@ -89,6 +94,21 @@
 	return order
 }
 
+// OrderForCopy returns the order for a copy of an opening packet whose earlier copy went to the sidecar before. The flow
+// stays there while that one is heard; the last copy tries another one.
+func OrderForCopy(order []landing.Candidate, before landing.Neighbor, copies uint32, now time.Time) []landing.Candidate {
+	i := slices.IndexFunc(order, func(c landing.Candidate) bool { return c.Hop() == before.Hop() })
+	if i < 0 {
+		return order
+	}
+	same := order[i]
+	rest := slices.Delete(slices.Clone(order), i, i+1)
+	if copies >= lastCopy || now.Sub(before.Heard()) > freshStatus {
+		return append(rest, same)
+	}
+	return append([]landing.Candidate{same}, rest...)
+}
+
 // sameStanding returns the number of candidates at the front that are as fit as the first.
 func sameStanding(order []landing.Candidate) int {
 	for i, c := range order {
--- a/core/pkg/placement/placement_test.go
+++ b/core/pkg/placement/placement_test.go
@@ -138,3 +138,15 @@
 	is.Equal(Candidate(list[2], mean, false, 0, now).Load(), Candidate(neighbor(4, 10, 2, 100), mean, false, 0, now).Load())
 	is.Equal(MeanWeight(nil), 0.0)
 }
+
+// The instance of the first choice has just lost its power: its last status is younger than what counts as silent.
+func TestCopyGoesElsewhereOnceTheFirstChoiceIsLate(t *testing.T) {
+	is := is.New(t)
+	order := []landing.Candidate{landing.Candidate{}.WithHop(1), landing.Candidate{}.WithHop(2)}
+	heard := neighbor(2, 0, 0, 100)
+	is.Equal(OrderForCopy(order, heard, 1, now)[0].Hop(), uint64(2))
+	is.Equal(OrderForCopy(order, heard, 2, now)[0].Hop(), uint64(1))
+	late := heard.WithHeard(now.Add(-400 * time.Millisecond))
+	is.Equal(OrderForCopy(order, late, 1, now)[0].Hop(), uint64(1))
+	is.Equal(len(OrderForCopy(order, neighbor(9, 0, 0, 100), 1, now)), 2)
+}
