Walks in parts of eight; statuses without the service's name

Cause: bytes between zones are the largest price from 300 machines on; a packet of a walk carries its whole part at each hop. Change: parts of 8 in place of 24 (worked out: 230 bytes a hop in place of 360).

--- a/balancer/pkg/relay/search.go
+++ b/balancer/pkg/relay/search.go
@@ -84,9 +84,9 @@
 	return platform.RequestID(packet.Data())
 }
 
-// maxParts bounds a walk: 64 parts are 1,536 sidecars of one region, and a walk that begins anew with each change of
-// the roll ends.
-const maxParts = 64
+// maxParts bounds a walk: 320 parts are 2,560 sidecars, more than a region of the size to design for has, and a walk that
+// begins anew with each change of the roll ends.
+const maxParts = 320
 
 // stops returns all sidecars as stops of a walk for a flow of the listener.
 func stops(s Snapshot, l landing.Listener) []walk.Stop {
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -198,7 +198,6 @@
 func EncodeStatus(v landing.Status) *landingpb.Status {
 	m := &landingpb.Status{}
 	m.Instance = v.Instance()
-	m.Service = v.Service()
 	m.Incarnation = v.Incarnation()
 	m.Sequence = v.Sequence()
 	m.Phase = landingpb.Phase(v.Phase())
@@ -218,7 +217,6 @@
 func DecodeStatus(m *landingpb.Status) landing.Status {
 	v := landing.Status{}
 	v = v.WithInstance(m.GetInstance())
-	v = v.WithService(m.GetService())
 	v = v.WithIncarnation(m.GetIncarnation())
 	v = v.WithSequence(m.GetSequence())
 	v = v.WithPhase(landing.Phase(m.GetPhase()))
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -505,7 +505,6 @@
 // Status is what a sidecar tells the balancers that greet it.
 type Status struct {
 	instance    string
-	service     string
 	incarnation uint64
 	sequence    uint64
 	phase       Phase
@@ -534,18 +533,6 @@
 	return v
 }
 
-// Service returns the field of this name:
-// Name of the service.
-func (v Status) Service() string {
-	return v.service
-}
-
-// WithService returns a copy with another service.
-func (v Status) WithService(service string) Status {
-	v.service = service
-	return v
-}
-
 // Incarnation returns the field of this name:
 // Start of the sidecar in nanoseconds since 1970.
 func (v Status) Incarnation() uint64 {
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -274,7 +274,6 @@
 // AppendStatus appends the encoding of v to b.
 func AppendStatus(b []byte, v landing.Status) []byte {
 	b = field.AppendString(b, 1, v.Instance())
-	b = field.AppendString(b, 2, v.Service())
 	b = field.AppendUint(b, 3, v.Incarnation())
 	b = field.AppendUint(b, 4, v.Sequence())
 	b = field.AppendUint(b, 5, uint64(v.Phase()))
@@ -298,8 +297,6 @@
 		switch r.Number() {
 		case 1:
 			v = v.WithInstance(r.String())
-		case 2:
-			v = v.WithService(r.String())
 		case 3:
 			v = v.WithIncarnation(r.Uint())
 		case 4:
--- a/core/pkg/walk/walk.go
+++ b/core/pkg/walk/walk.go
@@ -13,8 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// PartHops is the number of sidecars in one part of a walk.
-const PartHops = 24
+// PartHops is the number of sidecars in one part of a walk. The whole part travels with the packet, so longer ones cost more
+// bytes at each hop: 360 against 230 for parts of 24, with a packet of 130 bytes.
+const PartHops = 8
 
 const bitsPerByte = 8
 
--- a/sidecar/pkg/relay/report.go
+++ b/sidecar/pkg/relay/report.go
@@ -56,7 +56,6 @@
 	}
 	status := landing.Status{}.
 		WithInstance(t.settings.Instance()).
-		WithService(t.settings.Service()).
 		WithIncarnation(uint64(t.startedAt.UnixNano())).
 		WithSequence(sequence).
 		WithPhase(phase).
