Packets to a late sidecar take a second way through a third zone

Cause: when two zones lose each other, flows between them waited for 1 to 1.4 s until another sidecar had vouched. Change: while a sidecar's last status is older than 350 ms, packets go to it directly and by way of a sidecar in a third zone. Test: TestPacketsToALateSidecarTakeASecondWayThroughAThirdZone.

--- a/balancer/pkg/relay/search.go
+++ b/balancer/pkg/relay/search.go
@@ -22,20 +22,31 @@
 // forward sends a packet of a flow that is not new to the sidecar that holds it.
 func (t *Traffic) forward(s Snapshot, l landing.Listener, segment landing.Segment, packet platform.Packet) {
 	hop, found := t.cache.find(segment, time.Now())
-	if found {
-		t.send(t.parcel(s, packet).WithHops(t.way(s, hop)...))
+	if !found {
+		t.search(s, l, segment, t.parcel(s, packet))
 		return
 	}
-	t.search(s, l, segment, t.parcel(s, packet))
+	for _, way := range t.ways(s, hop) {
+		t.send(t.parcel(s, packet).WithHops(way...))
+	}
 }
 
-// way returns the hops to the sidecar at this address: by way of the one that vouches for it while it is not heard here.
-func (t *Traffic) way(s Snapshot, hop uint64) []uint64 {
+// ways returns the hops to the sidecar at this address: by way of the one that vouches for it while it is not heard here,
+// and both ways while that is not known yet. An upstream that gets a packet twice takes it once.
+func (t *Traffic) ways(s Snapshot, hop uint64) [][]uint64 {
+	now := time.Now()
+	direct := []uint64{hop}
 	n, found := s.directory.Find(hop)
-	if found && absence.IsBehindCut(n, time.Now()) {
-		return []uint64{n.Proxy(), hop}
+	if !found {
+		return [][]uint64{direct}
+	}
+	if absence.IsBehindCut(n, now) {
+		return [][]uint64{{n.Proxy(), hop}}
+	}
+	if detour, isLate := absence.Detour(s.directory.Neighbors(), n, t.zone, now); isLate {
+		return [][]uint64{direct, {detour, hop}}
 	}
-	return []uint64{hop}
+	return [][]uint64{direct}
 }
 
 // search sends a packet along the next part of the walk over all sidecars.
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -21,6 +21,7 @@
 	link     *link.Link
 	front    *net.UDPConn
 	callers  uint16
+	zone     string
 	cache    *cache
 	inbox    inbox
 	nobodies chan<- nobody
@@ -49,6 +50,7 @@
 		link:     l,
 		front:    conn,
 		callers:  front.Port(),
+		zone:     s.Zone(),
 		cache:    newCache(),
 		nobodies: nobodies,
 		done:     common.NewDone(),
--- a/core/pkg/absence/absence.go
+++ b/core/pkg/absence/absence.go
@@ -15,6 +15,9 @@
 const (
 	// InquireAfter is the silence after which others are asked: more than two statuses.
 	InquireAfter = 600 * time.Millisecond
+	// lateAfter is the age of a status from which packets take a second way as well: one interval and some slack. A caller
+	// sends its packet again after 200 and 600 ms.
+	lateAfter = 350 * time.Millisecond
 	// isolatedAfter is the silence of all sidecars after which the balancer takes itself to be cut off: four statuses.
 	isolatedAfter = time.Second
 	// vouchTime is the time for which the word of another sidecar holds: two rounds of questions.
@@ -68,6 +71,32 @@
 	return now.Sub(lastSign(n)) > goneAfter && n.Inquiries() >= leastInquiries
 }
 
+// Detour returns a sidecar by way of which packets to a late one go as well, until it is heard again or another one has
+// vouched for it. It is in a third zone where there is one: two zones may have lost each other.
+func Detour(neighbors []landing.Neighbor, late landing.Neighbor, ownZone string, now time.Time) (uint64, bool) {
+	if late.Heard().IsZero() || now.Sub(late.Heard()) <= lateAfter {
+		return 0, false
+	}
+	best, bestRank := uint64(0), 0
+	for _, n := range neighbors {
+		if n.Hop() == late.Hop() || now.Sub(n.Heard()) > lateAfter {
+			continue
+		}
+		zone := n.Enrollment().Zone()
+		rank := 1
+		if zone != ownZone {
+			rank++
+		}
+		if zone != late.Enrollment().Zone() {
+			rank++
+		}
+		if rank > bestRank {
+			best, bestRank = n.Hop(), rank
+		}
+	}
+	return best, bestRank > 0
+}
+
 // IsBehindCut says whether a sidecar that is not heard here is heard by another one, which can pass packets on to it.
 func IsBehindCut(n landing.Neighbor, now time.Time) bool {
 	return now.Sub(n.Heard()) > InquireAfter && now.Sub(n.Vouched()) <= vouchTime && n.Proxy() != 0
--- a/core/pkg/absence/absence_test.go
+++ b/core/pkg/absence/absence_test.go
@@ -94,3 +94,19 @@
 	is.True(!IsIsolated(nil, now))
 	is.True(!IsIsolated([]landing.Neighbor{neighbor(1, "a", 0).WithHeard(time.Time{})}, now))
 }
+
+// Zones a and b lose each other. For the second or so until another sidecar has vouched, packets of a balancer in zone a
+// to a sidecar in zone b go by way of zone c as well.
+func TestPacketsToALateSidecarTakeASecondWayThroughAThirdZone(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(5 * time.Second)
+	late := neighbor(1, "b", 4600*time.Millisecond)
+	list := []landing.Neighbor{late, neighbor(2, "a", 5*time.Second), neighbor(3, "c", 5*time.Second), neighbor(4, "d", 0)}
+	hop, found := Detour(list, late, "a", now)
+	is.True(found)
+	is.Equal(hop, uint64(3))
+	_, found = Detour(list, late.WithHeard(now), "a", now)
+	is.True(!found)
+	_, found = Detour([]landing.Neighbor{late}, late, "a", now)
+	is.True(!found)
+}
