--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
 	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
@@ -19,10 +20,13 @@
 	rollFactor = 2
 	// failPause is the pause after a call that failed, on average.
 	failPause = 300 * time.Millisecond
-	// greetInterval is the time between two greetings to a sidecar; a sidecar forgets a balancer after three.
-	greetInterval = time.Second
-	// expireTicks is the number of greetings between two sweeps of the cache.
-	expireTicks = 4
+	// greetInterval is the time between two greetings to a sidecar that is late. One that has just started sends no status
+	// before it is greeted, and new flows pass it by until then.
+	greetInterval = 250 * time.Millisecond
+	// greetTicks is the number of these after which all sidecars are greeted; a sidecar forgets a balancer after 3 s.
+	greetTicks = 4
+	// expireTicks is the number of them between two sweeps of the cache.
+	expireTicks = 16
 	// leastIdle is the least time without a packet after which a flow is forgotten.
 	leastIdle = 15 * time.Second
 )
@@ -241,15 +245,17 @@
 		case <-s.keeper.Joined():
 		}
 		snapshot := s.keeper.Snapshot()
-		s.traffic.greet(snapshot)
+		s.traffic.greet(snapshot, tick%greetTicks == 0)
 		if tick%expireTicks == 0 {
 			s.traffic.cache.expire(2*max(snapshot.rules.Rules().Idle(), leastIdle), time.Now())
 		}
 	}
 }
 
-// greet asks the sidecars that this balancer follows for statuses, and tells them what it knows.
-func (t *Traffic) greet(s Snapshot) {
+// greet asks the sidecars that this balancer follows for statuses, and tells them what it knows: all of them, or only
+// those that are late.
+func (t *Traffic) greet(s Snapshot, all bool) {
+	now := time.Now()
 	g := landing.Greeting{}.
 		WithHome(t.link.Home()).
 		WithRules(s.rules.Rules().Revision()).
@@ -257,6 +263,9 @@
 		WithRoll(s.directory.Roll().Revision()).
 		WithSidecars(uint32(len(s.directory.Neighbors())))
 	for _, n := range s.Followed(t.link.Home()) {
+		if !all && !absence.IsLate(n, now) {
+			continue
+		}
 		t.link.Send(g.WithInstance(n.Enrollment().Instance()), n.Hop())
 	}
 }
--- a/core/pkg/absence/absence.go
+++ b/core/pkg/absence/absence.go
@@ -71,15 +71,20 @@
 	return now.Sub(lastSign(n)) > goneAfter && n.Inquiries() >= leastInquiries
 }
 
+// IsLate says whether a status of the sidecar is overdue.
+func IsLate(n landing.Neighbor, now time.Time) bool {
+	return now.Sub(n.Heard()) > lateAfter
+}
+
 // Detour returns a sidecar by way of which packets to a late one go as well, until it is heard again or another one has
 // vouched for it. It is in a third zone where there is one: two zones may have lost each other.
 func Detour(neighbors []landing.Neighbor, late landing.Neighbor, ownZone string, now time.Time) (uint64, bool) {
-	if late.Heard().IsZero() || now.Sub(late.Heard()) <= lateAfter {
+	if late.Heard().IsZero() || !IsLate(late, now) {
 		return 0, false
 	}
 	best, bestRank := uint64(0), 0
 	for _, n := range neighbors {
-		if n.Hop() == late.Hop() || now.Sub(n.Heard()) > lateAfter {
+		if n.Hop() == late.Hop() || IsLate(n, now) {
 			continue
 		}
 		zone := n.Enrollment().Zone()
