--- a/experiment/pkg/relayed/fleet.go
+++ b/experiment/pkg/relayed/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	balancer "github.com/crocuslanding/crocuslanding/balancer/pkg/relay"
+	"github.com/crocuslanding/crocuslanding/core/gen/codec"
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
@@ -53,11 +54,22 @@
 type Fleet struct {
 	network   uint32
 	port      uint16
+	binaries  string
 	store     *store.Store
 	server    *serve.Server
-	balancers []*balancer.Balancer
+	balancers []*running
 	sidecars  []*Beside
-	callers   uint32
+	callers   atomic.Uint32
+}
+
+// running is a balancer or sidecar that runs, in this process or in one of its own.
+type running struct {
+	// stop asks it to stop and waits for its end.
+	stop func()
+	// kill ends it without a word to anybody.
+	kill func()
+	// signal sends a signal to a process of its own.
+	signal func(os.Signal)
 }
 
 // Beside is a sidecar with its upstream.
@@ -66,15 +78,20 @@
 	service   string
 	zone      string
 	ip        netip.Addr
-	process   *sidecar.Sidecar
+	process   *running
 	upstream  *endpoint.Upstream
 	upstreams int
 }
 
-// New returns a deployment with balancers and one service with upstreams in zones a and b by turns. It returns an error
-// when an address cannot be used.
+// New returns a deployment in this process with balancers and one service with upstreams in zones a and b by turns. It
+// returns an error when an address cannot be used.
 func New(balancers, sidecars int) (*Fleet, error) {
-	f := &Fleet{network: networks.Add(1), store: store.New()}
+	return NewFrom("", balancers, sidecars)
+}
+
+// NewFrom is New with processes of their own, started from the programs in the folder binaries.
+func NewFrom(binaries string, balancers, sidecars int) (*Fleet, error) {
+	f := &Fleet{network: networks.Add(1), store: store.New(), binaries: binaries}
 	f.port = firstPort + uint16(os.Getpid()%100)*portCount*3
 	server, err := serve.New(f.at(f.ip(250, 1), portStore).String(), f.store.Handler())
 	if err != nil {
@@ -130,9 +147,20 @@
 
 // StartBalancer starts a balancer that is not running.
 func (f *Fleet) StartBalancer(i int) error {
+	var r *running
+	var err error
+	if settings := f.balancerSettings(i); f.binaries != "" {
+		r, err = f.startProcess("balancer", settings.Instance(), codec.EncodeRelayBalancerSettings(settings))
+	} else {
+		r, err = startBalancer(settings)
+	}
+	f.balancers[i] = r
+	return err
+}
+
+func (f *Fleet) balancerSettings(i int) landing.RelayBalancerSettings {
 	ip := f.ip(0, i+1)
-	c := common.New(logr.Discard(), counter.New())
-	b, err := balancer.New(c, landing.RelayBalancerSettings{}.
+	return landing.RelayBalancerSettings{}.
 		WithInstance("edge-"+strconv.Itoa(i)).
 		WithZone("a").
 		WithFront(f.at(ip, portFront).String()).
@@ -141,26 +169,39 @@
 		WithPlatform(f.at(f.ip(250, 1), portStore).String()).
 		WithSeeds(f.at(f.ip(0, 1), portFleet).String(), f.at(f.ip(0, 2), portFleet).String()).
 		WithGrace(grace).
-		WithLeave(leave))
+		WithLeave(leave)
+}
+
+func startBalancer(s landing.RelayBalancerSettings) (*running, error) {
+	b, err := balancer.New(common.New(logr.Discard(), counter.New()), s)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	b.Start()
-	f.balancers[i] = b
-	return nil
+	return &running{stop: b.Stop, kill: b.Stop}, nil
 }
 
 // StopBalancer stops a balancer.
 func (f *Fleet) StopBalancer(i int) {
-	f.balancers[i].Stop()
+	f.balancers[i].stop()
 	f.balancers[i] = nil
 }
 
 // StartSidecar starts a sidecar that is not running.
 func (f *Fleet) StartSidecar(i int) error {
-	b := f.sidecars[i]
-	c := common.New(logr.Discard(), counter.New())
-	s, err := sidecar.New(c, landing.RelaySidecarSettings{}.
+	var r *running
+	var err error
+	if settings := f.sidecarSettings(f.sidecars[i]); f.binaries != "" {
+		r, err = f.startProcess("sidecar", settings.Instance(), codec.EncodeRelaySidecarSettings(settings))
+	} else {
+		r, err = startSidecar(settings)
+	}
+	f.sidecars[i].process = r
+	return err
+}
+
+func (f *Fleet) sidecarSettings(b *Beside) landing.RelaySidecarSettings {
+	return landing.RelaySidecarSettings{}.
 		WithInstance(b.instance).
 		WithZone(b.zone).
 		WithService(b.service).
@@ -173,24 +214,27 @@
 		WithPlatform(f.at(f.ip(250, 1), portStore).String()).
 		WithSeeds(f.at(f.ip(0, 1), portFleet).String()).
 		WithHeartbeat(endpoint.BeatInterval).
-		WithGrace(grace))
+		WithGrace(grace)
+}
+
+func startSidecar(s landing.RelaySidecarSettings) (*running, error) {
+	sc, err := sidecar.New(common.New(logr.Discard(), counter.New()), s)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s.Start()
-	b.process = s
-	return nil
+	sc.Start()
+	return &running{stop: sc.Stop, kill: sc.Kill}, nil
 }
 
-// KillSidecar stops a sidecar without a word to anybody.
+// KillSidecar ends a sidecar without a word to anybody.
 func (f *Fleet) KillSidecar(i int) {
-	f.sidecars[i].process.Kill()
+	f.sidecars[i].process.kill()
 	f.sidecars[i].process = nil
 }
 
 // StopSidecar stops a sidecar as the platform does.
 func (f *Fleet) StopSidecar(i int) {
-	f.sidecars[i].process.Stop()
+	f.sidecars[i].process.stop()
 	f.sidecars[i].process = nil
 }
 
@@ -232,9 +276,9 @@
 
 // Open opens a flow of a caller of its own along route.
 func (f *Fleet) Open(route endpoint.Route, patience time.Duration) (*endpoint.Flow, error) {
-	f.callers++
-	at := f.at(f.ip(int(2+f.callers/200), int(f.callers%200)+1), portFront)
-	return endpoint.Open(at, uint16(1024+f.callers), Listener, route, patience)
+	n := f.callers.Add(1)
+	at := f.at(f.ip(int(2+n/200), int(n%200)+1), portFront)
+	return endpoint.Open(at, uint16(1024+n), Listener, route, patience)
 }
 
 // Stop stops everything.
@@ -244,12 +288,12 @@
 			b.upstream.Crash()
 		}
 		if b.process != nil {
-			b.process.Kill()
+			b.process.kill()
 		}
 	}
 	for _, b := range f.balancers {
 		if b != nil {
-			b.Stop()
+			b.kill()
 		}
 	}
 	f.server.Stop()
