A flow is an incarnation's only between its heartbeats

Ruled out: a late heartbeat (the incarnations came in order). Change: flows are reset with an incarnation only when they were opened up to its last heartbeat (or up to the moment when its socket was closed); later ones are left to the upstream to tell. Claims and records name an incarnation only for flows opened between two of its heartbeats; a claim follows the next heartbeat. Tests: TestFlowIsAnIncarnationsOnlyBetweenItsHeartbeats, TestFlowsOpenedAfterTheLastHeartbeatAreLeftToTheUpstream.

--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -421,6 +421,7 @@
 	m.Witnessed = v.Witnessed()
 	m.Contender = v.Contender()
 	m.Contending = v.Contending()
+	m.First = timestamppb.New(v.First())
 	return m
 }
 
@@ -437,6 +438,7 @@
 	v = v.WithWitnessed(m.GetWitnessed())
 	v = v.WithContender(m.GetContender())
 	v = v.WithContending(m.GetContending())
+	v = v.WithFirst(m.GetFirst().AsTime())
 	return v
 }
 
@@ -537,12 +539,14 @@
 // EncodeVanished returns the message for v.
 func EncodeVanished(v landing.Vanished) *landingpb.Vanished {
 	m := &landingpb.Vanished{}
+	m.Now = timestamppb.New(v.Now())
 	return m
 }
 
 // DecodeVanished returns the value of m; the zero value when m is nil.
 func DecodeVanished(m *landingpb.Vanished) landing.Vanished {
 	v := landing.Vanished{}
+	v = v.WithNow(m.GetNow().AsTime())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -1094,6 +1094,7 @@
 	witnessed   bool
 	contender   string
 	contending  uint64
+	first       time.Time
 }
 
 // Incarnation returns the field of this name:
@@ -1216,6 +1217,18 @@
 	return v
 }
 
+// First returns the field of this name:
+// Time of the incarnation's first heartbeat by the clock of the sidecar.
+func (v Presence) First() time.Time {
+	return v.first
+}
+
+// WithFirst returns a copy with another first.
+func (v Presence) WithFirst(first time.Time) Presence {
+	v.first = first
+	return v
+}
+
 // Beat is one heartbeat of an upstream.
 type Beat struct {
 	incarnation string
@@ -1384,10 +1397,23 @@
 
 // Vanished says that packets to the upstream meet a closed socket.
 type Vanished struct {
+	now time.Time
 }
 
 func (Vanished) isSight() {}
 
+// Now returns the field of this name:
+// The time.
+func (v Vanished) Now() time.Time {
+	return v.now
+}
+
+// WithNow returns a copy with another now.
+func (v Vanished) WithNow(now time.Time) Vanished {
+	v.now = now
+	return v
+}
+
 // Passed says what time it is.
 type Passed struct {
 	now time.Time
--- a/core/pkg/presence/presence.go
+++ b/core/pkg/presence/presence.go
@@ -58,6 +58,12 @@
 	return before.Incarnation() != "" && !isSame(before, after.Incarnation(), after.Born())
 }
 
+// HasHeld says whether a flow that was opened at this time is the incarnation's: its heartbeats came before and after. A
+// flow may be opened by a new incarnation before its first heartbeat arrives.
+func HasHeld(p landing.Presence, opened time.Time) bool {
+	return !p.First().IsZero() && !opened.Before(p.First()) && !opened.After(p.Heard())
+}
+
 // IsEnded says whether the incarnation that was born at this time has ended, since one that was born later is at its
 // place. Both are in milliseconds since 1970 by the upstream's clock, and 0 while not known. An incarnation that seems
 // to be older proves nothing: its heartbeat may be late.
@@ -82,6 +88,7 @@
 	next := landing.Presence{}.
 		WithIncarnation(b.Incarnation()).
 		WithBorn(b.Born()).
+		WithFirst(now).
 		WithWitnessed(p.Incarnation() != "" || b.Sequence() <= firstSequence)
 	return update(next, b, now)
 }
--- a/core/pkg/presence/presence_test.go
+++ b/core/pkg/presence/presence_test.go
@@ -101,3 +101,14 @@
 	is.True(!IsEnded(0, 2000))
 	is.True(!IsEnded(1000, 0))
 }
+
+// An upstream crashes and starts again within milliseconds; the next flow is opened at the new incarnation while the
+// sidecar still believes in the old one.
+func TestFlowIsAnIncarnationsOnlyBetweenItsHeartbeats(t *testing.T) {
+	is := is.New(t)
+	p := after(landing.Presence{}, beat("a", 0, 1), 0)
+	opened := start.Add(300 * time.Millisecond)
+	is.True(!HasHeld(p, opened))
+	is.True(HasHeld(after(p, beat("a", 0, 2), interval), opened))
+	is.True(!HasHeld(after(p, beat("b", time.Second, 1), interval), opened))
+}
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -103,7 +103,9 @@
 // New returns a sidecar whose sockets are open. It returns an error when an address cannot be used.
 func New(c common.Common, s landing.RelaySidecarSettings) (*Sidecar, error) {
 	sc := &Sidecar{common: c}
-	sc.keeper = NewKeeper(c, s, func() { sc.traffic.resetLost() })
+	sc.keeper = NewKeeper(c, s,
+		func(at time.Time) { sc.traffic.resetLost(at) },
+		func(p landing.Presence) { sc.traffic.claimHeld(p) })
 	traffic, err := NewTraffic(c, s, sc.keeper)
 	if err != nil {
 		return nil, err
--- a/sidecar/pkg/relay/keeper.go
+++ b/sidecar/pkg/relay/keeper.go
@@ -23,11 +23,13 @@
 	snapshot atomic.Pointer[Snapshot]
 	behind   chan struct{}
 	serving  chan struct{}
-	ended    func()
+	ended    func(at time.Time)
+	beaten   func(landing.Presence)
 }
 
-// NewKeeper returns a keeper for the sidecar with these settings. Ended is called when the upstream's process has ended.
-func NewKeeper(c common.Common, s landing.RelaySidecarSettings, ended func()) *Keeper {
+// NewKeeper returns a keeper for the sidecar with these settings. Ended is called when the upstream's process has ended,
+// with the time up to which flows were opened at it, and beaten after each heartbeat.
+func NewKeeper(c common.Common, s landing.RelaySidecarSettings, ended func(at time.Time), beaten func(landing.Presence)) *Keeper {
 	k := &Keeper{
 		common:   c,
 		zone:     s.Zone(),
@@ -37,6 +39,7 @@
 		behind:   make(chan struct{}, 1),
 		serving:  make(chan struct{}, 1),
 		ended:    ended,
+		beaten:   beaten,
 	}
 	k.snapshot.Store(&Snapshot{})
 	return k
@@ -132,8 +135,11 @@
 func (k *Keeper) see(s Snapshot, sight landing.Sight) Snapshot {
 	next := s.WithPresence(presence.Handle(s.presence, sight))
 	before, after := s.presence, next.presence
-	if presence.IsSuccessor(before, after) && before.Phase() != landing.PhaseLeft || isGone(before, after) {
-		k.ended()
+	if at, hasEnded := ended(before, after, sight); hasEnded {
+		k.ended(at)
+	}
+	if after.Heard().After(before.Heard()) {
+		k.beaten(after)
 	}
 	if before.Incarnation() != after.Incarnation() || before.Phase() != after.Phase() {
 		k.common.Log().Info("upstream changed", "upstream", after.Incarnation(), "phase", after.Phase().String(),
@@ -145,9 +151,15 @@
 	return next
 }
 
-// isGone says whether the upstream's process has just ended.
-func isGone(before, after landing.Presence) bool {
-	return before.Phase() != landing.PhaseLeft && after.Phase() == landing.PhaseLeft
+// ended returns the time up to which flows were opened at an upstream's process that is now known to have ended.
+func ended(before, after landing.Presence, sight landing.Sight) (time.Time, bool) {
+	if v, isClosed := sight.(landing.Vanished); isClosed && before.Phase() != landing.PhaseLeft {
+		return v.Now(), true
+	}
+	if presence.IsSuccessor(before, after) {
+		return before.Heard(), true
+	}
+	return time.Time{}, false
 }
 
 func (k *Keeper) compare(s Snapshot, rulesRevision, exclusionsChanged uint64) Snapshot {
--- a/sidecar/pkg/relay/recorder.go
+++ b/sidecar/pkg/relay/recorder.go
@@ -93,11 +93,12 @@
 
 // record writes the flows when they are others than at the last time.
 func (r *Recorder) record() {
-	born := bornMillis(r.keeper.Snapshot().presence)
+	present := r.keeper.Snapshot().presence
+	born := bornMillis(present)
 	if born == 0 {
 		return
 	}
-	held := r.traffic.table.held(time.Now().Add(-recordAge), maxRecorded)
+	held := r.traffic.table.held(present, time.Now().Add(-recordAge), maxRecorded)
 	keys := make([]landing.Key, 0, len(held))
 	for _, h := range held {
 		keys = append(keys, h.Key())
--- a/sidecar/pkg/relay/reset.go
+++ b/sidecar/pkg/relay/reset.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
-// resetLost resets the flows of an upstream whose process has ended, so that their callers try again at once.
-func (t *Traffic) resetLost() {
-	t.resetAll(t.table.clear(), "upstream ended")
+// resetLost resets the flows of an upstream whose process has ended, so that their callers try again at once. Those that
+// were opened after this time may be its successor's.
+func (t *Traffic) resetLost(at time.Time) {
+	t.resetAll(t.table.clear(at), "upstream ended")
 }
 
 // resetRecorded resets the flows that an earlier incarnation of the upstream held. One that is in the table was opened
--- a/sidecar/pkg/relay/step.go
+++ b/sidecar/pkg/relay/step.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
@@ -69,16 +70,23 @@
 	t.link.Send(landing.Refund{}.WithParcel(p.WithRules(newest).WithExclusions(changed)).WithReason(reason), p.Home())
 }
 
+// claim tells the balancer of a parcel where the flow is. That it is the present incarnation's is certain only after the
+// next heartbeat.
 func (t *Traffic) claim(p landing.Parcel, k landing.Key) {
-	t.link.Send(landing.Claim{}.WithKey(k).WithBorn(t.born(k)), p.Home())
+	t.table.noteHome(k, p.Home())
+	s := t.keeper.Snapshot()
+	born := uint64(0)
+	if opened, isOpen := t.table.openSince(k); isOpen && presence.HasHeld(s.presence, opened) {
+		born = bornMillis(s.presence)
+	}
+	t.link.Send(landing.Claim{}.WithKey(k).WithBorn(born), p.Home())
 }
 
-// born returns the start of the upstream's incarnation if it is known to hold the flow, else 0.
-func (t *Traffic) born(k landing.Key) uint64 {
-	if !t.table.isOpen(k) {
-		return 0
+// claimHeld tells balancers which of the flows opened since the heartbeat before are this incarnation's.
+func (t *Traffic) claimHeld(p landing.Presence) {
+	for _, c := range t.table.takeUnclaimed(p) {
+		t.link.Send(landing.Claim{}.WithKey(c.key).WithBorn(bornMillis(p)), c.home)
 	}
-	return bornMillis(t.keeper.Snapshot().presence)
 }
 
 func bornMillis(p landing.Presence) uint64 {
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
+	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/warmup"
 )
 
@@ -31,8 +32,11 @@
 	initial uint32
 	// acknowledged is the last number that the caller acknowledged.
 	acknowledged uint32
-	since        time.Time
-	heard        time.Time
+	// since is the time at which the upstream first answered; the zero time before that.
+	since time.Time
+	// home is the balancer to which the flow must still be claimed for the upstream's incarnation; 0 for none.
+	home  uint64
+	heard time.Time
 	// sent is the end of the last data that the caller has sent; data up to it is sent again.
 	sent uint32
 	// asked is the time of a request that the upstream has not answered yet; the zero time when there is none.
@@ -115,7 +119,6 @@
 			stage:   landing.Taken{}.WithInitial(s.Sequence()),
 			initial: s.Sequence(),
 			sent:    s.Sequence(),
-			since:   now,
 			heard:   now,
 		}
 	case landing.Complete:
@@ -190,17 +193,21 @@
 	defer t.mu.Unlock()
 	f, found := t.flows[s.Key()]
 	if !found {
-		f = flow{stage: landing.Taken{}, sent: s.Acknowledged(), since: now}
+		f = flow{stage: landing.Taken{}, sent: s.Acknowledged()}
 	}
 	f.heard = now
 	switch stage := f.stage.(type) {
 	case landing.Taken:
+		f.since = now
 		if s.Answering() {
 			f.stage = landing.Half{}.WithInitial(stage.Initial()).WithExpected(s.Sequence() + 1)
 		} else if !s.Resets() {
 			f.stage = landing.Open{}
 		}
-	case landing.Half, landing.Open, landing.Absent, landing.Unsure:
+	case landing.Unsure:
+		f.since = now
+		f.stage = landing.Open{}
+	case landing.Half, landing.Open, landing.Absent:
 	}
 	took := time.Duration(0)
 	if s.Payload() > 0 && !f.asked.IsZero() {
@@ -232,21 +239,54 @@
 	t.flows[k] = f
 }
 
-// isOpen says whether the upstream is known to hold the flow.
-func (t *table) isOpen(k landing.Key) bool {
+// openSince returns the time at which the upstream first answered on a flow that it is known to hold.
+func (t *table) openSince(k landing.Key) (time.Time, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, isOpen := t.flows[k].stage.(landing.Open)
-	return isOpen
+	f := t.flows[k]
+	_, isOpen := f.stage.(landing.Open)
+	return f.since, isOpen
 }
 
-// held returns the flows that have been open since before this time, in order, and at most this many.
-func (t *table) held(before time.Time, most int) []landing.Held {
+// noteHome notes the balancer to which a flow must be claimed after the next heartbeat.
+func (t *table) noteHome(k landing.Key, home uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f, found := t.flows[k]; found {
+		f.home = home
+		t.flows[k] = f
+	}
+}
+
+// unclaimed is a flow with the balancer to which it is claimed.
+type unclaimed struct {
+	key  landing.Key
+	home uint64
+}
+
+// takeUnclaimed returns the flows that are known to be this incarnation's and have not been claimed for it yet.
+func (t *table) takeUnclaimed(p landing.Presence) []unclaimed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []unclaimed
+	for k, f := range t.flows {
+		if _, isOpen := f.stage.(landing.Open); isOpen && f.home != 0 && presence.HasHeld(p, f.since) {
+			list = append(list, unclaimed{key: k, home: f.home})
+			f.home = 0
+			t.flows[k] = f
+		}
+	}
+	return list
+}
+
+// held returns the flows that are known to be this incarnation's and have been open since before this time, in order, and
+// at most this many.
+func (t *table) held(p landing.Presence, before time.Time, most int) []landing.Held {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []landing.Held
 	for k, f := range t.flows {
-		if _, isOpen := f.stage.(landing.Open); isOpen && f.since.Before(before) && len(list) < most {
+		if _, isOpen := f.stage.(landing.Open); isOpen && f.since.Before(before) && presence.HasHeld(p, f.since) && len(list) < most {
 			list = append(list, landing.Held{}.WithKey(k).WithAcknowledged(f.acknowledged))
 		}
 	}
@@ -299,17 +339,25 @@
 	}
 }
 
-// clear removes all flows and returns them.
-func (t *table) clear() []landing.Held {
+// clear removes the flows that were opened up to this time and returns them. Of those opened later only the upstream knows
+// whether it holds them; those that are being opened stay.
+func (t *table) clear(at time.Time) []landing.Held {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]landing.Held, 0, len(t.flows))
+	var list []landing.Held
 	for k, f := range t.flows {
-		list = append(list, landing.Held{}.WithKey(k).WithAcknowledged(f.acknowledged))
+		_, isOpen := f.stage.(landing.Open)
+		switch {
+		case f.since.IsZero():
+		case !f.since.After(at):
+			list = append(list, landing.Held{}.WithKey(k).WithAcknowledged(f.acknowledged))
+			t.remove(k)
+		case isOpen:
+			f = t.endRequest(f)
+			f.home = 0
+			t.flows[k] = f.withStage(landing.Unsure{})
+		}
 	}
-	t.flows = map[landing.Key]flow{}
-	t.entering = map[landing.Key]time.Time{}
-	t.running = 0
 	t.usual, t.measured = 0, 0
 	return list
 }
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -74,8 +74,10 @@
 	tb := opened(t)
 	halfOpen := flowKey.WithSport(9)
 	tb.decide(landing.Segment{}.WithKey(halfOpen).WithOpening(true), alone, landing.Absent{}, always, start)
-	is.Equal(len(tb.held(start, 10)), 0)
-	held := tb.held(start.Add(time.Second), 10)
+	present := landing.Presence{}.WithFirst(start.Add(-time.Second)).WithHeard(start.Add(time.Second))
+	is.Equal(len(tb.held(present, start, 10)), 0)
+	is.Equal(len(tb.held(present.WithFirst(start.Add(time.Millisecond)), start.Add(time.Second), 10)), 0)
+	held := tb.held(present, start.Add(time.Second), 10)
 	is.Equal(held, []landing.Held{landing.Held{}.WithKey(flowKey).WithAcknowledged(501)})
 }
 
@@ -87,3 +89,22 @@
 	step := tb.decide(again, alone, landing.Absent{}, closed, start)
 	is.Equal(step, landing.Return{})
 }
+
+// Soak: an upstream crashed and started again within milliseconds, a flow was opened at its successor, and the first
+// heartbeat of that one reset the flow, since the sidecar took it for one of the predecessor's.
+func TestFlowsOpenedAfterTheLastHeartbeatAreLeftToTheUpstream(t *testing.T) {
+	is := is.New(t)
+	tb := opened(t)
+	is.Equal(len(tb.clear(start.Add(-time.Millisecond))), 0)
+	step := tb.decide(request(101), alone, landing.Absent{}, always, start)
+	is.Equal(step, landing.Ask{})
+	tb.noteUpstream(answer, start.Add(time.Second))
+	is.Equal(len(tb.clear(start)), 0)
+}
+
+func TestFlowsOfTheEndedUpstreamAreCleared(t *testing.T) {
+	is := is.New(t)
+	tb := opened(t)
+	is.Equal(len(tb.clear(start)), 1)
+	is.Equal(tb.load().flows, 0)
+}
--- a/sidecar/pkg/relay/upstream.go
+++ b/sidecar/pkg/relay/upstream.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		t.keeper.Post(landing.SightChange{}.WithSight(landing.Vanished{}))
+		t.keeper.Post(landing.SightChange{}.WithSight(landing.Vanished{}.WithNow(time.Now())))
 	}
 	t.common.Counters().Counter("write_failed").Inc(1)
 }
