--- a/balancer/pkg/relay/prover.go
+++ b/balancer/pkg/relay/prover.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
@@ -27,38 +26,33 @@
 	store    *platform.Store
 	traffic  *Traffic
 	nobodies <-chan nobody
-	done     *common.Done
-	ctx      context.Context
-	cancel   context.CancelFunc
+	job      common.Job
 }
 
 // NewProver returns a prover that is not started.
 func NewProver(c common.Common, k *Keeper, store *platform.Store, t *Traffic, nobodies <-chan nobody) *Prover {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Prover{common: c, keeper: k, store: store, traffic: t, nobodies: nobodies, done: common.NewDone(), ctx: ctx, cancel: cancel}
+	return &Prover{common: c, keeper: k, store: store, traffic: t, nobodies: nobodies, job: common.NewJob()}
 }
 
 // Start starts the prover.
 func (p *Prover) Start() {
-	p.done.Go(p.run)
+	p.job.Go(p.run)
 }
 
 // Stop ends all calls and waits for their end.
 func (p *Prover) Stop() {
-	p.done.Close()
-	p.cancel()
-	p.done.Wait()
+	p.job.Stop()
 }
 
 func (p *Prover) run() {
 	for {
 		select {
-		case <-p.done.C():
+		case <-p.job.C():
 			return
 		case n := <-p.nobodies:
 			p.prove(p.collect(n))
 		}
-		if !common.Pause(p.done, provePause) {
+		if !common.Pause(p.job.Done, provePause) {
 			return
 		}
 	}
@@ -81,7 +75,7 @@
 	snapshot := p.keeper.Snapshot()
 	known := snapshot.directory.Roll()
 	// The whole list is read, since a watch can miss what happened while the store drops its history.
-	read, err := p.store.ReadRoll(p.ctx)
+	read, err := p.store.ReadRoll(p.job.Context())
 	if err != nil {
 		p.common.Log().Info("flows not reset", "reason", "platform cannot be read", "flows", len(list), "error", err.Error())
 		return
--- a/balancer/pkg/relay/reaper.go
+++ b/balancer/pkg/relay/reaper.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -27,27 +26,22 @@
 	keeper  *Keeper
 	store   *platform.Store
 	traffic *Traffic
-	done    *common.Done
-	ctx     context.Context
-	cancel  context.CancelFunc
+	job     common.Job
 }
 
 // NewReaper returns a reaper that is not started.
 func NewReaper(c common.Common, k *Keeper, store *platform.Store, t *Traffic) *Reaper {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Reaper{common: c, keeper: k, store: store, traffic: t, done: common.NewDone(), ctx: ctx, cancel: cancel}
+	return &Reaper{common: c, keeper: k, store: store, traffic: t, job: common.NewJob()}
 }
 
 // Start starts the reaper.
 func (r *Reaper) Start() {
-	r.done.Go(r.run)
+	r.job.Go(r.run)
 }
 
 // Stop ends all calls and waits for their end.
 func (r *Reaper) Stop() {
-	r.done.Close()
-	r.cancel()
-	r.done.Wait()
+	r.job.Stop()
 }
 
 func (r *Reaper) run() {
@@ -55,7 +49,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-r.done.C():
+		case <-r.job.C():
 			return
 		case <-ticker.C:
 		}
@@ -93,14 +87,14 @@
 
 // reap removes the enrollments of sidecars that are still gone after a pause. It returns false when the reaper stops.
 func (r *Reaper) reap() bool {
-	if !common.Pause(r.done, rand.N(reapPause)) {
+	if !common.Pause(r.job.Done, rand.N(reapPause)) {
 		return false
 	}
 	for _, n := range r.keeper.Snapshot().directory.Neighbors() {
 		if !absence.IsGone(n, time.Now()) {
 			continue
 		}
-		err := r.store.Remove(r.ctx, n.Enrollment())
+		err := r.store.Remove(r.job.Context(), n.Enrollment())
 		if err != nil && !trace.IsAlreadyExists(err) {
 			r.common.Log().V(1).Info("enrollment cannot be removed", "sidecar", n.Enrollment().Instance(), "error", err.Error())
 			return true
--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"time"
@@ -38,40 +37,33 @@
 	store   *platform.Store
 	traffic *Traffic
 	peers   *peer.Client
-	done    *common.Done
-	ctx     context.Context
-	cancel  context.CancelFunc
+	job     common.Job
 }
 
 // NewSync returns a sync that is not started.
 func NewSync(c common.Common, s landing.RelayBalancerSettings, k *Keeper, store *platform.Store, t *Traffic) *Sync {
-	ctx, cancel := context.WithCancel(context.Background())
 	return &Sync{
 		common:  c,
 		keeper:  k,
 		store:   store,
 		traffic: t,
 		peers:   peer.NewClient(s.Fleet(), s.Seeds()),
-		done:    common.NewDone(),
-		ctx:     ctx,
-		cancel:  cancel,
+		job:     common.NewJob(),
 	}
 }
 
 // Start starts to watch and to greet.
 func (s *Sync) Start() {
-	s.done.Go(func() { s.repeat(s.watchRules()) })
-	s.done.Go(func() { s.repeat(s.watchExclusions()) })
-	s.done.Go(func() { s.repeat(s.watchRoll()) })
-	s.done.Go(s.catchUp)
-	s.done.Go(s.greet)
+	s.job.Go(func() { s.repeat(s.watchRules()) })
+	s.job.Go(func() { s.repeat(s.watchExclusions()) })
+	s.job.Go(func() { s.repeat(s.watchRoll()) })
+	s.job.Go(s.catchUp)
+	s.job.Go(s.greet)
 }
 
 // Stop ends all calls and waits for their end.
 func (s *Sync) Stop() {
-	s.done.Close()
-	s.cancel()
-	s.done.Wait()
+	s.job.Stop()
 }
 
 // repeat makes a step again and again, with a pause after each that failed.
@@ -79,7 +71,7 @@
 	isLost := false
 	for {
 		err := step()
-		if s.ctx.Err() != nil {
+		if s.job.Context().Err() != nil {
 			return
 		}
 		if (err != nil) != isLost {
@@ -89,7 +81,7 @@
 		if err != nil {
 			s.common.Counters().Counter("retried.watch").Inc(1)
 		}
-		if err != nil && !common.Pause(s.done, failPause/2+rand.N(failPause)) {
+		if err != nil && !common.Pause(s.job.Done, failPause/2+rand.N(failPause)) {
 			return
 		}
 	}
@@ -111,9 +103,9 @@
 		var revision uint64
 		var err error
 		if since == 0 {
-			rules, revision, err = s.store.ReadRules(s.ctx, platform.Newest)
+			rules, revision, err = s.store.ReadRules(s.job.Context(), platform.Newest)
 		} else {
-			rules, revision, err = s.store.WatchRules(s.ctx, since, s.wait())
+			rules, revision, err = s.store.WatchRules(s.job.Context(), since, s.wait())
 		}
 		if err != nil {
 			since = sinceAfter(err, since)
@@ -123,7 +115,7 @@
 		since = revision
 		if rules.Revision() > 0 {
 			s.keeper.Post(landing.RulesChange{}.WithRules(rules))
-			common.Pause(s.done, pace.AfterEvent)
+			common.Pause(s.job.Done, pace.AfterEvent)
 		}
 		return nil
 	}
@@ -148,9 +140,9 @@
 		var next landing.Exclusions
 		var err error
 		if known.Revision() == 0 {
-			next, err = s.store.ReadExclusions(s.ctx, known, platform.Newest)
+			next, err = s.store.ReadExclusions(s.job.Context(), known, platform.Newest)
 		} else {
-			next, err = s.store.WatchExclusions(s.ctx, known, s.wait())
+			next, err = s.store.WatchExclusions(s.job.Context(), known, s.wait())
 		}
 		if err != nil {
 			known = known.WithRevision(sinceAfter(err, known.Revision()))
@@ -168,9 +160,9 @@
 		var next landing.Roll
 		var err error
 		if known.Revision() == 0 {
-			next, err = s.store.ReadRoll(s.ctx)
+			next, err = s.store.ReadRoll(s.job.Context())
 		} else {
-			next, err = s.store.WatchRoll(s.ctx, known, rollFactor*s.wait())
+			next, err = s.store.WatchRoll(s.job.Context(), known, rollFactor*s.wait())
 		}
 		if err != nil {
 			known = known.WithRevision(sinceAfter(err, known.Revision()))
@@ -180,7 +172,7 @@
 		known = next
 		s.keeper.Post(landing.RollChange{}.WithRoll(next))
 		if isChanged {
-			common.Pause(s.done, pace.AfterEvent)
+			common.Pause(s.job.Done, pace.AfterEvent)
 		}
 		return nil
 	}
@@ -190,7 +182,7 @@
 // newer revisions.
 func (s *Sync) askPeers() {
 	snapshot := s.keeper.Snapshot()
-	picture, err := s.peers.Picture(s.ctx, snapshot.Ahead())
+	picture, err := s.peers.Picture(s.job.Context(), snapshot.Ahead())
 	if err != nil {
 		s.common.Log().V(1).Info("no peer answers", "error", err.Error())
 		return
@@ -204,7 +196,7 @@
 func (s *Sync) catchUp() {
 	for {
 		select {
-		case <-s.done.C():
+		case <-s.job.C():
 			return
 		case <-s.keeper.Behind():
 		}
@@ -212,7 +204,7 @@
 			s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
 			s.askPeers()
 		}
-		if !common.Pause(s.done, failPause) {
+		if !common.Pause(s.job.Done, failPause) {
 			return
 		}
 	}
@@ -220,12 +212,12 @@
 
 // readNewest reads what is behind.
 func (s *Sync) readNewest() error {
-	rules, _, err := s.store.ReadRules(s.ctx, platform.Newest)
+	rules, _, err := s.store.ReadRules(s.job.Context(), platform.Newest)
 	if err != nil {
 		return err
 	}
 	s.keeper.Post(landing.RulesChange{}.WithRules(rules))
-	exclusions, err := s.store.ReadExclusions(s.ctx, s.keeper.Snapshot().exclusions, platform.Newest)
+	exclusions, err := s.store.ReadExclusions(s.job.Context(), s.keeper.Snapshot().exclusions, platform.Newest)
 	if err != nil {
 		return err
 	}
@@ -239,7 +231,7 @@
 	defer ticker.Stop()
 	for tick := 1; ; tick++ {
 		select {
-		case <-s.done.C():
+		case <-s.job.C():
 			return
 		case <-ticker.C:
 		case <-s.keeper.Joined():
--- a/sidecar/pkg/relay/recorder.go
+++ b/sidecar/pkg/relay/recorder.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -31,35 +30,30 @@
 	keeper   *Keeper
 	store    *platform.Store
 	traffic  *Traffic
-	done     *common.Done
-	ctx      context.Context
-	cancel   context.CancelFunc
+	job      common.Job
 	written  []landing.Key
 }
 
 // NewRecorder returns a recorder that is not started.
 func NewRecorder(c common.Common, s landing.RelaySidecarSettings, k *Keeper, store *platform.Store, t *Traffic) *Recorder {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Recorder{common: c, settings: s, keeper: k, store: store, traffic: t, done: common.NewDone(), ctx: ctx, cancel: cancel}
+	return &Recorder{common: c, settings: s, keeper: k, store: store, traffic: t, job: common.NewJob()}
 }
 
 // Start starts the recorder.
 func (r *Recorder) Start() {
-	r.done.Go(r.run)
+	r.job.Go(r.run)
 }
 
 // Stop ends all calls and waits for their end.
 func (r *Recorder) Stop() {
-	r.done.Close()
-	r.cancel()
-	r.done.Wait()
+	r.job.Stop()
 }
 
 func (r *Recorder) run() {
 	r.recall()
 	for {
 		interval, isRecorded := pace.Record(r.keeper.Snapshot().sidecars)
-		if !common.Pause(r.done, interval) {
+		if !common.Pause(r.job.Done, interval) {
 			return
 		}
 		if isRecorded {
@@ -70,19 +64,19 @@
 
 // recall reads the record and resets its flows once the upstream is known to be a later incarnation.
 func (r *Recorder) recall() {
-	record, err := r.store.ReadRecord(r.ctx, r.settings.Instance())
+	record, err := r.store.ReadRecord(r.job.Context(), r.settings.Instance())
 	for err != nil {
 		r.common.Log().V(1).Info("record cannot be read", "error", err.Error())
-		if !common.Pause(r.done, recallPause) {
+		if !common.Pause(r.job.Done, recallPause) {
 			return
 		}
-		record, err = r.store.ReadRecord(r.ctx, r.settings.Instance())
+		record, err = r.store.ReadRecord(r.job.Context(), r.settings.Instance())
 	}
 	if record.FlowsLen() == 0 {
 		return
 	}
 	for r.keeper.Snapshot().presence.Incarnation() == "" {
-		if !common.Pause(r.done, recallPause/10) {
+		if !common.Pause(r.job.Done, recallPause/10) {
 			return
 		}
 	}
@@ -106,7 +100,7 @@
 	if slices.Equal(keys, r.written) {
 		return
 	}
-	if err := r.store.WriteRecord(r.ctx, r.settings.Instance(), landing.Holdings{}.WithBorn(born).WithFlows(held...)); err != nil {
+	if err := r.store.WriteRecord(r.job.Context(), r.settings.Instance(), landing.Holdings{}.WithBorn(born).WithFlows(held...)); err != nil {
 		r.common.Log().V(1).Info("record cannot be written", "error", err.Error())
 		return
 	}
--- a/sidecar/pkg/relay/sync.go
+++ b/sidecar/pkg/relay/sync.go
@@ -30,38 +30,31 @@
 	keeper   *Keeper
 	store    *platform.Store
 	peers    *peer.Client
-	done     *common.Done
-	ctx      context.Context
-	cancel   context.CancelFunc
+	job      common.Job
 	enrolled landing.Enrollment
 }
 
 // NewSync returns a sync that is not started.
 func NewSync(c common.Common, s landing.RelaySidecarSettings, k *Keeper, store *platform.Store) *Sync {
-	ctx, cancel := context.WithCancel(context.Background())
 	return &Sync{
 		common:   c,
 		settings: s,
 		keeper:   k,
 		store:    store,
 		peers:    peer.NewClient(s.Fleet(), s.Seeds()),
-		done:     common.NewDone(),
-		ctx:      ctx,
-		cancel:   cancel,
+		job:      common.NewJob(),
 	}
 }
 
 // Start starts to read and to enroll.
 func (s *Sync) Start() {
-	s.done.Go(s.follow)
-	s.done.Go(s.enroll)
+	s.job.Go(s.follow)
+	s.job.Go(s.enroll)
 }
 
 // Stop ends all calls and waits for their end.
 func (s *Sync) Stop() {
-	s.done.Close()
-	s.cancel()
-	s.done.Wait()
+	s.job.Stop()
 }
 
 // follow reads what is behind: at the start, when a balancer has newer revisions, and now and then while no
@@ -69,14 +62,14 @@
 func (s *Sync) follow() {
 	for {
 		s.read()
-		if !common.Pause(s.done, syncPause) {
+		if !common.Pause(s.job.Done, syncPause) {
 			return
 		}
 		timer := time.NewTimer(aloneInterval)
 		isDue := false
 		for !isDue {
 			select {
-			case <-s.done.C():
+			case <-s.job.C():
 				timer.Stop()
 				return
 			case <-s.keeper.Behind():
@@ -101,7 +94,7 @@
 		return
 	}
 	s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
-	picture, err := s.peers.Picture(s.ctx, s.keeper.Snapshot().Homes())
+	picture, err := s.peers.Picture(s.job.Context(), s.keeper.Snapshot().Homes())
 	if err != nil {
 		s.common.Log().V(1).Info("no peer answers", "error", err.Error())
 		notify(s.keeper.behind)
@@ -120,7 +113,7 @@
 		return nil
 	}
 	for _, f := range []platform.Freshness{platform.Recent, platform.Newest} {
-		rules, _, err := s.store.ReadRules(s.ctx, f)
+		rules, _, err := s.store.ReadRules(s.job.Context(), f)
 		if err != nil {
 			return err
 		}
@@ -140,7 +133,7 @@
 		return nil
 	}
 	for _, f := range []platform.Freshness{platform.Recent, platform.Newest} {
-		exclusions, err := s.store.ReadExclusions(s.ctx, known, f)
+		exclusions, err := s.store.ReadExclusions(s.job.Context(), known, f)
 		if err != nil {
 			return err
 		}
@@ -156,7 +149,7 @@
 // greeted for a while: it may have been removed while the sidecar was cut off.
 func (s *Sync) enroll() {
 	select {
-	case <-s.done.C():
+	case <-s.job.C():
 		return
 	case <-s.keeper.Serving():
 	}
@@ -172,7 +165,7 @@
 			s.common.Log().Info("sidecar enrolled", "revision", s.enrolled.Revision())
 			pause = aloneInterval
 		}
-		if !common.Pause(s.done, pause) {
+		if !common.Pause(s.job.Done, pause) {
 			return
 		}
 	}
@@ -184,9 +177,9 @@
 		WithService(s.settings.Service()).
 		WithZone(s.settings.Zone()).
 		WithFleet(s.settings.Fleet())
-	stands, err := s.store.Create(s.ctx, wanted)
+	stands, err := s.store.Create(s.job.Context(), wanted)
 	if trace.IsAlreadyExists(err) && stands.WithRevision(0) != wanted {
-		stands, err = s.store.Replace(s.ctx, wanted.WithRevision(stands.Revision()))
+		stands, err = s.store.Replace(s.job.Context(), wanted.WithRevision(stands.Revision()))
 	}
 	if err != nil && !trace.IsAlreadyExists(err) {
 		return err
