A sidecar that enrolls again is another one; handshakes completed elsewhere are not reset

(1) A sidecar said that it left, started and enrolled again; balancers kept its old status, removed the new enrollment, and reset flows of its living upstream as held by nobody. (2) A frozen sidecar delivered an old opening packet after its thaw; the flow had been opened elsewhere, and the end of this upstream reset it. Ruled out: the reaper's inquiries (0 of them at the removal). Also: the stand-in upstream answered no TCP connection, so a sidecar that was stopped beside it took it for ended. The users' upstreams answer health checks there; the stand-in does now. Change: a neighbor is the same only with the same revision of its enrollment; only flows opened here are reset with their upstream. Tests: TestSidecarThatEnrollsAgainIsNotTheOneThatLeft, TestHandshakesThatWereNotCompletedHereAreNotReset, both red before.

--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -35,7 +35,7 @@
 	return d.neighbors
 }
 
-// WithRoll returns a directory of the sidecars of r, learned now. What is known of those that stay at their address is
+// WithRoll returns a directory of the sidecars of r, learned now. What is known of those whose enrollment is the same is
 // kept.
 func (d *Directory) WithRoll(r landing.Roll, now time.Time) *Directory {
 	next := &Directory{roll: r, changed: d.changed, changedAt: d.changedAt, byHop: map[uint64]int{}, byService: map[string][]int{}}
@@ -46,8 +46,9 @@
 			continue
 		}
 		n := landing.Neighbor{}.WithEnrollment(e).WithHop(address.Hop(fleet)).WithKnown(now)
-		if before, found := d.Find(n.Hop()); found && before.Enrollment().Instance() == e.Instance() {
-			n = before.WithEnrollment(e)
+		// A sidecar that has enrolled again is another process, of which an old status says nothing.
+		if before, found := d.Find(n.Hop()); found && before.Enrollment() == e {
+			n = before
 		}
 		next.byHop[n.Hop()] = len(next.neighbors)
 		next.byService[e.Service()] = append(next.byService[e.Service()], len(next.neighbors))
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -64,3 +64,15 @@
 	is.Equal(d.Changed(), uint64(5))
 	is.Equal(d.WithRoll(landing.Roll{}.WithRevision(10).WithEnrollments(a), now).Changed(), uint64(10))
 }
+
+// Soak, seed 126: a sidecar said that it left, started again and enrolled again; its old word was taken for the new
+// process's, its enrollment removed, and the flows of its living upstream reset.
+func TestSidecarThatEnrollsAgainIsNotTheOneThatLeft(t *testing.T) {
+	is := is.New(t)
+	left := arrival(status(1, 9).WithPhase(landing.PhaseLeft))
+	d := New().WithRoll(landing.Roll{}.WithRevision(5).WithEnrollments(a.WithRevision(4)), now).WithStatuses(left)
+	d = d.WithRoll(landing.Roll{}.WithRevision(8).WithEnrollments(a.WithRevision(8)), now)
+	n, found := d.Find(hopA)
+	is.True(found)
+	is.True(n.Status().Phase() != landing.PhaseLeft)
+}
--- a/experiment/pkg/relayed/soak_test.go
+++ b/experiment/pkg/relayed/soak_test.go
@@ -21,6 +21,7 @@
 var (
 	soakSeeds = flag.Int("soak", 2, "number of seeds that the fault soak plays")
 	soakFirst = flag.Uint64("soakseed", 1, "first seed of the fault soak")
+	soakKept  = flag.String("soakkeep", "", "folder that keeps the programs and logs of the fault soak")
 )
 
 const (
@@ -45,7 +46,10 @@
 
 // build builds the programs of the relay path into a folder of the test.
 func build(t *testing.T) string {
-	dir := t.TempDir()
+	dir := *soakKept
+	if dir == "" {
+		dir = t.TempDir()
+	}
 	for _, program := range []string{"balancer", "sidecar"} {
 		cmd := exec.Command("go", "build", "-tags", "relay", "-o", dir+"/", "github.com/crocuslanding/crocuslanding/"+program)
 		out, err := cmd.CombinedOutput()
@@ -66,6 +70,22 @@
 	}
 }
 
+// TestSoakSeedsThatFailed plays the seeds that ever failed, with what was wrong.
+func TestSoakSeedsThatFailed(t *testing.T) {
+	binaries := build(t)
+	for seed, cause := range map[uint64]string{
+		100: "the first heartbeat of a successor reset the flows that it held already",
+		126: "an old word of leaving was taken for a sidecar's that had enrolled again; half open flows were reset",
+		143: "as 100",
+		148: "as 100",
+	} {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			t.Log(cause)
+			playSoak(t, binaries, seed)
+		})
+	}
+}
+
 func playSoak(t *testing.T, binaries string, seed uint64) {
 	is := is.New(t)
 	f, err := NewFrom(binaries, soakBalancers, soakSidecars)
@@ -95,7 +115,9 @@
 func (s *soak) report(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wrong = append(s.wrong, fmt.Sprintf(format, args...))
+	found := fmt.Sprintf(format, args...)
+	s.t.Logf("%s %s", time.Now().UTC().Format(time.StampMicro), found)
+	s.wrong = append(s.wrong, found)
 }
 
 func (s *soak) isLiving(id string) bool {
@@ -165,7 +187,7 @@
 		switch {
 		case errors.Is(err, endpoint.ErrReset):
 			if holder != "" && s.isLiving(holder) {
-				s.report("flow of the living upstream %s was reset", holder)
+				s.report("flow %s of the living upstream %s was reset", flow.Name(), holder)
 			}
 			return false
 		case errors.Is(err, endpoint.ErrSilent):
@@ -190,7 +212,9 @@
 func (s *soak) fault(random *rand.Rand) {
 	pause := time.Duration(random.Int64N(int64(800 * time.Millisecond)))
 	side, edge := random.IntN(soakSidecars), random.IntN(soakBalancers)
-	switch random.IntN(8) {
+	kind := random.IntN(8)
+	s.t.Logf("%s fault %d, sidecar %d, balancer %d", time.Now().UTC().Format(time.StampMicro), kind, side, edge)
+	switch kind {
 	case 0:
 		s.fleet.KillSidecar(side)
 		s.must(s.fleet.StartSidecar(side))
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -339,8 +339,8 @@
 	}
 }
 
-// clear removes the flows that were opened up to this time and returns them. Of those opened later only the upstream knows
-// whether it holds them; those that are being opened stay.
+// clear removes the flows that were opened up to this time and returns those that the upstream held. A handshake that was
+// not completed here may have been elsewhere. Of flows opened later only the upstream knows whether it holds them.
 func (t *table) clear(at time.Time) []landing.Held {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -350,7 +350,9 @@
 		switch {
 		case f.since.IsZero():
 		case !f.since.After(at):
-			list = append(list, landing.Held{}.WithKey(k).WithAcknowledged(f.acknowledged))
+			if isOpen {
+				list = append(list, landing.Held{}.WithKey(k).WithAcknowledged(f.acknowledged))
+			}
 			t.remove(k)
 		case isOpen:
 			f = t.endRequest(f)
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -108,3 +108,15 @@
 	is.Equal(len(tb.clear(start)), 1)
 	is.Equal(tb.load().flows, 0)
 }
+
+// Soak, seed 126: a sidecar was frozen with an opening packet in its socket; its caller's copy opened the flow elsewhere.
+// After the thaw the flow was half open here, and the end of this upstream reset it.
+func TestHandshakesThatWereNotCompletedHereAreNotReset(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(start)
+	syn := landing.Segment{}.WithKey(flowKey).WithOpening(true).WithSequence(100)
+	tb.decide(syn, alone, landing.Absent{}, always, start)
+	tb.noteUpstream(landing.Segment{}.WithKey(flowKey).WithAnswering(true).WithSequence(500), start)
+	is.Equal(len(tb.clear(start)), 0)
+	is.Equal(tb.load().flows, 0)
+}
--- a/standin/pkg/endpoint/caller.go
+++ b/standin/pkg/endpoint/caller.go
@@ -81,6 +81,11 @@
 	return err
 }
 
+// Name returns the flow's name in logs.
+func (f *Flow) Name() string {
+	return f.from.String() + ">" + f.to.String()
+}
+
 // Close closes the caller's socket.
 func (f *Flow) Close() {
 	_ = f.conn.Close()
--- a/standin/pkg/endpoint/upstream.go
+++ b/standin/pkg/endpoint/upstream.go
@@ -35,6 +35,7 @@
 	foreign  int
 	flows    map[[2]netip.AddrPort]*state
 	conn     *net.UDPConn
+	health   net.Listener
 	done     *common.Done
 }
 
@@ -51,9 +52,15 @@
 	if err != nil {
 		return nil, err
 	}
+	// The platform's upstreams answer health checks over TCP; here it shows that the process lives.
+	health, err := net.Listen("tcp4", app.String())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	u := &Upstream{
 		id: id, service: service, app: app, outbound: outbound, local: local, born: time.Now().UnixMilli(),
-		flows: map[[2]netip.AddrPort]*state{}, conn: conn, done: common.NewDone(),
+		flows: map[[2]netip.AddrPort]*state{}, conn: conn, health: health, done: common.NewDone(),
 	}
 	u.done.Go(u.read)
 	u.done.Go(u.beat)
@@ -64,6 +71,7 @@
 func (u *Upstream) Crash() {
 	u.done.Close()
 	_ = u.conn.Close()
+	_ = u.health.Close()
 	u.done.Wait()
 }
 
