--- a/experiment/pkg/relayed/fleet.go
+++ b/experiment/pkg/relayed/fleet.go
@@ -19,9 +19,9 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/serve"
+	"github.com/crocuslanding/crocuslanding/platform/standin/endpoint"
+	"github.com/crocuslanding/crocuslanding/platform/standin/store"
 	sidecar "github.com/crocuslanding/crocuslanding/sidecar/pkg/relay"
-	"github.com/crocuslanding/crocuslanding/standin/pkg/endpoint"
-	"github.com/crocuslanding/crocuslanding/standin/pkg/store"
 )
 
 // Ports of a deployment, the same on all its instances, counted from its first one.
--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/crocuslanding/crocuslanding/standin/pkg/endpoint"
+	"github.com/crocuslanding/crocuslanding/platform/standin/endpoint"
 )
 
 const (
