--- a/sidecar/pkg/relay/sync.go
+++ b/sidecar/pkg/relay/sync.go
@@ -191,6 +191,7 @@
 // Leave takes the enrollment back, since the upstream is gone for good. It goes on trying while the grace of the stop
 // lasts; after that it is up to the balancers.
 func (s *Sync) Leave() {
+	s.job.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), max(s.settings.Grace()-leaveMargin, 0))
 	defer cancel()
 	for ctx.Err() == nil {
