--- a/experiment/pkg/relayed/process.go
+++ b/experiment/pkg/relayed/process.go
@@ -24,7 +24,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	// A process that was signalled or killed ends with a status that says nothing more.
+	// A process that was signaled or killed ends with a status that says nothing more.
 	wait := func() { _ = cmd.Wait() }
 	signal := func(s os.Signal) { _ = cmd.Process.Signal(s) }
 	return &running{
