--- a/balancer/pkg/relay/keeper.go
+++ b/balancer/pkg/relay/keeper.go
@@ -7,7 +7,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
-	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 )
 
 const changeBuffer = 256
@@ -53,6 +53,16 @@
 	return *k.snapshot.Load()
 }
 
+// Policy returns what is in force.
+func (k *Keeper) Policy() policy.Policy {
+	return k.Snapshot().policy
+}
+
+// Ahead returns the addresses of the sidecars that have shown newer revisions.
+func (k *Keeper) Ahead() []uint64 {
+	return k.Snapshot().Ahead()
+}
+
 // Behind returns a channel that receives when another process has newer rules or exclusions.
 func (k *Keeper) Behind() <-chan struct{} {
 	return k.behind
@@ -63,6 +73,11 @@
 	return k.joined
 }
 
+// Await returns when all that was posted before has been taken in.
+func (k *Keeper) Await() {
+	k.thread.Await()
+}
+
 // Post hands a change to the control thread. It waits while the thread is behind.
 func (k *Keeper) Post(c landing.Change) {
 	k.Update(func(s Snapshot) Snapshot { return k.handle(s, c) })
@@ -79,45 +94,39 @@
 func (k *Keeper) handle(s Snapshot, c landing.Change) Snapshot {
 	switch c := c.(type) {
 	case landing.RulesChange:
-		return k.adopt(s, c.Rules())
+		return k.enforce(s, s.policy.WithRules(c.Rules()))
 	case landing.ExclusionsChange:
-		return k.exclude(s, c.Exclusions())
+		return k.enforce(s, s.policy.WithExclusions(c.Exclusions()))
 	case landing.RollChange:
 		return k.enroll(s, c.Roll())
 	case landing.StatusChange:
 		for _, a := range c.Arrivals() {
-			k.compare(s, a.Status().Rules(), a.Status().Exclusions())
+			s = k.compare(s, policy.ShownBy(a.Status().Rules(), a.Status().Exclusions()))
 			k.notice(s, a)
 		}
 		return s.WithDirectory(s.directory.WithStatuses(c.Arrivals()...))
 	case landing.RevisionChange:
-		k.compare(s, c.Rules(), c.Exclusions())
+		return k.compare(s, c.Revisions())
+	case landing.OriginalChange:
+		return s.WithPolicy(s.policy.WithOriginal(c.Wanted()))
 	case landing.VouchChange:
 		return s.WithDirectory(s.directory.WithVouch(c.Subject(), c.Proxy(), c.Now()))
 	case landing.InquiryChange:
 		return s.WithDirectory(s.directory.WithInquiries(c.Subjects()))
-	case landing.SightChange, landing.GreetingChange, landing.TimeChange:
+	case landing.SightChange, landing.GreetingChange:
 	}
 	return s
 }
 
-// adopt takes newer rules; older ones are refused, so that an accepted change never reverts.
-func (k *Keeper) adopt(s Snapshot, r landing.Rules) Snapshot {
-	if !rules.IsNewer(r, s.rules.Rules()) {
-		return s
+// enforce puts a policy in force and logs what is new in it.
+func (k *Keeper) enforce(s Snapshot, p policy.Policy) Snapshot {
+	if r := p.Rules().Rules(); r.Revision() != s.policy.Rules().Rules().Revision() {
+		k.common.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen())
 	}
-	k.common.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen())
-	return s.WithRules(r)
-}
-
-func (k *Keeper) exclude(s Snapshot, e landing.Exclusions) Snapshot {
-	if e.Revision() <= s.exclusions.Revision() {
-		return s
-	}
-	if e.Changed() != s.exclusions.Changed() {
+	if e := p.Exclusions(); e.Changed() != s.policy.Exclusions().Changed() {
 		k.common.Log().Info("exclusions in force", "changed", e.Changed(), "zones", e.Zones())
 	}
-	return s.WithExclusions(e)
+	return s.WithPolicy(p)
 }
 
 func (k *Keeper) enroll(s Snapshot, r landing.Roll) Snapshot {
@@ -126,7 +135,7 @@
 	}
 	if !directory.SameSidecars(r, s.directory.Roll()) {
 		k.common.Log().Info("sidecars enrolled", "revision", r.Revision(), "sidecars", r.EnrollmentsLen())
-		notify(k.joined)
+		common.Notify(k.joined)
 	}
 	return s.WithDirectory(s.directory.WithRoll(r, time.Now()))
 }
@@ -140,15 +149,11 @@
 	}
 }
 
-func (k *Keeper) compare(s Snapshot, rulesRevision, exclusionsChanged uint64) {
-	if rulesRevision > s.rules.Rules().Revision() || exclusionsChanged > s.exclusions.Revision() {
-		notify(k.behind)
-	}
-}
-
-func notify(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
+// compare notes revisions that another process has shown.
+func (k *Keeper) compare(s Snapshot, shown landing.Revisions) Snapshot {
+	s = s.WithPolicy(s.policy.WithWanted(shown))
+	if s.policy.IsBehind() {
+		common.Notify(k.behind)
 	}
+	return s
 }
--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -9,6 +9,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
 	"github.com/crocuslanding/crocuslanding/core/pkg/placement"
 	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/reject"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
@@ -56,7 +57,7 @@
 		neighbors := s.directory.OfService(service)
 		mean := placement.MeanWeight(neighbors)
 		for _, n := range neighbors {
-			isExcluded := s.IsExcluded(n.Enrollment().Zone())
+			isExcluded := s.policy.IsExcluded(n.Enrollment().Zone())
 			candidates = append(candidates, placement.Candidate(n, mean, isExcluded, t.cache.sentSince(n), now))
 		}
 		if order := placement.Order(candidates, hash); len(order) > 0 {
@@ -81,7 +82,7 @@
 		t.cache.noteSent(n)
 		t.common.Log().Info("flow placed", "flow", address.Flow(segment.Key()), "sidecar", n.Enrollment().Instance(),
 			"copies", segment.Copies(), "part", part, "running", n.Status().Running(), "flows", n.Status().Flows(),
-			"age", ageOf(n), "rules", s.rules.Rules().Revision())
+			"age", ageOf(n), "rules", s.policy.Rules().Rules().Revision())
 	}
 	t.send(t.parcel(s, packet).WithService(plan.ServiceTag(service)).WithPart(part).WithHops(hops...))
 }
@@ -103,7 +104,7 @@
 	}
 	for i := range l.SharesLen() {
 		for _, n := range s.directory.OfService(l.SharesAt(i).Service()) {
-			if n.Status().Phase() == landing.PhaseUnspecified && !s.IsExcluded(n.Enrollment().Zone()) {
+			if n.Status().Phase() == landing.PhaseUnspecified && !s.policy.IsExcluded(n.Enrollment().Zone()) {
 				t.common.Counters().Refused(landing.RefusalUnready)
 				return
 			}
@@ -126,7 +127,7 @@
 		t.place(s, service, segment, hops[:min(len(hops), walk.PartHops)], 1, packet)
 		return
 	}
-	isBehind := p.Rules() > s.rules.Rules().Revision() || p.Exclusions() > s.exclusions.Revision()
+	isBehind := s.policy.Lacks(policy.ShownBy(p.Rules(), p.Exclusions()))
 	if !reject.IsFinal(reason, isBehind) {
 		t.common.Counters().Refused(reason)
 		t.common.Log().Info("flow left to its next copy", "flow", address.Flow(segment.Key()), "copies", segment.Copies(),
--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -1,20 +1,18 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
-	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/subset"
 )
 
 // Snapshot is the control state that traffic reads. It is immutable.
 type Snapshot struct {
-	rules      *rules.View
-	exclusions landing.Exclusions
+	policy     policy.Policy
 	directory  *directory.Directory
 	isStopping bool
 }
@@ -24,15 +22,9 @@
 	return Snapshot{directory: directory.New()}
 }
 
-// WithRules returns a copy with other rules in force.
-func (s Snapshot) WithRules(r landing.Rules) Snapshot {
-	s.rules = rules.New(r)
-	return s
-}
-
-// WithExclusions returns a copy with other exclusions in force.
-func (s Snapshot) WithExclusions(e landing.Exclusions) Snapshot {
-	s.exclusions = e
+// WithPolicy returns a copy with another policy in force.
+func (s Snapshot) WithPolicy(p policy.Policy) Snapshot {
+	s.policy = p
 	return s
 }
 
@@ -50,7 +42,7 @@
 
 // IsKnown says whether the balancer knows enough to send packets.
 func (s Snapshot) IsKnown() bool {
-	return s.rules != nil && s.exclusions.Revision() > 0 && s.directory.Roll().Revision() > 0
+	return s.policy.IsKnown() && s.directory.Roll().Revision() > 0
 }
 
 // IsReady says whether the routers may send packets.
@@ -58,16 +50,11 @@
 	return s.IsKnown() && !s.isStopping && !absence.IsIsolated(s.directory.Neighbors(), now)
 }
 
-// IsExcluded says whether a zone is taken out.
-func (s Snapshot) IsExcluded(zone string) bool {
-	return slices.Contains(s.exclusions.Zones(), zone)
-}
-
 // Picture returns what another process may start from.
 func (s Snapshot) Picture() landing.Picture {
 	return landing.Picture{}.
-		WithRules(s.rules.Rules()).
-		WithExclusions(s.exclusions).
+		WithRules(s.policy.Rules().Rules()).
+		WithExclusions(s.policy.Exclusions()).
 		WithRoll(s.directory.Roll())
 }
 
@@ -75,7 +62,7 @@
 func (s Snapshot) Ahead() []uint64 {
 	var hops []uint64
 	for _, n := range s.directory.Neighbors() {
-		if n.Status().Rules() > s.rules.Rules().Revision() || n.Status().Exclusions() > s.exclusions.Revision() {
+		if s.policy.Lacks(policy.ShownBy(n.Status().Rules(), n.Status().Exclusions())) {
 			hops = append(hops, n.Hop())
 		}
 	}
--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -7,6 +7,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/catchup"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
 	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
@@ -37,17 +38,20 @@
 	store   *platform.Store
 	traffic *Traffic
 	peers   *peer.Client
+	reader  catchup.Reader
 	job     common.Job
 }
 
 // NewSync returns a sync that is not started.
 func NewSync(c common.Common, s landing.RelayBalancerSettings, k *Keeper, store *platform.Store, t *Traffic) *Sync {
+	peers := peer.NewClient(s.Fleet(), s.Seeds())
 	return &Sync{
 		common:  c,
 		keeper:  k,
 		store:   store,
 		traffic: t,
-		peers:   peer.NewClient(s.Fleet(), s.Seeds()),
+		peers:   peers,
+		reader:  catchup.New(c, store, peers, k),
 		job:     common.NewJob(),
 	}
 }
@@ -103,7 +107,7 @@
 		var revision uint64
 		var err error
 		if since == 0 {
-			rules, revision, err = s.store.ReadRules(s.job.Context(), platform.Newest)
+			rules, revision, err = s.store.ReadRules(s.job.Context(), landing.FreshnessNewest)
 		} else {
 			rules, revision, err = s.store.WatchRules(s.job.Context(), since, s.wait())
 		}
@@ -140,7 +144,7 @@
 		var next landing.Exclusions
 		var err error
 		if known.Revision() == 0 {
-			next, err = s.store.ReadExclusions(s.job.Context(), known, platform.Newest)
+			next, err = s.store.ReadExclusions(s.job.Context(), known, landing.FreshnessNewest)
 		} else {
 			next, err = s.store.WatchExclusions(s.job.Context(), known, s.wait())
 		}
@@ -172,7 +176,7 @@
 		known = next
 		s.keeper.Post(landing.RollChange{}.WithRoll(next))
 		if isChanged {
-			common.Pause(s.job.Done, pace.AfterEvent)
+			common.Pause(s.job.Done, pace.AfterRoll(s.keeper.Snapshot().Balancers()))
 		}
 		return nil
 	}
@@ -181,15 +185,9 @@
 // askPeers takes what other processes know while the platform is away: another balancer, or a sidecar that has shown
 // newer revisions.
 func (s *Sync) askPeers() {
-	snapshot := s.keeper.Snapshot()
-	picture, err := s.peers.Picture(s.job.Context(), snapshot.Ahead())
-	if err != nil {
+	if err := s.reader.AskPeers(s.job.Context()); err != nil {
 		s.common.Log().V(1).Info("no peer answers", "error", err.Error())
-		return
 	}
-	s.keeper.Post(landing.RulesChange{}.WithRules(picture.Rules()))
-	s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(picture.Exclusions()))
-	s.keeper.Post(landing.RollChange{}.WithRoll(picture.Roll()))
 }
 
 // catchUp reads rules and exclusions when another process has newer ones than the watches have brought.
@@ -200,31 +198,19 @@
 			return
 		case <-s.keeper.Behind():
 		}
-		if err := s.readNewest(); err != nil {
-			s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
-			s.askPeers()
+		if !common.Pause(s.job.Done, pace.BeforeCatchUp) {
+			return
+		}
+		if !s.keeper.Policy().IsBehind() || s.reader.Read(s.job.Context(), false) {
+			continue
 		}
 		if !common.Pause(s.job.Done, failPause) {
 			return
 		}
+		common.Notify(s.keeper.behind)
 	}
 }
 
-// readNewest reads what is behind.
-func (s *Sync) readNewest() error {
-	rules, _, err := s.store.ReadRules(s.job.Context(), platform.Newest)
-	if err != nil {
-		return err
-	}
-	s.keeper.Post(landing.RulesChange{}.WithRules(rules))
-	exclusions, err := s.store.ReadExclusions(s.job.Context(), s.keeper.Snapshot().exclusions, platform.Newest)
-	if err != nil {
-		return err
-	}
-	s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
-	return nil
-}
-
 // greet greets sidecars now and then, and at once when there are new ones.
 func (s *Sync) greet() {
 	ticker := time.NewTicker(greetInterval)
@@ -239,7 +225,7 @@
 		snapshot := s.keeper.Snapshot()
 		s.traffic.greet(snapshot, tick%greetTicks == 0)
 		if tick%expireTicks == 0 {
-			s.traffic.cache.expire(2*max(snapshot.rules.Rules().Idle(), leastIdle), time.Now())
+			s.traffic.cache.expire(2*max(snapshot.policy.Rules().Rules().Idle(), leastIdle), time.Now())
 		}
 	}
 }
@@ -250,9 +236,8 @@
 	now := time.Now()
 	g := landing.Greeting{}.
 		WithHome(t.link.Home()).
-		WithRules(s.rules.Rules().Revision()).
-		WithExclusions(s.exclusions.Changed()).
-		WithRoll(s.directory.Roll().Revision()).
+		WithRules(s.policy.Rules().Rules().Revision()).
+		WithExclusions(s.policy.Exclusions().Changed()).
 		WithSidecars(uint32(len(s.directory.Neighbors())))
 	for _, n := range s.Followed(t.link.Home()) {
 		if !all && !absence.IsLate(n, now) {
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -10,6 +10,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/link"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/socket"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
@@ -65,8 +66,8 @@
 	c.Gauge("cached", func() int64 { return int64(t.cache.len()) })
 	c.Gauge("sidecars", func() int64 { return int64(len(t.keeper.Snapshot().directory.Neighbors())) })
 	c.Gauge("balancers", func() int64 { return int64(t.keeper.Snapshot().Balancers()) })
-	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Snapshot().rules.Rules().Revision()) })
-	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Snapshot().exclusions.Changed()) })
+	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Snapshot().policy.Rules().Rules().Revision()) })
+	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Snapshot().policy.Exclusions().Changed()) })
 	c.Gauge("revision.roll", func() int64 { return int64(t.keeper.Snapshot().directory.Roll().Revision()) })
 }
 
@@ -98,7 +99,7 @@
 		t.common.Counters().Refused(landing.RefusalUnready)
 		return
 	}
-	listener, found := s.rules.Find(segment.Key())
+	listener, found := s.policy.Rules().Find(segment.Key())
 	switch {
 	case !found:
 		t.refuseUnlisted(segment)
@@ -113,8 +114,8 @@
 func (t *Traffic) parcel(s Snapshot, packet platform.Packet) landing.Parcel {
 	return landing.Parcel{}.
 		WithHome(t.link.Home()).
-		WithRules(s.rules.Rules().Revision()).
-		WithExclusions(s.exclusions.Changed()).
+		WithRules(s.policy.Rules().Rules().Revision()).
+		WithExclusions(s.policy.Exclusions().Changed()).
 		WithRoll(s.directory.Changed()).
 		WithPacket(packet.Bytes())
 }
@@ -148,11 +149,11 @@
 		return
 	}
 	s := t.keeper.Snapshot()
-	if p.Rules() > s.rules.Rules().Revision() || p.Exclusions() > s.exclusions.Revision() {
-		t.keeper.Post(landing.RevisionChange{}.WithRules(p.Rules()).WithExclusions(p.Exclusions()))
+	if shown := policy.ShownBy(p.Rules(), p.Exclusions()); s.policy.Lacks(shown) {
+		t.keeper.Post(landing.RevisionChange{}.WithRevisions(shown))
 	}
 	segment := packet.FromCaller()
-	listener, found := s.rules.Find(segment.Key())
+	listener, found := s.policy.Rules().Find(segment.Key())
 	if !found {
 		t.refuseUnlisted(segment)
 		return
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -238,7 +238,6 @@
 	m.Home = v.Home()
 	m.Rules = v.Rules()
 	m.Exclusions = v.Exclusions()
-	m.Roll = v.Roll()
 	m.Instance = v.Instance()
 	m.Sidecars = v.Sidecars()
 	return m
@@ -250,7 +249,6 @@
 	v = v.WithHome(m.GetHome())
 	v = v.WithRules(m.GetRules())
 	v = v.WithExclusions(m.GetExclusions())
-	v = v.WithRoll(m.GetRoll())
 	v = v.WithInstance(m.GetInstance())
 	v = v.WithSidecars(m.GetSidecars())
 	return v
@@ -479,8 +477,6 @@
 		return &landingpb.Sight{Sight: &landingpb.Sight_Departed{Departed: EncodeDeparted(v)}}
 	case landing.Vanished:
 		return &landingpb.Sight{Sight: &landingpb.Sight_Vanished{Vanished: EncodeVanished(v)}}
-	case landing.Passed:
-		return &landingpb.Sight{Sight: &landingpb.Sight_Passed{Passed: EncodePassed(v)}}
 	case landing.Restored:
 		return &landingpb.Sight{Sight: &landingpb.Sight_Restored{Restored: EncodeRestored(v)}}
 	default:
@@ -497,8 +493,6 @@
 		return DecodeDeparted(c.Departed)
 	case *landingpb.Sight_Vanished:
 		return DecodeVanished(c.Vanished)
-	case *landingpb.Sight_Passed:
-		return DecodePassed(c.Passed)
 	case *landingpb.Sight_Restored:
 		return DecodeRestored(c.Restored)
 	default:
@@ -550,20 +544,6 @@
 	return v
 }
 
-// EncodePassed returns the message for v.
-func EncodePassed(v landing.Passed) *landingpb.Passed {
-	m := &landingpb.Passed{}
-	m.Now = timestamppb.New(v.Now())
-	return m
-}
-
-// DecodePassed returns the value of m; the zero value when m is nil.
-func DecodePassed(m *landingpb.Passed) landing.Passed {
-	v := landing.Passed{}
-	v = v.WithNow(m.GetNow().AsTime())
-	return v
-}
-
 // EncodeRestored returns the message for v.
 func EncodeRestored(v landing.Restored) *landingpb.Restored {
 	m := &landingpb.Restored{}
@@ -597,12 +577,12 @@
 		return &landingpb.Change{Change: &landingpb.Change_Greeting{Greeting: EncodeGreetingChange(v)}}
 	case landing.RevisionChange:
 		return &landingpb.Change{Change: &landingpb.Change_Revision{Revision: EncodeRevisionChange(v)}}
-	case landing.TimeChange:
-		return &landingpb.Change{Change: &landingpb.Change_Time{Time: EncodeTimeChange(v)}}
 	case landing.VouchChange:
 		return &landingpb.Change{Change: &landingpb.Change_Vouch{Vouch: EncodeVouchChange(v)}}
 	case landing.InquiryChange:
 		return &landingpb.Change{Change: &landingpb.Change_Inquiry{Inquiry: EncodeInquiryChange(v)}}
+	case landing.OriginalChange:
+		return &landingpb.Change{Change: &landingpb.Change_Original{Original: EncodeOriginalChange(v)}}
 	default:
 		return &landingpb.Change{}
 	}
@@ -625,12 +605,12 @@
 		return DecodeGreetingChange(c.Greeting)
 	case *landingpb.Change_Revision:
 		return DecodeRevisionChange(c.Revision)
-	case *landingpb.Change_Time:
-		return DecodeTimeChange(c.Time)
 	case *landingpb.Change_Vouch:
 		return DecodeVouchChange(c.Vouch)
 	case *landingpb.Change_Inquiry:
 		return DecodeInquiryChange(c.Inquiry)
+	case *landingpb.Change_Original:
+		return DecodeOriginalChange(c.Original)
 	default:
 		return nil
 	}
@@ -749,19 +729,111 @@
 // EncodeRevisionChange returns the message for v.
 func EncodeRevisionChange(v landing.RevisionChange) *landingpb.RevisionChange {
 	m := &landingpb.RevisionChange{}
-	m.Rules = v.Rules()
-	m.Exclusions = v.Exclusions()
+	m.Revisions = EncodeRevisions(v.Revisions())
 	return m
 }
 
 // DecodeRevisionChange returns the value of m; the zero value when m is nil.
 func DecodeRevisionChange(m *landingpb.RevisionChange) landing.RevisionChange {
 	v := landing.RevisionChange{}
+	v = v.WithRevisions(DecodeRevisions(m.GetRevisions()))
+	return v
+}
+
+// EncodeOriginalChange returns the message for v.
+func EncodeOriginalChange(v landing.OriginalChange) *landingpb.OriginalChange {
+	m := &landingpb.OriginalChange{}
+	m.Wanted = EncodeRevisions(v.Wanted())
+	return m
+}
+
+// DecodeOriginalChange returns the value of m; the zero value when m is nil.
+func DecodeOriginalChange(m *landingpb.OriginalChange) landing.OriginalChange {
+	v := landing.OriginalChange{}
+	v = v.WithWanted(DecodeRevisions(m.GetWanted()))
+	return v
+}
+
+// EncodeRevisions returns the message for v.
+func EncodeRevisions(v landing.Revisions) *landingpb.Revisions {
+	m := &landingpb.Revisions{}
+	m.Rules = v.Rules()
+	m.Exclusions = v.Exclusions()
+	return m
+}
+
+// DecodeRevisions returns the value of m; the zero value when m is nil.
+func DecodeRevisions(m *landingpb.Revisions) landing.Revisions {
+	v := landing.Revisions{}
 	v = v.WithRules(m.GetRules())
 	v = v.WithExclusions(m.GetExclusions())
 	return v
 }
 
+// EncodeSource returns the message for v; an empty one when v is nil.
+func EncodeSource(v landing.Source) *landingpb.Source {
+	switch v := v.(type) {
+	case landing.Copy:
+		return &landingpb.Source{Source: &landingpb.Source_Copy{Copy: EncodeCopy(v)}}
+	case landing.Peer:
+		return &landingpb.Source{Source: &landingpb.Source_Peer{Peer: EncodePeer(v)}}
+	case landing.Original:
+		return &landingpb.Source{Source: &landingpb.Source_Original{Original: EncodeOriginal(v)}}
+	default:
+		return &landingpb.Source{}
+	}
+}
+
+// DecodeSource returns the value of m; nil when m has no case set.
+func DecodeSource(m *landingpb.Source) landing.Source {
+	switch c := m.GetSource().(type) {
+	case *landingpb.Source_Copy:
+		return DecodeCopy(c.Copy)
+	case *landingpb.Source_Peer:
+		return DecodePeer(c.Peer)
+	case *landingpb.Source_Original:
+		return DecodeOriginal(c.Original)
+	default:
+		return nil
+	}
+}
+
+// EncodeCopy returns the message for v.
+func EncodeCopy(v landing.Copy) *landingpb.Copy {
+	m := &landingpb.Copy{}
+	return m
+}
+
+// DecodeCopy returns the value of m; the zero value when m is nil.
+func DecodeCopy(m *landingpb.Copy) landing.Copy {
+	v := landing.Copy{}
+	return v
+}
+
+// EncodePeer returns the message for v.
+func EncodePeer(v landing.Peer) *landingpb.Peer {
+	m := &landingpb.Peer{}
+	return m
+}
+
+// DecodePeer returns the value of m; the zero value when m is nil.
+func DecodePeer(m *landingpb.Peer) landing.Peer {
+	v := landing.Peer{}
+	return v
+}
+
+// EncodeOriginal returns the message for v.
+func EncodeOriginal(v landing.Original) *landingpb.Original {
+	m := &landingpb.Original{}
+	return m
+}
+
+// DecodeOriginal returns the value of m; the zero value when m is nil.
+func DecodeOriginal(m *landingpb.Original) landing.Original {
+	v := landing.Original{}
+	return v
+}
+
 // EncodeVouchChange returns the message for v.
 func EncodeVouchChange(v landing.VouchChange) *landingpb.VouchChange {
 	m := &landingpb.VouchChange{}
@@ -800,20 +872,6 @@
 	return v
 }
 
-// EncodeTimeChange returns the message for v.
-func EncodeTimeChange(v landing.TimeChange) *landingpb.TimeChange {
-	m := &landingpb.TimeChange{}
-	m.Now = timestamppb.New(v.Now())
-	return m
-}
-
-// DecodeTimeChange returns the value of m; the zero value when m is nil.
-func DecodeTimeChange(m *landingpb.TimeChange) landing.TimeChange {
-	v := landing.TimeChange{}
-	v = v.WithNow(m.GetNow().AsTime())
-	return v
-}
-
 // EncodeCandidate returns the message for v.
 func EncodeCandidate(v landing.Candidate) *landingpb.Candidate {
 	m := &landingpb.Candidate{}
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -7,6 +7,29 @@
 	time "time"
 )
 
+// Freshness says how new the platform's answer to a read must be.
+type Freshness uint8
+
+// Values of Freshness.
+const (
+	// All that was accepted before the read.
+	FreshnessNewest Freshness = 0
+	// Seconds old at most, for a tenth of the price.
+	FreshnessRecent Freshness = 1
+)
+
+// String returns the name of the value in lower case.
+func (v Freshness) String() string {
+	switch v {
+	case FreshnessNewest:
+		return "newest"
+	case FreshnessRecent:
+		return "recent"
+	default:
+		return "invalid"
+	}
+}
+
 // Standing says how fit a sidecar is to take a new flow. A lower one is preferred.
 type Standing uint8
 
@@ -682,7 +705,6 @@
 	home       uint64
 	rules      uint64
 	exclusions uint64
-	roll       uint64
 	instance   string
 	sidecars   uint32
 }
@@ -725,18 +747,6 @@
 	return v
 }
 
-// Roll returns the field of this name:
-// Revision up to which the balancer knows the enrolled sidecars.
-func (v Greeting) Roll() uint64 {
-	return v.roll
-}
-
-// WithRoll returns a copy with another roll.
-func (v Greeting) WithRoll(roll uint64) Greeting {
-	v.roll = roll
-	return v
-}
-
 // Instance returns the field of this name:
 // Instance name under which the sidecar at this address is enrolled, as far as the balancer knows.
 func (v Greeting) Instance() string {
@@ -1414,25 +1424,6 @@
 	return v
 }
 
-// Passed says what time it is.
-type Passed struct {
-	now time.Time
-}
-
-func (Passed) isSight() {}
-
-// Now returns the field of this name:
-// The time.
-func (v Passed) Now() time.Time {
-	return v.now
-}
-
-// WithNow returns a copy with another now.
-func (v Passed) WithNow(now time.Time) Passed {
-	v.now = now
-	return v
-}
-
 // Restored says that the operators have put the zone back.
 type Restored struct {
 	now  time.Time
@@ -1654,36 +1645,97 @@
 
 // RevisionChange hands over revisions that another process has in force.
 type RevisionChange struct {
-	rules      uint64
-	exclusions uint64
+	revisions Revisions
 }
 
 func (RevisionChange) isChange() {}
 
+// Revisions returns the field of this name:
+// The revisions.
+func (v RevisionChange) Revisions() Revisions {
+	return v.revisions
+}
+
+// WithRevisions returns a copy with another revisions.
+func (v RevisionChange) WithRevisions(revisions Revisions) RevisionChange {
+	v.revisions = revisions
+	return v
+}
+
+// OriginalChange says that a read of the platform's present state is complete.
+type OriginalChange struct {
+	wanted Revisions
+}
+
+func (OriginalChange) isChange() {}
+
+// Wanted returns the field of this name:
+// What was wanted when the read began.
+func (v OriginalChange) Wanted() Revisions {
+	return v.wanted
+}
+
+// WithWanted returns a copy with another wanted.
+func (v OriginalChange) WithWanted(wanted Revisions) OriginalChange {
+	v.wanted = wanted
+	return v
+}
+
+// Revisions are those of the operators' objects that a process has in force, or that others have shown to it.
+type Revisions struct {
+	rules      uint64
+	exclusions uint64
+}
+
 // Rules returns the field of this name:
-// Revision of its rules.
-func (v RevisionChange) Rules() uint64 {
+// Revision of the rules.
+func (v Revisions) Rules() uint64 {
 	return v.rules
 }
 
 // WithRules returns a copy with another rules.
-func (v RevisionChange) WithRules(rules uint64) RevisionChange {
+func (v Revisions) WithRules(rules uint64) Revisions {
 	v.rules = rules
 	return v
 }
 
 // Exclusions returns the field of this name:
-// Revision at which its exclusions last changed.
-func (v RevisionChange) Exclusions() uint64 {
+// Revision of the exclusions: the one up to which they are known, or of their last change that another one has shown.
+func (v Revisions) Exclusions() uint64 {
 	return v.exclusions
 }
 
 // WithExclusions returns a copy with another exclusions.
-func (v RevisionChange) WithExclusions(exclusions uint64) RevisionChange {
+func (v Revisions) WithExclusions(exclusions uint64) Revisions {
 	v.exclusions = exclusions
 	return v
 }
 
+// Source is from where a process that is behind reads. The cheapest comes first.
+//
+//sumtype:decl
+type Source interface {
+	isSource()
+}
+
+// Copy is the platform's recent state.
+type Copy struct {
+}
+
+func (Copy) isSource() {}
+
+// Peer is another process of the fleet.
+type Peer struct {
+}
+
+func (Peer) isSource() {}
+
+// Original is the platform's present state.
+type Original struct {
+}
+
+func (Original) isSource() {}
+
 // VouchChange says that a silent sidecar is heard elsewhere.
 type VouchChange struct {
 	subject uint64
@@ -1758,25 +1810,6 @@
 	return v
 }
 
-// TimeChange says what time it is.
-type TimeChange struct {
-	now time.Time
-}
-
-func (TimeChange) isChange() {}
-
-// Now returns the field of this name:
-// The time.
-func (v TimeChange) Now() time.Time {
-	return v.now
-}
-
-// WithNow returns a copy with another now.
-func (v TimeChange) WithNow(now time.Time) TimeChange {
-	v.now = now
-	return v
-}
-
 // Candidate is one sidecar to which a new flow may go.
 type Candidate struct {
 	hop      uint64
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -331,9 +331,8 @@
 	b = field.AppendUint(b, 1, v.Home())
 	b = field.AppendUint(b, 2, v.Rules())
 	b = field.AppendUint(b, 3, v.Exclusions())
-	b = field.AppendUint(b, 4, v.Roll())
-	b = field.AppendString(b, 5, v.Instance())
-	b = field.AppendUint(b, 6, uint64(v.Sidecars()))
+	b = field.AppendString(b, 4, v.Instance())
+	b = field.AppendUint(b, 5, uint64(v.Sidecars()))
 	return b
 }
 
@@ -350,10 +349,8 @@
 		case 3:
 			v = v.WithExclusions(r.Uint())
 		case 4:
-			v = v.WithRoll(r.Uint())
-		case 5:
 			v = v.WithInstance(r.String())
-		case 6:
+		case 5:
 			v = v.WithSidecars(uint32(r.Uint()))
 		}
 	}
--- /dev/null
+++ b/core/pkg/catchup/catchup.go
@@ -0,0 +1,129 @@
+// Package catchup reads what a process lacks of the operators' objects, from the cheapest source that is new enough.
+package catchup
+
+import (
+	"context"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
+)
+
+// Store is the platform.
+type Store interface {
+	// ReadRules returns the rules and the revision up to which they are known to hold.
+	ReadRules(ctx context.Context, f landing.Freshness) (landing.Rules, uint64, error)
+	// ReadExclusions returns the exclusions. Known are those known before.
+	ReadExclusions(ctx context.Context, known landing.Exclusions, f landing.Freshness) (landing.Exclusions, error)
+}
+
+// Peers are the other processes of the fleet.
+type Peers interface {
+	// Picture returns what one of the processes at these addresses knows, or one of the seeds.
+	Picture(ctx context.Context, hops []uint64) (landing.Picture, error)
+}
+
+// Keeper is the control thread of the process.
+type Keeper interface {
+	// Policy returns what is in force.
+	Policy() policy.Policy
+	// Ahead returns the addresses of processes that have shown newer revisions.
+	Ahead() []uint64
+	// Post hands a change to the control thread.
+	Post(landing.Change)
+	// Await returns when all that was posted before has been taken in.
+	Await()
+}
+
+// Reader reads what is behind.
+type Reader struct {
+	common common.Common
+	store  Store
+	peers  Peers
+	keeper Keeper
+}
+
+// New returns a reader for this control thread.
+func New(c common.Common, store Store, peers Peers, k Keeper) Reader {
+	return Reader{common: c, store: store, peers: peers, keeper: k}
+}
+
+// Read reads what others have shown to be newer, and all when the process is alone, since nobody shows it anything. It
+// returns false when the process is still behind, or nothing answers.
+func (r Reader) Read(ctx context.Context, isAlone bool) bool {
+	for _, source := range policy.Sources() {
+		before := r.keeper.Policy()
+		err := r.readFrom(ctx, source, before, isAlone)
+		if ctx.Err() != nil {
+			return false
+		}
+		if err != nil {
+			r.common.Log().V(1).Info("source cannot be read", "source", nameOf(source), "error", err.Error())
+			continue
+		}
+		r.keeper.Await()
+		if !r.keeper.Policy().IsBehind() {
+			r.common.Counters().Counter("caught_up." + nameOf(source)).Inc(1)
+			return true
+		}
+	}
+	return false
+}
+
+func (r Reader) readFrom(ctx context.Context, source landing.Source, before policy.Policy, isAlone bool) error {
+	switch source.(type) {
+	case landing.Copy:
+		return r.readStore(ctx, landing.FreshnessRecent, before, isAlone)
+	case landing.Peer:
+		return r.AskPeers(ctx)
+	case landing.Original:
+		err := r.readStore(ctx, landing.FreshnessNewest, before, isAlone)
+		if err == nil {
+			r.keeper.Post(landing.OriginalChange{}.WithWanted(before.Wanted()))
+		}
+		return err
+	}
+	return nil
+}
+
+func (r Reader) readStore(ctx context.Context, f landing.Freshness, p policy.Policy, isAlone bool) error {
+	if isAlone || p.Wanted().Rules() > p.Known().Rules() {
+		rules, _, err := r.store.ReadRules(ctx, f)
+		if err != nil {
+			return err
+		}
+		r.keeper.Post(landing.RulesChange{}.WithRules(rules))
+	}
+	if isAlone || p.Wanted().Exclusions() > p.Known().Exclusions() {
+		exclusions, err := r.store.ReadExclusions(ctx, p.Exclusions(), f)
+		if err != nil {
+			return err
+		}
+		r.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
+	}
+	return nil
+}
+
+// AskPeers takes what another process knows: rules, exclusions and the roll.
+func (r Reader) AskPeers(ctx context.Context) error {
+	picture, err := r.peers.Picture(ctx, r.keeper.Ahead())
+	if err != nil {
+		return err
+	}
+	r.keeper.Post(landing.RulesChange{}.WithRules(picture.Rules()))
+	r.keeper.Post(landing.ExclusionsChange{}.WithExclusions(picture.Exclusions()))
+	r.keeper.Post(landing.RollChange{}.WithRoll(picture.Roll()))
+	return nil
+}
+
+func nameOf(source landing.Source) string {
+	switch source.(type) {
+	case landing.Copy:
+		return "copy"
+	case landing.Peer:
+		return "peer"
+	case landing.Original:
+		return "original"
+	}
+	return ""
+}
--- /dev/null
+++ b/core/pkg/catchup/catchup_test.go
@@ -0,0 +1,148 @@
+package catchup
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
+)
+
+// platform is a store whose recent state lags behind, and which may be away.
+type platform struct {
+	recent, newest landing.Revisions
+	isAway         bool
+	full, cheap    int
+}
+
+func (p *platform) read(f landing.Freshness) (landing.Revisions, error) {
+	if p.isAway {
+		return landing.Revisions{}, trace.ConnectionProblem(nil, "away")
+	}
+	if f == landing.FreshnessRecent {
+		p.cheap++
+		return p.recent, nil
+	}
+	p.full++
+	return p.newest, nil
+}
+
+func (p *platform) ReadRules(_ context.Context, f landing.Freshness) (landing.Rules, uint64, error) {
+	r, err := p.read(f)
+	return landing.Rules{}.WithRevision(r.Rules()), r.Rules(), err
+}
+
+func (p *platform) ReadExclusions(_ context.Context, _ landing.Exclusions, f landing.Freshness) (landing.Exclusions, error) {
+	r, err := p.read(f)
+	return landing.Exclusions{}.WithRevision(r.Exclusions()), err
+}
+
+// process is one process of the fleet, with its control thread and the way to a peer.
+type process struct {
+	policy policy.Policy
+	peer   *process
+	asked  int
+}
+
+func (p *process) Policy() policy.Policy { return p.policy }
+func (p *process) Ahead() []uint64       { return []uint64{1} }
+func (p *process) Await()                {}
+
+func (p *process) Post(c landing.Change) {
+	switch c := c.(type) {
+	case landing.RulesChange:
+		p.policy = p.policy.WithRules(c.Rules())
+	case landing.ExclusionsChange:
+		p.policy = p.policy.WithExclusions(c.Exclusions())
+	case landing.OriginalChange:
+		p.policy = p.policy.WithOriginal(c.Wanted())
+	}
+}
+
+func (p *process) Picture(context.Context, []uint64) (landing.Picture, error) {
+	p.asked++
+	if p.peer == nil {
+		return landing.Picture{}, trace.ConnectionProblem(nil, "no peer")
+	}
+	known := p.peer.policy
+	return landing.Picture{}.WithRules(known.Rules().Rules()).WithExclusions(known.Exclusions()), nil
+}
+
+func at(revision uint64) landing.Revisions {
+	return policy.ShownBy(revision, revision)
+}
+
+func knowing(revision uint64) policy.Policy {
+	return policy.Policy{}.
+		WithRules(landing.Rules{}.WithRevision(revision)).
+		WithExclusions(landing.Exclusions{}.WithRevision(revision))
+}
+
+func read(p *process, s *platform, isAlone bool) bool {
+	return New(common.New(logr.Discard(), counter.New()), s, p, p).Read(context.Background(), isAlone)
+}
+
+// A change comes to a fleet whose platform shows it late to those who take a cheap answer: each of the processes that
+// were behind made two full calls, all in the same second.
+func TestChangeCostsThePlatformNoFullCallWhileAPeerHasIt(t *testing.T) {
+	is := is.New(t)
+	const fleet = 300
+	s := &platform{recent: at(4), newest: at(5)}
+	first := &process{policy: knowing(5)}
+	for range fleet {
+		p := &process{policy: knowing(4).WithWanted(at(5)), peer: first}
+		is.True(read(p, s, false))
+		is.Equal(p.policy.Known(), at(5))
+	}
+	is.Equal(s.full, 0)
+	is.Equal(s.cheap, 2*fleet)
+}
+
+func TestRecentCopyThatIsNewEnoughEndsTheSearch(t *testing.T) {
+	is := is.New(t)
+	s := &platform{recent: at(5), newest: at(5)}
+	p := &process{policy: knowing(4).WithWanted(at(5))}
+	is.True(read(p, s, false))
+	is.Equal(p.asked, 0)
+	is.Equal(s.full, 0)
+}
+
+func TestPlatformIsReadWhenNoPeerHasTheChange(t *testing.T) {
+	is := is.New(t)
+	s := &platform{recent: at(4), newest: at(5)}
+	p := &process{policy: knowing(4).WithWanted(at(5)), peer: &process{policy: knowing(4)}}
+	is.True(read(p, s, false))
+	is.Equal(p.policy.Known(), at(5))
+}
+
+func TestProcessThatIsAloneReadsAll(t *testing.T) {
+	is := is.New(t)
+	s := &platform{recent: at(5), newest: at(5)}
+	p := &process{}
+	is.True(read(p, s, true))
+	is.True(p.policy.IsKnown())
+	is.Equal(s.full, 0)
+}
+
+func TestPeerIsAskedWhileThePlatformIsAway(t *testing.T) {
+	is := is.New(t)
+	p := &process{peer: &process{policy: knowing(5)}}
+	is.True(read(p, &platform{isAway: true}, true))
+	is.Equal(p.policy.Known(), at(5))
+	is.True(!read(&process{}, &platform{isAway: true}, true))
+}
+
+func TestRevisionOfAStrangerIsLookedForOnce(t *testing.T) {
+	is := is.New(t)
+	s := &platform{recent: at(5), newest: at(5)}
+	p := &process{policy: knowing(5).WithWanted(at(1 << 60)), peer: &process{policy: knowing(5)}}
+	is.True(read(p, s, false))
+	is.True(!p.policy.IsBehind())
+	is.Equal(s.full, 2)
+}
--- a/core/pkg/common/thread.go
+++ b/core/pkg/common/thread.go
@@ -32,6 +32,16 @@
 	}
 }
 
+// Await returns when all steps posted before have run, or the thread stops.
+func (t *Thread) Await() {
+	ran := make(chan struct{})
+	t.Post(func() { close(ran) })
+	select {
+	case <-ran:
+	case <-t.done.C():
+	}
+}
+
 func (t *Thread) run() {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
--- a/core/pkg/pace/pace.go
+++ b/core/pkg/pace/pace.go
@@ -27,6 +27,15 @@
 	recordShare = 250 * time.Millisecond
 	// recordLimit is the interval past which records are too old to be of use, so that none are written.
 	recordLimit = time.Minute
+	// rollShare is the time between two watches of the enrolled sidecars that end with a change, anywhere in the fleet:
+	// a change ends the watches of all balancers at once, and when upstreams are replaced one after the other each of them
+	// brings two.
+	rollShare = 100 * time.Millisecond
+	// mostAfterRoll bounds the time for which a new sidecar gets no flows of a balancer. Those that leave serve for 3 s.
+	mostAfterRoll = 2 * time.Second
+	// BeforeCatchUp is the time for which a balancer that is behind waits for its own watch, which usually brings the
+	// change some milliseconds after that of the balancer that shows it.
+	BeforeCatchUp = 150 * time.Millisecond
 	// AfterEvent is the pause after a watch that brought a change, so that a storm of changes is taken in together.
 	AfterEvent = 250 * time.Millisecond
 )
@@ -38,6 +47,12 @@
 	return wait*3/4 + rand.N(wait/2)
 }
 
+// AfterRoll returns the pause after a watch that brought a change of the enrolled sidecars, in a fleet of this many
+// balancers. The first change after a quiet while is taken in at once.
+func AfterRoll(balancers int) time.Duration {
+	return min(max(time.Duration(balancers)*rollShare, AfterEvent), mostAfterRoll)
+}
+
 // Record returns the time until an upstream's flows are recorded again in a fleet of this many sidecars, and whether
 // they are recorded at all.
 func Record(sidecars int) (time.Duration, bool) {
--- a/core/pkg/pace/pace_test.go
+++ b/core/pkg/pace/pace_test.go
@@ -44,3 +44,14 @@
 	_, isRecorded := Record(16000)
 	is.True(!isRecorded)
 }
+
+// Upstreams are replaced one a second, so two enrollments change in each second; every change ended one watch of each
+// balancer.
+func TestReplacedUpstreamsEndFewWatchesOfALargeFleet(t *testing.T) {
+	is := is.New(t)
+	const balancers, changesPerSecond = 20, 2
+	watches := float64(balancers) / AfterRoll(balancers).Seconds()
+	is.True(watches <= balancers*changesPerSecond/4)
+	is.Equal(AfterRoll(2), AfterEvent)
+	is.True(AfterRoll(1000) <= mostAfterRoll)
+}
--- a/core/pkg/peer/peer.go
+++ b/core/pkg/peer/peer.go
@@ -73,17 +73,17 @@
 	c.seeds.Store(&list)
 }
 
-// Picture returns the picture of one of the balancers at these addresses or at the seeds, asked in random order.
+// Picture returns the picture of one of the processes at these addresses, or else of a seed, each asked in random order.
 // It returns trace.ConnectionProblem when none answers.
 func (c *Client) Picture(ctx context.Context, hops []uint64) (landing.Picture, error) {
 	var addresses []string
-	for _, h := range hops {
-		addresses = append(addresses, address.FromHop(h).String())
+	for _, i := range rand.Perm(len(hops)) {
+		addresses = append(addresses, address.FromHop(hops[i]).String())
 	}
-	for _, s := range *c.seeds.Load() {
-		addresses = append(addresses, netip.AddrPortFrom(s, c.port).String())
+	seeds := *c.seeds.Load()
+	for _, i := range rand.Perm(len(seeds)) {
+		addresses = append(addresses, netip.AddrPortFrom(seeds[i], c.port).String())
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	var last error = trace.ConnectionProblem(nil, "no balancer is known")
 	for _, a := range addresses {
 		if a == c.own {
--- /dev/null
+++ b/core/pkg/policy/policy.go
@@ -0,0 +1,114 @@
+// Package policy holds what the operators have put in force, as far as one process knows, and decides whether the
+// process is behind and from where it reads what it lacks.
+//
+// It answers the load of a change in a large fleet. If every process read the platform at each change, calls would
+// grow with the fleet and all come in the same second. So a few watches bring the change, everybody shows the revisions
+// that it has along with what it sends anyway, and who is behind asks the cheapest source first.
+package policy
+
+import (
+	"slices"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+)
+
+// Policy is the rules and exclusions in force, and the newest revisions that others have shown. It is immutable; the zero
+// value knows nothing.
+type Policy struct {
+	rules      *rules.View
+	exclusions landing.Exclusions
+	wanted     landing.Revisions
+}
+
+// Rules returns the index over the rules; nil when there are none.
+func (p Policy) Rules() *rules.View {
+	return p.rules
+}
+
+// Exclusions returns the zones that are taken out.
+func (p Policy) Exclusions() landing.Exclusions {
+	return p.exclusions
+}
+
+// IsExcluded says whether a zone is taken out.
+func (p Policy) IsExcluded(zone string) bool {
+	return slices.Contains(p.exclusions.Zones(), zone)
+}
+
+// IsKnown says whether both rules and exclusions have been read.
+func (p Policy) IsKnown() bool {
+	return p.rules != nil && p.exclusions.Revision() > 0
+}
+
+// WithRules returns a copy with newer rules in force. Older ones are refused, so that an accepted change never reverts.
+func (p Policy) WithRules(r landing.Rules) Policy {
+	if rules.IsNewer(r, p.rules.Rules()) {
+		p.rules = rules.New(r)
+	}
+	return p
+}
+
+// WithExclusions returns a copy with newer exclusions in force. Older ones are refused.
+func (p Policy) WithExclusions(e landing.Exclusions) Policy {
+	if e.Revision() > p.exclusions.Revision() {
+		p.exclusions = e
+	}
+	return p
+}
+
+// Known returns the revisions up to which the process knows the operators' objects.
+func (p Policy) Known() landing.Revisions {
+	return landing.Revisions{}.
+		WithRules(p.rules.Rules().Revision()).
+		WithExclusions(p.exclusions.Revision())
+}
+
+// Shown returns the revisions that the process shows to others: of its rules, and of the last change of its exclusions.
+func (p Policy) Shown() landing.Revisions {
+	return p.Known().WithExclusions(p.exclusions.Changed())
+}
+
+// Wanted returns the newest revisions that others have shown.
+func (p Policy) Wanted() landing.Revisions {
+	return p.wanted
+}
+
+// WithWanted returns a copy that knows of revisions that another process has shown.
+func (p Policy) WithWanted(shown landing.Revisions) Policy {
+	p.wanted = landing.Revisions{}.
+		WithRules(max(p.wanted.Rules(), shown.Rules())).
+		WithExclusions(max(p.wanted.Exclusions(), shown.Exclusions()))
+	return p
+}
+
+// WithOriginal returns a copy after a read of the platform's present state that began when before was wanted. What was
+// wanted and is not there does not exist: it came from a process outside the fleet, and is not looked for again.
+func (p Policy) WithOriginal(before landing.Revisions) Policy {
+	if p.wanted == before {
+		p.wanted = landing.Revisions{}
+	}
+	return p
+}
+
+// IsBehind says whether others have shown newer revisions than the process knows.
+func (p Policy) IsBehind() bool {
+	return p.Lacks(p.wanted)
+}
+
+// Lacks says whether these revisions are newer than those that the process knows.
+func (p Policy) Lacks(shown landing.Revisions) bool {
+	known := p.Known()
+	return shown.Rules() > known.Rules() || shown.Exclusions() > known.Exclusions()
+}
+
+// Sources returns from where a process reads in turn, until it is no longer behind. The platform's copy costs a tenth of
+// a call and may be seconds old; a peer that has shown the newer revisions has them; the platform itself comes last.
+func Sources() []landing.Source {
+	return []landing.Source{landing.Copy{}, landing.Peer{}, landing.Original{}}
+}
+
+// ShownBy returns the revisions that stand in a datagram.
+func ShownBy(rulesRevision, exclusionsChanged uint64) landing.Revisions {
+	return landing.Revisions{}.WithRules(rulesRevision).WithExclusions(exclusionsChanged)
+}
--- /dev/null
+++ b/core/pkg/policy/policy_test.go
@@ -0,0 +1,57 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+)
+
+func ExamplePolicy() {
+	p := Policy{}.
+		WithRules(landing.Rules{}.WithRevision(7)).
+		WithExclusions(landing.Exclusions{}.WithRevision(9).WithZones("east"))
+	fmt.Println(p.IsExcluded("east"), p.IsBehind())
+	p = p.WithWanted(landing.Revisions{}.WithRules(8))
+	fmt.Println(p.IsBehind(), p.WithRules(landing.Rules{}.WithRevision(8)).IsBehind())
+	// Output:
+	// true false
+	// true false
+}
+
+func TestRevisionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Policy{}
+		for _, revision := range rapid.SliceOfN(rapid.Uint64Range(1, 20), 1, 30).Draw(t, "revisions") {
+			before := p.Known()
+			if rapid.Bool().Draw(t, "isRules") {
+				p = p.WithRules(landing.Rules{}.WithRevision(revision))
+			} else {
+				p = p.WithExclusions(landing.Exclusions{}.WithRevision(revision))
+			}
+			after := p.Known()
+			if after.Rules() < before.Rules() || after.Exclusions() < before.Exclusions() {
+				t.Fatalf("revisions go back from %v to %v", before, after)
+			}
+		}
+	})
+}
+
+func TestRevisionThatThePlatformDoesNotHaveIsLookedForOnce(t *testing.T) {
+	is := is.New(t)
+	known := Policy{}.WithRules(landing.Rules{}.WithRevision(7)).WithExclusions(landing.Exclusions{}.WithRevision(9))
+	p := known.WithWanted(landing.Revisions{}.WithRules(1 << 60))
+	is.True(p.IsBehind())
+	is.True(!p.WithOriginal(p.Wanted()).IsBehind())
+}
+
+func TestRevisionShownDuringAReadIsStillLookedFor(t *testing.T) {
+	is := is.New(t)
+	p := Policy{}.WithRules(landing.Rules{}.WithRevision(7)).WithWanted(landing.Revisions{}.WithRules(8))
+	before := p.Wanted()
+	p = p.WithRules(landing.Rules{}.WithRevision(8)).WithWanted(landing.Revisions{}.WithRules(9)).WithOriginal(before)
+	is.True(p.IsBehind())
+}
--- a/core/pkg/presence/presence.go
+++ b/core/pkg/presence/presence.go
@@ -32,8 +32,6 @@
 		return departed(p, s.Incarnation())
 	case landing.Vanished:
 		return p.WithPhase(landing.PhaseLeft)
-	case landing.Passed:
-		return p
 	case landing.Restored:
 		return p.WithWarm(latest(p.Warm(), s.Now().Add(s.Cold())))
 	}
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -137,7 +137,7 @@
 	ready := platform.NewReadinessHandler(func() bool { return true })
 	picture := peer.NewHandler(func() (landing.Picture, bool) {
 		snapshot := sc.keeper.Snapshot()
-		return snapshot.Picture(), snapshot.rules != nil
+		return snapshot.Picture(), snapshot.policy.Rules() != nil
 	})
 	handlers := map[string]http.Handler{s.Local(): local, s.Readiness(): ready, s.Fleet(): picture}
 	for address, handler := range handlers {
--- a/sidecar/pkg/relay/gate.go
+++ b/sidecar/pkg/relay/gate.go
@@ -21,14 +21,14 @@
 
 // refuse is the last gate for a new flow.
 func (t *Traffic) refuse(s Snapshot, p landing.Parcel, segment landing.Segment, l load, now time.Time) landing.Refusal {
-	listener, found := s.rules.Find(segment.Key())
+	listener, found := s.policy.Rules().Find(segment.Key())
 	// A balancer with newer rules knows better than this sidecar.
-	isAllowed := p.Rules() > s.rules.Rules().Revision() || found && rules.Allows(listener, t.settings.Service())
+	isAllowed := p.Rules() > s.policy.Rules().Rules().Revision() || found && rules.Allows(listener, t.settings.Service())
 	return entry.Refuse(entry.Door{
 		IsForeign:  p.Service() != t.service,
 		IsEnrolled: s.IsEnrolled(now),
-		IsAllowed:  s.rules != nil && isAllowed,
-		IsExcluded: s.IsExcluded(t.settings.Zone()),
+		IsAllowed:  s.policy.Rules() != nil && isAllowed,
+		IsExcluded: s.policy.IsExcluded(t.settings.Zone()),
 		Phase:      s.Phase(now, t.settings.Heartbeat()),
 		IsCold:     presence.IsCold(s.presence, now),
 		Room:       t.room(s, l, now),
@@ -37,7 +37,7 @@
 
 // room returns the number of new flows that the upstream takes now.
 func (t *Traffic) room(s Snapshot, l load, now time.Time) int {
-	pool := s.rules.Pool(t.settings.Service())
+	pool := s.policy.Rules().Pool(t.settings.Service())
 	room := int(pool.Connections()) - l.flows
 	if presence.IsCold(s.presence, now) {
 		return min(room, l.window.Room(pool.Rate(), now))
--- a/sidecar/pkg/relay/keeper.go
+++ b/sidecar/pkg/relay/keeper.go
@@ -6,8 +6,8 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
-	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 )
 
 const changeBuffer = 64
@@ -60,6 +60,16 @@
 	return *k.snapshot.Load()
 }
 
+// Policy returns what is in force.
+func (k *Keeper) Policy() policy.Policy {
+	return k.Snapshot().policy
+}
+
+// Ahead returns the addresses of the balancers that have shown newer revisions, or else of all that greet.
+func (k *Keeper) Ahead() []uint64 {
+	return k.Snapshot().Ahead()
+}
+
 // Behind returns a channel that receives when another process has newer rules or exclusions.
 func (k *Keeper) Behind() <-chan struct{} {
 	return k.behind
@@ -70,6 +80,11 @@
 	return k.serving
 }
 
+// Await returns when all that was posted before has been taken in.
+func (k *Keeper) Await() {
+	k.thread.Await()
+}
+
 // Post hands a change to the control thread. It waits while the thread is behind.
 func (k *Keeper) Post(c landing.Change) {
 	k.thread.Post(func() {
@@ -89,47 +104,41 @@
 func (k *Keeper) handle(s Snapshot, c landing.Change) Snapshot {
 	switch c := c.(type) {
 	case landing.RulesChange:
-		return k.adopt(s, c.Rules())
+		return k.enforce(s, s.policy.WithRules(c.Rules()))
 	case landing.ExclusionsChange:
-		return k.exclude(s, c.Exclusions())
+		return k.enforce(s, s.policy.WithExclusions(c.Exclusions()))
 	case landing.SightChange:
 		return k.see(s, c.Sight())
 	case landing.GreetingChange:
 		g := c.Greeting()
-		s = k.compare(s, g.Rules(), g.Exclusions())
+		s = k.compare(s, policy.ShownBy(g.Rules(), g.Exclusions()))
 		if g.Instance() == k.instance {
 			s = s.WithEnrolled(c.Now())
 		}
-		return s.WithHome(g.Home(), c.Now()).WithSidecars(int(g.Sidecars()))
+		return s.WithHome(g, c.Now()).WithSidecars(int(g.Sidecars()))
 	case landing.RevisionChange:
-		return k.compare(s, c.Rules(), c.Exclusions())
-	case landing.RollChange, landing.StatusChange, landing.TimeChange, landing.VouchChange, landing.InquiryChange:
+		return k.compare(s, c.Revisions())
+	case landing.OriginalChange:
+		return s.WithPolicy(s.policy.WithOriginal(c.Wanted()))
+	case landing.RollChange, landing.StatusChange, landing.VouchChange, landing.InquiryChange:
 	}
 	return s
 }
 
-// adopt takes newer rules; older ones are refused, so that an accepted change never reverts.
-func (k *Keeper) adopt(s Snapshot, r landing.Rules) Snapshot {
-	if !rules.IsNewer(r, s.rules.Rules()) {
-		return s
-	}
-	k.common.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen())
-	return s.WithRules(r)
-}
-
-func (k *Keeper) exclude(s Snapshot, e landing.Exclusions) Snapshot {
-	if e.Revision() <= s.exclusions.Revision() {
-		return s
+// enforce puts a policy in force and logs what is new in it.
+func (k *Keeper) enforce(s Snapshot, p policy.Policy) Snapshot {
+	if r := p.Rules().Rules(); r.Revision() != s.policy.Rules().Rules().Revision() {
+		k.common.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen())
 	}
-	next := s.WithExclusions(e)
-	if next.IsExcluded(k.zone) != s.IsExcluded(k.zone) {
-		k.common.Log().Info("exclusions in force", "changed", e.Changed(), "out", next.IsExcluded(k.zone))
+	wasExcluded, isExcluded := s.policy.IsExcluded(k.zone), p.IsExcluded(k.zone)
+	s = s.WithPolicy(p)
+	if wasExcluded != isExcluded {
+		k.common.Log().Info("exclusions in force", "changed", p.Exclusions().Changed(), "out", isExcluded)
 	}
-	if s.IsExcluded(k.zone) && !next.IsExcluded(k.zone) {
-		cold := s.rules.Pool(k.service).Warmup()
-		return k.see(next, landing.Restored{}.WithNow(time.Now()).WithCold(cold))
+	if wasExcluded && !isExcluded {
+		return k.see(s, landing.Restored{}.WithNow(time.Now()).WithCold(p.Rules().Pool(k.service).Warmup()))
 	}
-	return next
+	return s
 }
 
 func (k *Keeper) see(s Snapshot, sight landing.Sight) Snapshot {
@@ -146,7 +155,7 @@
 			"sequence", after.Sequence(), "witnessed", after.Witnessed())
 	}
 	if after.Phase() == landing.PhaseServing {
-		notify(k.serving)
+		common.Notify(k.serving)
 	}
 	return next
 }
@@ -162,17 +171,11 @@
 	return time.Time{}, false
 }
 
-func (k *Keeper) compare(s Snapshot, rulesRevision, exclusionsChanged uint64) Snapshot {
-	s = s.WithWanted(rulesRevision, exclusionsChanged)
-	if s.IsBehind() {
-		notify(k.behind)
+// compare notes revisions that another process has shown.
+func (k *Keeper) compare(s Snapshot, shown landing.Revisions) Snapshot {
+	s = s.WithPolicy(s.policy.WithWanted(shown))
+	if s.policy.IsBehind() {
+		common.Notify(k.behind)
 	}
 	return s
 }
-
-func notify(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
-	}
-}
--- a/sidecar/pkg/relay/report.go
+++ b/sidecar/pkg/relay/report.go
@@ -31,7 +31,7 @@
 			s := t.keeper.Snapshot()
 			t.sendStatus(s, sequence, s.Phase(time.Now(), t.settings.Heartbeat()))
 			if sequence%expireTicks == 0 {
-				idle := max(t.keeper.Snapshot().rules.Rules().Idle(), leastIdle)
+				idle := max(t.keeper.Snapshot().policy.Rules().Rules().Idle(), leastIdle)
 				t.table.expire(2*idle, time.Now())
 			}
 		}
@@ -64,8 +64,8 @@
 		WithFlows(uint32(l.flows)).
 		WithWeight(measured).
 		WithRoom(uint32(max(t.room(s, l, now), 0))).
-		WithRules(s.rules.Rules().Revision()).
-		WithExclusions(s.exclusions.Changed()).
+		WithRules(s.policy.Rules().Rules().Revision()).
+		WithExclusions(s.policy.Exclusions().Changed()).
 		WithBorn(bornMillis(s.presence)).
 		WithHomes(uint32(len(s.homes)))
 	for _, h := range s.homes {
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
-	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 )
 
 // homeTime is the time for which a balancer that has greeted gets statuses: three greetings.
@@ -14,37 +14,24 @@
 
 // Snapshot is the control state that traffic reads. It is immutable.
 type Snapshot struct {
-	rules      *rules.View
-	exclusions landing.Exclusions
+	policy     policy.Policy
 	presence   landing.Presence
 	homes      []home
 	enrolled   time.Time
 	isStopping bool
 	sidecars   int
-	wanted     revisions
-}
-
-// revisions are the newest ones that other processes have shown.
-type revisions struct {
-	rules      uint64
-	exclusions uint64
 }
 
 // home is a balancer that wants statuses.
 type home struct {
 	hop     uint64
 	greeted time.Time
+	shown   landing.Revisions
 }
 
-// WithRules returns a copy with other rules in force.
-func (s Snapshot) WithRules(r landing.Rules) Snapshot {
-	s.rules = rules.New(r)
-	return s
-}
-
-// WithExclusions returns a copy with other exclusions in force.
-func (s Snapshot) WithExclusions(e landing.Exclusions) Snapshot {
-	s.exclusions = e
+// WithPolicy returns a copy with another policy in force.
+func (s Snapshot) WithPolicy(p policy.Policy) Snapshot {
+	s.policy = p
 	return s
 }
 
@@ -78,40 +65,20 @@
 	return s
 }
 
-// WithHome returns a copy in which the balancer at this address has greeted now. Those that have not for a while
-// are left out.
-func (s Snapshot) WithHome(hop uint64, now time.Time) Snapshot {
+// WithHome returns a copy in which a balancer has greeted now. Those that have not for a while are left out.
+func (s Snapshot) WithHome(g landing.Greeting, now time.Time) Snapshot {
 	s.homes = slices.DeleteFunc(slices.Clone(s.homes), func(h home) bool {
-		return h.hop == hop || now.Sub(h.greeted) > homeTime
+		return h.hop == g.Home() || now.Sub(h.greeted) > homeTime
 	})
-	s.homes = append(s.homes, home{hop: hop, greeted: now})
-	return s
-}
-
-// WithWanted returns a copy that knows of these revisions of rules and of the last change of exclusions.
-func (s Snapshot) WithWanted(rulesRevision, exclusionsChanged uint64) Snapshot {
-	s.wanted = revisions{
-		rules:      max(s.wanted.rules, rulesRevision),
-		exclusions: max(s.wanted.exclusions, exclusionsChanged),
-	}
+	s.homes = append(s.homes, home{hop: g.Home(), greeted: now, shown: policy.ShownBy(g.Rules(), g.Exclusions())})
 	return s
 }
 
-// IsBehind says whether other processes have shown newer rules or exclusions.
-func (s Snapshot) IsBehind() bool {
-	return s.wanted.rules > s.rules.Rules().Revision() || s.wanted.exclusions > s.exclusions.Revision()
-}
-
 // IsGreeted says whether any balancer has greeted in the last while.
 func (s Snapshot) IsGreeted(now time.Time) bool {
 	return slices.ContainsFunc(s.homes, func(h home) bool { return now.Sub(h.greeted) <= homeTime })
 }
 
-// IsExcluded says whether a zone is taken out.
-func (s Snapshot) IsExcluded(zone string) bool {
-	return slices.Contains(s.exclusions.Zones(), zone)
-}
-
 // Phase returns the phase of the upstream at this time, with this interval between heartbeats.
 func (s Snapshot) Phase(now time.Time, interval time.Duration) landing.Phase {
 	if s.isStopping {
@@ -128,16 +95,22 @@
 	return landing.Unsure{}
 }
 
-// Homes returns the addresses of the balancers that greeted last.
-func (s Snapshot) Homes() []uint64 {
-	hops := make([]uint64, 0, len(s.homes))
+// Ahead returns the addresses of the balancers that have shown newer revisions, or else of all that greeted last.
+func (s Snapshot) Ahead() []uint64 {
+	var ahead, all []uint64
 	for _, h := range s.homes {
-		hops = append(hops, h.hop)
+		all = append(all, h.hop)
+		if s.policy.Lacks(h.shown) {
+			ahead = append(ahead, h.hop)
+		}
+	}
+	if len(ahead) > 0 {
+		return ahead
 	}
-	return hops
+	return all
 }
 
 // Picture returns what another process may take over. A sidecar knows no other sidecars.
 func (s Snapshot) Picture() landing.Picture {
-	return landing.Picture{}.WithRules(s.rules.Rules()).WithExclusions(s.exclusions)
+	return landing.Picture{}.WithRules(s.policy.Rules().Rules()).WithExclusions(s.policy.Exclusions())
 }
--- a/sidecar/pkg/relay/step.go
+++ b/sidecar/pkg/relay/step.go
@@ -65,8 +65,8 @@
 
 func (t *Traffic) refund(p landing.Parcel, reason landing.Refusal) {
 	s := t.keeper.Snapshot()
-	newest := max(p.Rules(), s.rules.Rules().Revision())
-	changed := max(p.Exclusions(), s.exclusions.Changed())
+	newest := max(p.Rules(), s.policy.Rules().Rules().Revision())
+	changed := max(p.Exclusions(), s.policy.Exclusions().Changed())
 	t.link.Send(landing.Refund{}.WithParcel(p.WithRules(newest).WithExclusions(changed)).WithReason(reason), p.Home())
 }
 
--- a/sidecar/pkg/relay/sync.go
+++ b/sidecar/pkg/relay/sync.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/catchup"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
 	"github.com/crocuslanding/crocuslanding/platform"
@@ -30,18 +31,21 @@
 	keeper   *Keeper
 	store    *platform.Store
 	peers    *peer.Client
+	reader   catchup.Reader
 	job      common.Job
 	enrolled landing.Enrollment
 }
 
 // NewSync returns a sync that is not started.
 func NewSync(c common.Common, s landing.RelaySidecarSettings, k *Keeper, store *platform.Store) *Sync {
+	peers := peer.NewClient(s.Fleet(), s.Seeds())
 	return &Sync{
 		common:   c,
 		settings: s,
 		keeper:   k,
 		store:    store,
-		peers:    peer.NewClient(s.Fleet(), s.Seeds()),
+		peers:    peers,
+		reader:   catchup.New(c, store, peers, k),
 		job:      common.NewJob(),
 	}
 }
@@ -61,88 +65,31 @@
 // balancer greets.
 func (s *Sync) follow() {
 	for {
-		s.read()
-		if !common.Pause(s.job.Done, syncPause) {
-			return
-		}
-		timer := time.NewTimer(aloneInterval)
-		isDue := false
-		for !isDue {
-			select {
-			case <-s.job.C():
-				timer.Stop()
-				return
-			case <-s.keeper.Behind():
-				isDue = true
-			case <-timer.C:
-				snapshot := s.keeper.Snapshot()
-				isDue = snapshot.rules == nil || !snapshot.IsGreeted(time.Now())
-				timer.Reset(aloneInterval)
-			}
+		if !s.reader.Read(s.job.Context(), !s.keeper.Snapshot().IsGreeted(time.Now())) {
+			common.Notify(s.keeper.behind)
 		}
-		timer.Stop()
-	}
-}
-
-// read reads what is behind from the platform, or else from a balancer.
-func (s *Sync) read() {
-	err := s.readRules()
-	if err == nil {
-		err = s.readExclusions()
-	}
-	if err == nil {
-		return
-	}
-	s.common.Log().V(1).Info("platform cannot be read", "error", err.Error())
-	picture, err := s.peers.Picture(s.job.Context(), s.keeper.Snapshot().Homes())
-	if err != nil {
-		s.common.Log().V(1).Info("no peer answers", "error", err.Error())
-		notify(s.keeper.behind)
-		return
-	}
-	s.keeper.Post(landing.RulesChange{}.WithRules(picture.Rules()))
-	s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(picture.Exclusions()))
-}
-
-// readRules reads the rules when a balancer has newer ones, or when none has told. A recent answer is enough when it is as
-// new as what the balancer has.
-func (s *Sync) readRules() error {
-	n := s.keeper.Snapshot()
-	known := n.rules.Rules().Revision()
-	if known > 0 && n.wanted.rules <= known && n.IsGreeted(time.Now()) {
-		return nil
-	}
-	for _, f := range []platform.Freshness{platform.Recent, platform.Newest} {
-		rules, _, err := s.store.ReadRules(s.job.Context(), f)
-		if err != nil {
-			return err
-		}
-		s.keeper.Post(landing.RulesChange{}.WithRules(rules))
-		if rules.Revision() > 0 && rules.Revision() >= n.wanted.rules {
-			return nil
+		if !common.Pause(s.job.Done, syncPause) || !s.awaitBehind() {
+			return
 		}
 	}
-	return nil
 }
 
-// readExclusions does the same for the exclusions.
-func (s *Sync) readExclusions() error {
-	n := s.keeper.Snapshot()
-	known := n.exclusions
-	if known.Revision() > 0 && n.wanted.exclusions <= known.Revision() && n.IsGreeted(time.Now()) {
-		return nil
-	}
-	for _, f := range []platform.Freshness{platform.Recent, platform.Newest} {
-		exclusions, err := s.store.ReadExclusions(s.job.Context(), known, f)
-		if err != nil {
-			return err
-		}
-		s.keeper.Post(landing.ExclusionsChange{}.WithExclusions(exclusions))
-		if exclusions.Revision() >= n.wanted.exclusions {
-			return nil
+// awaitBehind waits until there is something to read. It returns false when the sync stops.
+func (s *Sync) awaitBehind() bool {
+	ticker := time.NewTicker(aloneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.job.C():
+			return false
+		case <-s.keeper.Behind():
+			return true
+		case <-ticker.C:
+			if n := s.keeper.Snapshot(); !n.policy.IsKnown() || !n.IsGreeted(time.Now()) {
+				return true
+			}
 		}
 	}
-	return nil
 }
 
 // enroll writes the sidecar's enrollment when its upstream serves for the first time, and again when no balancer has
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -13,6 +13,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/link"
 	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/socket"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
@@ -89,8 +90,8 @@
 	c.Gauge("flows", func() int64 { return int64(t.table.load().flows) })
 	c.Gauge("running", func() int64 { return int64(t.table.load().running) })
 	c.Gauge("waiting", func() int64 { return int64(t.waiting.len()) })
-	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Snapshot().rules.Rules().Revision()) })
-	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Snapshot().exclusions.Changed()) })
+	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Snapshot().policy.Rules().Rules().Revision()) })
+	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Snapshot().policy.Exclusions().Changed()) })
 	c.Gauge("heartbeat_age_ms", func() int64 {
 		heard := t.keeper.Snapshot().presence.Heard()
 		if heard.IsZero() {
@@ -151,8 +152,8 @@
 		return
 	}
 	s := t.keeper.Snapshot()
-	if p.Rules() > s.rules.Rules().Revision() || p.Exclusions() > s.exclusions.Revision() {
-		t.keeper.Post(landing.RevisionChange{}.WithRules(p.Rules()).WithExclusions(p.Exclusions()))
+	if shown := policy.ShownBy(p.Rules(), p.Exclusions()); s.policy.Lacks(shown) {
+		t.keeper.Post(landing.RevisionChange{}.WithRevisions(shown))
 	}
 	now := time.Now()
 	segment := packet.FromCaller()
--- a/sidecar/pkg/relay/waiting.go
+++ b/sidecar/pkg/relay/waiting.go
@@ -56,7 +56,7 @@
 
 // park lets an opening packet wait for a slot.
 func (t *Traffic) park(s Snapshot, p landing.Parcel, segment landing.Segment, now time.Time) {
-	listener, _ := s.rules.Find(segment.Key())
+	listener, _ := s.policy.Rules().Find(segment.Key())
 	t.table.forget(segment.Key())
 	wait := landing.Wait{}.
 		WithParcel(p).
