Upstreams that fail requests get no new flows for a while

Three upstreams of 36 went down and up by turns, accepted flows and reset each at its first request, with heartbeats that said that they served. They had no request at work, so two choices by load sent them more flows: 485 resets in 8 s, 291 requests not served, mostly bookings, which callers may not send again. Ruled out: crashes (no new incarnation, no closed socket), old statuses (the resets came from the upstreams themselves), refusals (0). Change: outlier decides by the outcomes that the sidecar sees pass (answers, answers that report a failure of the server, resets without an answer, requests without an answer for ten times as long as usual): two failures in a row eject for 1 s, up to 8 s while it goes on, then single flows try. The sidecar passes new flows on like a busy one, and takes what no other takes; balancers offer to it last. Failed answers no longer count in the usual time of a request.

--- a/core/gen/codec/flow.go
+++ b/core/gen/codec/flow.go
@@ -41,6 +41,7 @@
 	m.Finishes = v.Finishes()
 	m.Payload = v.Payload()
 	m.Answering = v.Answering()
+	m.Failing = v.Failing()
 	return m
 }
 
@@ -57,6 +58,7 @@
 	v = v.WithFinishes(m.GetFinishes())
 	v = v.WithPayload(m.GetPayload())
 	v = v.WithAnswering(m.GetAnswering())
+	v = v.WithFailing(m.GetFailing())
 	return v
 }
 
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -210,6 +210,7 @@
 	m.Exclusions = v.Exclusions()
 	m.Born = v.Born()
 	m.Homes = v.Homes()
+	m.Ejected = v.Ejected()
 	return m
 }
 
@@ -229,6 +230,7 @@
 	v = v.WithExclusions(m.GetExclusions())
 	v = v.WithBorn(m.GetBorn())
 	v = v.WithHomes(m.GetHomes())
+	v = v.WithEjected(m.GetEjected())
 	return v
 }
 
--- a/core/gen/landing/flow.go
+++ b/core/gen/landing/flow.go
@@ -169,6 +169,7 @@
 	finishes     bool
 	payload      uint32
 	answering    bool
+	failing      bool
 }
 
 // Key returns the field of this name:
@@ -291,6 +292,18 @@
 	return v
 }
 
+// Failing returns the field of this name:
+// Whether its data begins an answer that reports a failure of the server.
+func (v Segment) Failing() bool {
+	return v.failing
+}
+
+// WithFailing returns a copy with another failing.
+func (v Segment) WithFailing(failing bool) Segment {
+	v.failing = failing
+	return v
+}
+
 // Hop is one sidecar in a chain.
 type Hop struct {
 	address uint32
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -41,10 +41,12 @@
 	StandingBusy Standing = 1
 	// The upstream is cold and bears few new flows.
 	StandingCold Standing = 2
+	// The upstream fails requests.
+	StandingEjected Standing = 3
 	// The sidecar has not been heard for a while.
-	StandingSilent Standing = 3
+	StandingSilent Standing = 4
 	// The upstream takes no new flow.
-	StandingClosed Standing = 4
+	StandingClosed Standing = 5
 )
 
 // String returns the name of the value in lower case.
@@ -56,6 +58,8 @@
 		return "busy"
 	case StandingCold:
 		return "cold"
+	case StandingEjected:
+		return "ejected"
 	case StandingSilent:
 		return "silent"
 	case StandingClosed:
@@ -540,6 +544,7 @@
 	exclusions  uint64
 	born        uint64
 	homes       uint32
+	ejected     bool
 }
 
 func (Status) isDatagram() {}
@@ -700,6 +705,18 @@
 	return v
 }
 
+// Ejected returns the field of this name:
+// Whether the upstream gets no new flows as long as others take them, since it fails requests.
+func (v Status) Ejected() bool {
+	return v.ejected
+}
+
+// WithEjected returns a copy with another ejected.
+func (v Status) WithEjected(ejected bool) Status {
+	v.ejected = ejected
+	return v
+}
+
 // Greeting is what a balancer tells a sidecar from which it wants statuses.
 type Greeting struct {
 	home       uint64
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -286,6 +286,7 @@
 	b = field.AppendUint(b, 12, v.Exclusions())
 	b = field.AppendUint(b, 13, v.Born())
 	b = field.AppendUint(b, 14, uint64(v.Homes()))
+	b = field.AppendBool(b, 15, v.Ejected())
 	return b
 }
 
@@ -321,6 +322,8 @@
 			v = v.WithBorn(r.Uint())
 		case 14:
 			v = v.WithHomes(uint32(r.Uint()))
+		case 15:
+			v = v.WithEjected(r.Bool())
 		}
 	}
 	return v, r.Err()
--- a/core/pkg/placement/placement.go
+++ b/core/pkg/placement/placement.go
@@ -68,6 +68,8 @@
 		return landing.StandingSilent
 	case s.Phase() != landing.PhaseServing:
 		return landing.StandingClosed
+	case s.Ejected():
+		return landing.StandingEjected
 	case int(s.Room()) <= sent:
 		return landing.StandingCold
 	case s.Running() >= s.Slots():
--- a/core/pkg/placement/placement_test.go
+++ b/core/pkg/placement/placement_test.go
@@ -150,3 +150,19 @@
 	is.Equal(OrderForCopy(order, late, 1, now)[0].Hop(), uint64(1))
 	is.Equal(len(OrderForCopy(order, neighbor(9, 0, 0, 100), 1, now)), 2)
 }
+
+func TestEjectedUpstreamComesAfterAllThatServe(t *testing.T) {
+	is := is.New(t)
+	ejected := neighbor(1, 0, 0, 1000)
+	ejected = ejected.WithStatus(ejected.Status().WithEjected(true))
+	list := []landing.Candidate{
+		Candidate(ejected, 100, false, 0, now),
+		Candidate(neighbor(2, 500, 8, 100), 100, false, 0, now),
+		Candidate(neighbor(3, 500, 8, 100), 100, false, 0, now),
+	}
+	for hash := range uint64(50) {
+		order := Order(list, hash)
+		is.Equal(len(order), 3)
+		is.Equal(order[2].Hop(), uint64(1))
+	}
+}
--- a/sidecar/pkg/relay/gate.go
+++ b/sidecar/pkg/relay/gate.go
@@ -11,10 +11,11 @@
 
 func (t *Traffic) position(s Snapshot, p landing.Parcel) landing.Position {
 	l := t.table.load()
+	isFull := s.presence.Slots() > 0 && l.running >= int(s.presence.Slots())
 	return landing.Position{}.
 		WithNext(int(p.Position())+1 < p.HopsLen()).
 		WithMore(true).
-		WithBusy(s.presence.Slots() > 0 && l.running >= int(s.presence.Slots())).
+		WithBusy(isFull || !l.record.Takes(time.Now())).
 		WithDeferred(p.Deferred() > 0).
 		WithRecalled(p.Recalled())
 }
--- a/sidecar/pkg/relay/report.go
+++ b/sidecar/pkg/relay/report.go
@@ -21,12 +21,17 @@
 func (t *Traffic) report() {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
+	before := t.table.load()
 	for {
 		select {
 		case <-t.done.C():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
 			t.admit()
+			t.table.noteOverdue(now)
+			after := t.table.load()
+			t.logEjection(before, after, now)
+			before = after
 			sequence := t.sequence.Add(1)
 			s := t.keeper.Snapshot()
 			t.sendStatus(s, sequence, s.Phase(time.Now(), t.settings.Heartbeat()))
@@ -67,7 +72,8 @@
 		WithRules(s.policy.Rules().Rules().Revision()).
 		WithExclusions(s.policy.Exclusions().Changed()).
 		WithBorn(bornMillis(s.presence)).
-		WithHomes(uint32(len(s.homes)))
+		WithHomes(uint32(len(s.homes))).
+		WithEjected(!l.record.IsTrusted(now))
 	for _, h := range s.homes {
 		if now.Sub(h.greeted) <= homeTime {
 			t.link.Send(status, h.hop)
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
+	"github.com/crocuslanding/crocuslanding/core/pkg/outlier"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/warmup"
 )
@@ -41,6 +42,10 @@
 	sent uint32
 	// asked is the time of a request that the upstream has not answered yet; the zero time when there is none.
 	asked time.Time
+	// hasFinished says that the upstream has ended its side, so that it resets a request that comes after that.
+	hasFinished bool
+	// isOverdue says that the request has counted as a failure.
+	isOverdue bool
 }
 
 func (f flow) withStage(s landing.Stage) flow {
@@ -57,6 +62,7 @@
 	// measured is the number of requests in the average.
 	measured int
 	window   warmup.Window
+	record   outlier.Record
 	// entering are the flows that were just let in and whose first request is under way.
 	entering map[landing.Key]time.Time
 }
@@ -72,6 +78,7 @@
 	usual      time.Duration
 	isMeasured bool
 	window     warmup.Window
+	record     outlier.Record
 }
 
 func (t *table) load() load {
@@ -87,6 +94,7 @@
 		usual:      t.usual,
 		isMeasured: t.measured >= leastMeasured,
 		window:     t.window,
+		record:     t.record,
 	}
 }
 
@@ -115,6 +123,7 @@
 	switch step.(type) {
 	case landing.Take:
 		t.window = t.window.WithFlow(now)
+		t.record = t.record.WithTrial(now)
 		t.flows[s.Key()] = flow{
 			stage:   landing.Taken{}.WithInitial(s.Sequence()),
 			initial: s.Sequence(),
@@ -162,6 +171,7 @@
 		f.sent = end
 		if f.asked.IsZero() {
 			f.asked = now
+			f.isOverdue = false
 			t.running++
 			delete(t.entering, s.Key())
 		}
@@ -209,10 +219,14 @@
 		f.stage = landing.Open{}
 	case landing.Half, landing.Open, landing.Absent:
 	}
+	t.noteOutcome(f, s, now)
+	f.hasFinished = f.hasFinished || s.Finishes()
 	took := time.Duration(0)
 	if s.Payload() > 0 && !f.asked.IsZero() {
 		took = max(now.Sub(f.asked), 1)
-		t.noteTime(took)
+		if !s.Failing() {
+			t.noteTime(took)
+		}
 		f = t.endRequest(f)
 	}
 	t.put(s.Key(), f)
@@ -361,5 +375,6 @@
 		}
 	}
 	t.usual, t.measured = 0, 0
+	t.record = outlier.Record{}
 	return list
 }
