--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -17,9 +17,6 @@
 	// handshakeTime is the longest time for which a caller tries to open a flow, with some slack: its attempt
 	// ends after 1.4 s.
 	handshakeTime = 3 * time.Second
-	// entryTime is the longest time from letting a flow in to its first request: a handshake and two crossings of
-	// the network. A flow without a request by then takes no slot.
-	entryTime = 40 * time.Millisecond
 	// requestTime is the time after which a request without an answer no longer counts as work: longer than any
 	// caller of today waits.
 	requestTime = 10 * time.Second
@@ -71,33 +68,6 @@
 	return &table{flows: map[landing.Key]flow{}, entering: map[landing.Key]time.Time{}, window: warmup.New(now)}
 }
 
-// load is the work of the upstream as its sidecar sees it.
-type load struct {
-	flows      int
-	running    int
-	usual      time.Duration
-	isMeasured bool
-	window     warmup.Window
-	record     outlier.Record
-}
-
-func (t *table) load() load {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.present()
-}
-
-func (t *table) present() load {
-	return load{
-		flows:      len(t.flows),
-		running:    t.running,
-		usual:      t.usual,
-		isMeasured: t.measured >= leastMeasured,
-		window:     t.window,
-		record:     t.record,
-	}
-}
-
 // decide decides what to do with a caller's segment and notes the change of the flow's stage. Refuse is asked
 // for segments that open a flow.
 func (t *table) decide(s landing.Segment, at landing.Position, unknown landing.Stage, refuse func(load) landing.Refusal, now time.Time) landing.Step {
@@ -141,25 +111,6 @@
 	return step
 }
 
-// noteEntry notes that a flow was let in.
-func (t *table) noteEntry(k landing.Key, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.entering[k] = now
-}
-
-// work returns the number of requests that are at work or about to arrive.
-func (t *table) work(now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for k, at := range t.entering {
-		if now.Sub(at) > entryTime {
-			delete(t.entering, k)
-		}
-	}
-	return t.running + len(t.entering)
-}
-
 // noteCaller returns the flow after a segment of its caller.
 func (t *table) noteCaller(f flow, s landing.Segment, now time.Time) flow {
 	f.heard = now
@@ -187,15 +138,6 @@
 	return int32(a-b) > 0
 }
 
-// endRequest returns the flow without a request at work.
-func (t *table) endRequest(f flow) flow {
-	if !f.asked.IsZero() {
-		f.asked = time.Time{}
-		t.running--
-	}
-	return f
-}
-
 // noteUpstream notes a segment that the upstream sends to a caller. It returns the time that a request took when the
 // segment begins its answer, else 0.
 func (t *table) noteUpstream(s landing.Segment, now time.Time) time.Duration {
@@ -236,19 +178,6 @@
 	return took
 }
 
-const (
-	// usualShare is the share, one part in so many, of a new time in the average.
-	usualShare = 32
-	// leastMeasured is the number of requests from which the average is shown as a measurement.
-	leastMeasured = 16
-)
-
-// noteTime takes a request's time into the average: all times alike at first, later the last ones.
-func (t *table) noteTime(d time.Duration) {
-	t.measured++
-	t.usual += (d - t.usual) / time.Duration(min(t.measured, usualShare))
-}
-
 func (t *table) put(k landing.Key, f flow) {
 	t.flows[k] = f
 }
