Balancers that cannot serve try the platform again soon, and one topic that gets an answer wakes the others

Change: a balancer that knows too little to serve pauses 0.3 s whatever the size of the fleet; the first answer wakes the topics that pause. Test: TestBalancerThatCannotServeTriesAgainSoon.

--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// topics is the number of topics that are watched.
+	topics = 3
 	// rollFactor is how many times as long a watch of the roll waits as one of the rules: no promise bounds how soon a
 	// sidecar is known.
 	rollFactor = 2
@@ -42,6 +44,8 @@
 	apply   time.Duration
 	exclude time.Duration
 	job     common.Job
+	// regained wakes the topics that pause after a failure when another one has got an answer.
+	regained chan struct{}
 }
 
 // NewSync returns a sync that is not started.
@@ -57,6 +61,8 @@
 		apply:   s.Apply(),
 		exclude: s.Exclude(),
 		job:     common.NewJob(),
+		// One topic wakes the other two.
+		regained: make(chan struct{}, topics-1),
 	}
 }
 
@@ -85,13 +91,33 @@
 		if (err != nil) != isLost {
 			isLost = err != nil
 			s.logPlatform(err)
+			if !isLost {
+				s.wakeOthers()
+			}
 		}
 		if err != nil {
 			s.common.Counters().Counter("retried.watch").Inc(1)
+			s.awaitRetry()
 		}
-		if err != nil && !common.Pause(s.job.Done, pace.Retry(s.keeper.Snapshot().Balancers())) {
-			return
-		}
+	}
+}
+
+// awaitRetry waits until a topic that failed is tried again: for a pause, or until another topic has got an answer.
+func (s *Sync) awaitRetry() {
+	snapshot := s.keeper.Snapshot()
+	timer := time.NewTimer(pace.Retry(snapshot.Balancers(), snapshot.IsKnown()))
+	defer timer.Stop()
+	select {
+	case <-s.job.C():
+	case <-s.regained:
+	case <-timer.C:
+	}
+}
+
+// wakeOthers lets the other topics try again when one has got an answer.
+func (s *Sync) wakeOthers() {
+	for range topics - 1 {
+		common.Notify(s.regained)
 	}
 }
 
--- a/core/pkg/pace/pace.go
+++ b/core/pkg/pace/pace.go
@@ -58,9 +58,13 @@
 	return wait*3/4 + rand.N(wait/2)
 }
 
-// Retry returns the pause after a call that failed, in a fleet of this many balancers.
-func Retry(balancers int) time.Duration {
-	pause := min(max(time.Duration(balancers)*retryShare, leastRetry), mostRetry)
+// Retry returns the pause after a call that failed, in a fleet of this many balancers. One that knows too little to serve
+// does not wait for the others.
+func Retry(balancers int, isServing bool) time.Duration {
+	pause := leastRetry
+	if isServing {
+		pause = min(max(time.Duration(balancers)*retryShare, leastRetry), mostRetry)
+	}
 	return pause/2 + rand.N(pause)
 }
 
--- a/core/pkg/pace/pace_test.go
+++ b/core/pkg/pace/pace_test.go
@@ -75,9 +75,17 @@
 	for _, balancers := range []int{1, 5, 20} {
 		calls := 0.0
 		for range 100 * balancers {
-			calls += 1 / Retry(balancers).Seconds() / 100
+			calls += 1 / Retry(balancers, true).Seconds() / 100
 		}
 		is.True(calls <= 30)
-		is.True(Retry(balancers) <= 2*time.Second)
+		is.True(Retry(balancers, true) <= 2*time.Second)
+	}
+}
+
+// After a loss of power nobody knows anything, and each request waits for the first answer of the platform.
+func TestBalancerThatCannotServeTriesAgainSoon(t *testing.T) {
+	is := is.New(t)
+	for range 100 {
+		is.True(Retry(1000, false) < leastRetry*3/2)
 	}
 }
