--- a/balancer/pkg/relay/sync.go
+++ b/balancer/pkg/relay/sync.go
@@ -264,10 +264,11 @@
 // those that are late.
 func (t *Traffic) greet(s Snapshot, all bool) {
 	now := time.Now()
+	shown := s.policy.Shown()
 	g := landing.Greeting{}.
 		WithHome(t.link.Home()).
-		WithRules(s.policy.Rules().Rules().Revision()).
-		WithExclusions(s.policy.Exclusions().Changed()).
+		WithRules(shown.Rules()).
+		WithExclusions(shown.Exclusions()).
 		WithSidecars(uint32(len(s.directory.Neighbors())))
 	for _, n := range s.directory.Followed() {
 		if !all && !absence.IsLate(n, now) {
--- a/balancer/pkg/relay/traffic.go
+++ b/balancer/pkg/relay/traffic.go
@@ -66,8 +66,8 @@
 	c.Gauge("cached", func() int64 { return int64(t.cache.len()) })
 	c.Gauge("sidecars", func() int64 { return int64(len(t.keeper.Snapshot().directory.Neighbors())) })
 	c.Gauge("balancers", func() int64 { return int64(t.keeper.Snapshot().Balancers()) })
-	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Snapshot().policy.Rules().Rules().Revision()) })
-	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Snapshot().policy.Exclusions().Changed()) })
+	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Policy().Shown().Rules()) })
+	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Policy().Shown().Exclusions()) })
 	c.Gauge("revision.roll", func() int64 { return int64(t.keeper.Snapshot().directory.Roll().Revision()) })
 }
 
@@ -112,10 +112,11 @@
 
 // parcel returns a parcel around the packet that says what this balancer knows.
 func (t *Traffic) parcel(s Snapshot, packet platform.Packet) landing.Parcel {
+	shown := s.policy.Shown()
 	return landing.Parcel{}.
 		WithHome(t.link.Home()).
-		WithRules(s.policy.Rules().Rules().Revision()).
-		WithExclusions(s.policy.Exclusions().Changed()).
+		WithRules(shown.Rules()).
+		WithExclusions(shown.Exclusions()).
 		WithRoll(s.directory.Changed()).
 		WithPacket(packet.Bytes())
 }
--- a/sidecar/pkg/relay/report.go
+++ b/sidecar/pkg/relay/report.go
@@ -59,6 +59,7 @@
 	if l.isMeasured {
 		measured = weight.Of(s.presence.Slots(), l.usual)
 	}
+	shown := s.policy.Shown()
 	status := landing.Status{}.
 		WithInstance(t.settings.Instance()).
 		WithIncarnation(uint64(t.startedAt.UnixNano())).
@@ -69,8 +70,8 @@
 		WithFlows(uint32(l.flows)).
 		WithWeight(measured).
 		WithRoom(uint32(max(t.room(s, l, now), 0))).
-		WithRules(s.policy.Rules().Rules().Revision()).
-		WithExclusions(s.policy.Exclusions().Changed()).
+		WithRules(shown.Rules()).
+		WithExclusions(shown.Exclusions()).
 		WithBorn(bornMillis(s.presence)).
 		WithHomes(uint32(len(s.homes))).
 		WithEjected(!l.record.IsTrusted(now))
--- a/sidecar/pkg/relay/step.go
+++ b/sidecar/pkg/relay/step.go
@@ -65,9 +65,9 @@
 
 func (t *Traffic) refund(p landing.Parcel, reason landing.Refusal) {
 	s := t.keeper.Snapshot()
-	newest := max(p.Rules(), s.policy.Rules().Rules().Revision())
-	changed := max(p.Exclusions(), s.policy.Exclusions().Changed())
-	t.link.Send(landing.Refund{}.WithParcel(p.WithRules(newest).WithExclusions(changed)).WithReason(reason), p.Home())
+	shown := s.policy.Shown()
+	p = p.WithRules(max(p.Rules(), shown.Rules())).WithExclusions(max(p.Exclusions(), shown.Exclusions()))
+	t.link.Send(landing.Refund{}.WithParcel(p).WithReason(reason), p.Home())
 }
 
 // claim tells the balancer of a parcel where the flow is. That it is the present incarnation's is certain only after the
--- a/sidecar/pkg/relay/traffic.go
+++ b/sidecar/pkg/relay/traffic.go
@@ -90,8 +90,8 @@
 	c.Gauge("flows", func() int64 { return int64(t.table.load().flows) })
 	c.Gauge("running", func() int64 { return int64(t.table.load().running) })
 	c.Gauge("waiting", func() int64 { return int64(t.waiting.len()) })
-	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Snapshot().policy.Rules().Rules().Revision()) })
-	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Snapshot().policy.Exclusions().Changed()) })
+	c.Gauge("revision.rules", func() int64 { return int64(t.keeper.Policy().Shown().Rules()) })
+	c.Gauge("revision.exclusions", func() int64 { return int64(t.keeper.Policy().Shown().Exclusions()) })
 	c.Gauge("heartbeat_age_ms", func() int64 {
 		heard := t.keeper.Snapshot().presence.Heard()
 		if heard.IsZero() {
