A claim of an old flow is not one of its successor at the same port

Read in the diff: a claimed flow in a dark zone is reset at its next packet. A caller that uses its port again through another balancer has its new flow elsewhere, and the old claim would have reset it; so would the loss of the old one's upstream. Numbers that a caller acknowledges and that cannot be of one flow end the claim. Test: TestClaimOfAnOldFlowIsNotOneOfItsSuccessor, red before.

--- a/balancer/pkg/relay/cache.go
+++ b/balancer/pkg/relay/cache.go
@@ -8,8 +8,13 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 )
 
-// maxCached bounds the memory of the cache. A flow that is not in it is found along a walk.
-const maxCached = 1 << 16
+const (
+	// maxCached bounds the memory of the cache. A flow that is not in it is found along a walk.
+	maxCached = 1 << 16
+	// nearNumbers is the largest distance between two numbers that a caller acknowledges in turn: 16 packets of 1,200 bytes
+	// are in flight at most, and other balancers may have taken some of those between.
+	nearNumbers = 1 << 24
+)
 
 // cache remembers where flows were last seen. It is never more than a hint: any balancer finds any flow without it.
 // Its methods may be called from several goroutines.
@@ -55,6 +60,10 @@
 	if found {
 		p.heard = now
 		if s.Acknowledges() {
+			if p.acknowledged != 0 && !isNear(p.acknowledged, s.Acknowledged()) {
+				// The caller has used its port again through another balancer: the claim is of its old flow.
+				p.born = 0
+			}
 			p.acknowledged = s.Acknowledged()
 		}
 		c.flows[s.Key()] = p
@@ -62,6 +71,12 @@
 	return p.hop, found
 }
 
+// isNear says whether two numbers that a caller acknowledges can be of the same flow. They wrap around.
+func isNear(a, b uint32) bool {
+	distance := int32(a - b)
+	return max(distance, -distance) <= nearNumbers
+}
+
 // isClaimed says whether the sidecar at which the flow was last seen has claimed it.
 func (c *cache) isClaimed(k landing.Key) bool {
 	c.mu.Lock()
--- a/balancer/pkg/relay/cache_test.go
+++ b/balancer/pkg/relay/cache_test.go
@@ -72,3 +72,27 @@
 	_, found := c.find(segment(1), now.Add(3*time.Second))
 	is.True(!found)
 }
+
+// A caller that uses its port again through another balancer has its new flow at another sidecar; the claim of the old one
+// must not get it reset when the old one's zone is dark.
+func TestClaimOfAnOldFlowIsNotOneOfItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	c := newCache()
+	number := func(n uint32) landing.Segment {
+		return landing.Segment{}.WithKey(key).WithAcknowledges(true).WithAcknowledged(n)
+	}
+	c.put(opening, 9, now)
+	c.find(number(4_000_000_000), now)
+	c.claim(key, 9, 5, now)
+	c.find(number(4_000_020_000), now)
+	is.True(c.isClaimed(key))
+	c.find(number(4_010_000_000), now) // downloads went through another balancer
+	is.True(c.isClaimed(key))
+	c.find(number(4_294_967_000), now)
+	is.True(!c.isClaimed(key))
+	c.claim(key, 9, 5, now)
+	c.find(number(10_000), now) // the numbers wrap around
+	is.True(c.isClaimed(key))
+	c.find(number(1_500_000_000), now)
+	is.True(!c.isClaimed(key))
+}
--- a/balancer/pkg/relay/keeper.go
+++ b/balancer/pkg/relay/keeper.go
@@ -23,8 +23,8 @@
 	reborn   func(hop, born uint64)
 }
 
-// NewKeeper returns a keeper of the balancer at this address, which knows nothing. Start must be called. Reborn is called when the upstream of the sidecar
-// at this address is another incarnation than before.
+// NewKeeper returns a keeper of the balancer at this address, which knows nothing. Start must be called. Reborn is called
+// when the upstream of the sidecar at an address is another incarnation than before.
 func NewKeeper(c common.Common, home uint64, reborn func(hop, born uint64)) *Keeper {
 	k := &Keeper{
 		common: c,
