Requests that arrive after their caller's FIN no longer count as running

Cause: after a power loss the packets of a flow take different ways, and the FIN of a caller that has given up can arrive before its request. The upstream discards the request, the sidecar counted it as running for 10 s.

Ruled out: lost responses, responses by another process, flows that were cleared in the middle of a request, packets that were only offered.

Change: a flow remembers its caller's FIN, and a request after it does not count. An upstream's FIN that comes in order ends a request without a response as well.

--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -41,9 +41,16 @@
 	// sentEnd is the sequence number after the last data that the caller has sent. Data before it is a
 	// retransmission.
 	sentEnd uint32
+	// responseEnd is the sequence number after the last data that the upstream has sent; 0 when it has sent no
+	// segment. A FIN with this number ends the flow without a further response. A FIN with a later number has
+	// overtaken the response.
+	responseEnd uint32
 	// requestAt is the arrival time of the request to which the upstream has not responded yet; the zero time
 	// when there is none.
 	requestAt time.Time
+	// hasCallerFin reports whether the caller has ended its side of the flow with a FIN. It then no longer waits
+	// for a response, and its upstream discards the request.
+	hasCallerFin bool
 	// hasUpstreamFin reports whether the upstream has ended its side of the flow with a FIN. When another
 	// request arrives after that, the upstream resets the flow, which is not a failure.
 	hasUpstreamFin bool
@@ -131,19 +138,29 @@
 	end := s.SequenceNumber() + s.PayloadBytes()
 	if s.PayloadBytes() > 0 && isAfter(end, f.sentEnd) {
 		f.sentEnd = end
-		if f.requestAt.IsZero() {
+		// Packets can arrive out of order: a FIN can come before the request that precedes it.
+		if f.requestAt.IsZero() && !f.hasCallerFin {
 			f.requestAt = now
 			f.isRequestOverdue = false
 			t.runningRequests++
 			delete(t.firstRequestPending, s.Key())
 		}
 	}
+	f.hasCallerFin = f.hasCallerFin || s.HasFin()
 	if s.IsReset() || s.HasFin() {
 		f = t.endRequest(f)
 	}
 	return f
 }
 
+// laterSequence returns the later of two sequence numbers. 0 stands for an unknown number, which is the earlier one.
+func laterSequence(a, b uint32) uint32 {
+	if a == 0 || isAfter(b, a) {
+		return b
+	}
+	return a
+}
+
 // isAfter reports whether sequence number a is after b. Sequence numbers wrap around.
 func isAfter(a, b uint32) bool {
 	return int32(a-b) > 0
@@ -163,6 +180,7 @@
 	case landing.FlowAdmitted:
 		f.firstReplyAt = now
 		if s.IsSynAck() {
+			f.responseEnd = s.SequenceNumber() + 1
 			f.state = landing.FlowHalfOpen{}.WithInitialSequenceNumber(state.InitialSequenceNumber()).WithExpectedAcknowledgement(s.SequenceNumber() + 1)
 		} else if !s.IsReset() {
 			f.state = landing.FlowEstablished{}
@@ -182,6 +200,10 @@
 		}
 		f = t.endRequest(f)
 	}
+	if s.HasFin() && s.PayloadBytes() == 0 && s.SequenceNumber() == f.responseEnd {
+		f = t.endRequest(f)
+	}
+	f.responseEnd = laterSequence(f.responseEnd, s.SequenceNumber()+s.PayloadBytes())
 	t.put(s.Key(), f)
 	if s.IsReset() {
 		t.removeLocked(s.Key())
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -61,6 +61,40 @@
 	is.Equal(tb.busySlots(start), 0)
 }
 
+// Guards against a request that counts as running although its caller has given up. After a power loss the
+// packets of a flow came by different ways, and the FIN of a caller that had given up arrived before its
+// request. The upstream discarded the request, and its slot seemed to be used for 10 s. With 3 slots, four such
+// requests stopped the admission of new flows. Seen on deployment ringwright-lb, day trouble-2.
+func TestTableIgnoresRequestAfterCallerFin(t *testing.T) {
+	is := is.New(t)
+	tb := newTableWithFlow(t)
+	fin := landing.Segment{}.WithKey(flowKey).WithHasAck(true).WithHasFin(true).WithSequenceNumber(201).WithAcknowledgementNumber(501)
+	tb.decide(fin, lastHop, landing.FlowAbsent{}, admitAll, start)
+	tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start)
+	is.Equal(tb.busySlots(start), 0)
+}
+
+// An upstream that ends its side of the flow sends no response any more.
+func TestTableFreesSlotOnUpstreamFin(t *testing.T) {
+	is := is.New(t)
+	tb := newTableWithFlow(t)
+	tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start)
+	tb.recordUpstreamSegment(landing.Segment{}.WithKey(flowKey).WithHasAck(true).WithHasFin(true).WithSequenceNumber(501), start)
+	is.Equal(tb.busySlots(start), 0)
+}
+
+// The packets of an upstream can arrive out of order. A FIN that has overtaken the response must not hide the
+// latency of the request.
+func TestTableRecordsResponseAfterUpstreamFin(t *testing.T) {
+	is := is.New(t)
+	tb := newTableWithFlow(t)
+	tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start)
+	later := start.Add(20 * time.Millisecond)
+	tb.recordUpstreamSegment(landing.Segment{}.WithKey(flowKey).WithHasAck(true).WithHasFin(true).WithSequenceNumber(601), later)
+	is.Equal(tb.recordUpstreamSegment(responseSegment, later), 20*time.Millisecond)
+	is.Equal(tb.busySlots(later), 0)
+}
+
 func TestTableFreesSlotAfterRequestTimeout(t *testing.T) {
 	is := is.New(t)
 	tb := newTableWithFlow(t)
