A ledger decides which requests hold a slot of the upstream

Cause: runningRequests was a bare counter. A request whose end the sidecar never sees (a lost response or FIN, a caller that is gone) held its slot for 10 s, a constant that fits callers who wait longer.

Change: core/pkg/occupancy, apart from I/O. A request without a response holds its slot until the upstream has responded to a later one and four average latencies have passed, at most until it is overdue: ten average latencies or 1 s, but no more than half of the time that the listener's rules give its callers (timeout_ms, now in Listener). Overdue is a failure for the ejection. Slots reserved for first requests follow the measured time to them in place of 40 ms. Waiting flows are admitted when a request or reservation lapses, when a caller ends or resets a flow and when the upstream returns a packet, not only at responses and every 250 ms.

Tests seen failing with the old times: TestTableFreesSlotOfOvertakenRequest, TestTableEjectsHangingUpstreamBeforeCallersGiveUp, TestTableFreesSlotOfOverdueRequest (2 s in place of 11), TestGivenUpRequestsDoNotBlockNewFlows with 1, 2 and 3 slots (stand-in upstreams state them now).

--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -54,6 +54,7 @@
 		m.Shares = append(m.Shares, EncodeServiceShare(v.SharesAt(i)))
 	}
 	m.Priority = v.Priority()
+	m.RequestTimeout = durationpb.New(v.RequestTimeout())
 	return m
 }
 
@@ -69,6 +70,7 @@
 	}
 	v = v.WithShares(shares...)
 	v = v.WithPriority(m.GetPriority())
+	v = v.WithRequestTimeout(m.GetRequestTimeout().AsDuration())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -170,11 +170,12 @@
 
 // Listener is an address and port that callers connect to.
 type Listener struct {
-	name     string
-	address  uint32
-	port     uint32
-	shares   []ServiceShare
-	priority uint32
+	name           string
+	address        uint32
+	port           uint32
+	shares         []ServiceShare
+	priority       uint32
+	requestTimeout time.Duration
 }
 
 // Name returns the field of the same name.
@@ -252,6 +253,19 @@
 	return v
 }
 
+// RequestTimeout returns the field of the same name.
+//
+// Time for which callers of the listener wait for the response to a request; 0: not stated.
+func (v Listener) RequestTimeout() time.Duration {
+	return v.requestTimeout
+}
+
+// WithRequestTimeout returns a copy of v with the given requestTimeout.
+func (v Listener) WithRequestTimeout(requestTimeout time.Duration) Listener {
+	v.requestTimeout = requestTimeout
+	return v
+}
+
 // ServiceShare is the share of a listener's new flows that goes to one service.
 type ServiceShare struct {
 	service string
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -64,6 +64,7 @@
 		b = field.AppendMessage(b, 4, func(b []byte) []byte { return AppendServiceShare(b, v.SharesAt(i)) })
 	}
 	b = field.AppendUint(b, 5, uint64(v.Priority()))
+	b = field.AppendDuration(b, 6, v.RequestTimeout())
 	return b
 }
 
@@ -88,6 +89,8 @@
 			shares = append(shares, e)
 		case 5:
 			v = v.WithPriority(uint32(r.Uint()))
+		case 6:
+			v = v.WithRequestTimeout(r.Duration())
 		}
 	}
 	v = v.WithShares(shares...)
--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -194,6 +194,29 @@
 	}
 }
 
+// Callers give up while their requests are on the way, and each FIN overtakes its request. New flows are still admitted at
+// once, however few slots an upstream has.
+func TestGivenUpRequestsDoNotBlockNewFlows(t *testing.T) {
+	for _, slots := range []int{1, 2, 3} {
+		t.Run(fmt.Sprintf("%d slots", slots), func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, 1, 1)
+			f.Upstream(0).SetSlots(slots)
+			await(t, "the sidecar knows the slots", func() bool { return f.Upstream(0).AcknowledgedSlots() == slots })
+			for _, flow := range openFlows(t, f, 3*slots, f.RouteThrough(0)) {
+				flow.GiveUp("given up")
+			}
+			for range 20 {
+				flow, err := f.OpenFlow(f.RouteThrough(0), 200*time.Millisecond)
+				is.NoErr(err)
+				t.Cleanup(flow.Close)
+				_, err = flow.SendRequest("fresh", requestTimeout)
+				is.NoErr(err)
+			}
+		})
+	}
+}
+
 // While a zone is excluded, new flows go to other zones and the open flows of the zone continue.
 func TestExcludedZoneKeepsOpenFlowsOnly(t *testing.T) {
 	is := is.New(t)
--- a/sidecar/pkg/relay/admission.go
+++ b/sidecar/pkg/relay/admission.go
@@ -11,12 +11,13 @@
 
 // position returns the position of a packet in its chain, and whether the upstream is busy.
 func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket) landing.ChainPosition {
-	l := f.table.load()
+	now := time.Now()
+	l := f.table.load(now)
 	isFull := s.upstream.Slots() > 0 && l.runningRequests >= int(s.upstream.Slots())
 	return landing.ChainPosition{}.
 		WithHasNext(int(forwarded.HopIndex())+1 < forwarded.HopAddressesLen()).
 		WithHasMore(true).
-		WithUpstreamBusy(isFull || !l.history.AdmitsNewFlow(time.Now())).
+		WithUpstreamBusy(isFull || !l.history.AdmitsNewFlow(now)).
 		WithDeferredEarlier(forwarded.DeferredBy() > 0).
 		WithReturnedToDeferrer(forwarded.ReturnedToDeferrer())
 }
--- a/sidecar/pkg/relay/forwarder.go
+++ b/sidecar/pkg/relay/forwarder.go
@@ -33,8 +33,10 @@
 	// delivered holds the chains of the packets that were delivered to the upstream last.
 	delivered *packetRing
 	queue     waitQueue
-	stopper   *common.Stopper
-	startedAt time.Time
+	// queueBlocked receives a value when SYNs wait while no slot is free.
+	queueBlocked chan struct{}
+	stopper      *common.Stopper
+	startedAt    time.Time
 	// statusCount is the number of statuses sent, which is the sequence number of the last one.
 	statusCount atomic.Uint64
 	// responseTimes holds the latencies of requests in nanoseconds.
@@ -80,23 +82,31 @@
 		upstreamConn:  upstream,
 		callerPort:    frontAddress.Port(),
 		serviceTag:    plan.ServiceTag(s.Service()),
-		table:         newTable(time.Now()),
 		delivered:     newPacketRing(),
+		queueBlocked:  make(chan struct{}, 1),
 		stopper:       common.NewStopper(),
 		startedAt:     time.Now(),
 		responseTimes: c.Counters().DurationHistogram("answer"),
 		waitTimes:     c.Counters().DurationHistogram("wait"),
 	}
+	f.table = newTable(time.Now(), f.requestTimeout)
 	f.registerGauges()
 	return f, nil
 }
 
+// requestTimeout returns the time for which the caller of a flow waits for a response, as the rules in force
+// state it; 0 when they do not.
+func (f *Forwarder) requestTimeout(k landing.FlowKey) time.Duration {
+	listener, _ := f.controlThread.Policy().Rules().FindListener(k)
+	return listener.RequestTimeout()
+}
+
 // registerGauges registers the gauges for the current load, the revisions in force and the age of the
 // upstream's last heartbeat, which is -1 when there was none.
 func (f *Forwarder) registerGauges() {
 	c := f.telemetry.Counters()
-	c.RegisterGauge("flows", func() int64 { return int64(f.table.load().flowCount) })
-	c.RegisterGauge("running", func() int64 { return int64(f.table.load().runningRequests) })
+	c.RegisterGauge("flows", func() int64 { return int64(f.table.load(time.Now()).flowCount) })
+	c.RegisterGauge("running", func() int64 { return int64(f.table.load(time.Now()).runningRequests) })
 	c.RegisterGauge("waiting", func() int64 { return int64(f.queue.len()) })
 	c.RegisterGauge("revision.rules", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Rules()) })
 	c.RegisterGauge("revision.exclusions", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Exclusions()) })
@@ -114,6 +124,7 @@
 	f.stopper.Go(func() { f.link.Receive(f.handleDatagram) })
 	f.stopper.Go(func() { link.ReadDatagrams(f.outboundConn, f.telemetry.Counters(), f.handleUpstreamPacket) })
 	f.stopper.Go(f.reportStatus)
+	f.stopper.Go(f.admitOnLapse)
 }
 
 // Stop closes the sockets and waits for the workers.
@@ -176,4 +187,7 @@
 	f.logAction(segment, forwarded, action, refusal)
 	f.logRequest(segment, forwarded, packet, action)
 	f.execute(action, forwarded, packet, segment, refusal)
+	if segment.IsReset() || segment.HasFin() {
+		f.admitWaiting()
+	}
 }
--- a/sidecar/pkg/relay/load.go
+++ b/sidecar/pkg/relay/load.go
@@ -8,22 +8,11 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/warmup"
 )
 
-const (
-	// firstRequestTimeout is the longest time from the admission of a flow to its first request: a handshake
-	// and two network transits. After that, a flow without a request does not count as using a slot.
-	firstRequestTimeout = 40 * time.Millisecond
-	// averageDivisor limits the length of the moving average: a new latency has at least the weight
-	// 1/averageDivisor.
-	averageDivisor = 32
-	// minMeasuredRequests is the number of requests from which the average latency is reported to balancers.
-	minMeasuredRequests = 16
-)
-
 // upstreamLoad is the load of the upstream as its sidecar observes it.
 type upstreamLoad struct {
 	// flowCount is the number of flows in the table.
 	flowCount int
-	// runningRequests is the number of requests without a response.
+	// runningRequests is the number of requests that the upstream is believed to process or to hold in its queue.
 	runningRequests int
 	averageLatency  time.Duration
 	// isMeasured reports whether averageLatency is based on enough requests.
@@ -34,18 +23,18 @@
 	history outlier.History
 }
 
-func (t *table) load() upstreamLoad {
+func (t *table) load(now time.Time) upstreamLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.loadLocked()
+	return t.loadLocked(now)
 }
 
-func (t *table) loadLocked() upstreamLoad {
+func (t *table) loadLocked(now time.Time) upstreamLoad {
 	return upstreamLoad{
 		flowCount:       len(t.flows),
-		runningRequests: t.runningRequests,
-		averageLatency:  t.averageLatency,
-		isMeasured:      t.measuredRequests >= minMeasuredRequests,
+		runningRequests: t.ledger.RunningRequests(now),
+		averageLatency:  t.ledger.AverageLatency(),
+		isMeasured:      t.ledger.IsMeasured(),
 		newFlows:        t.newFlows,
 		history:         t.history,
 	}
@@ -55,7 +44,7 @@
 func (t *table) recordAdmission(k landing.FlowKey, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.firstRequestPending[k] = now
+	t.ledger = t.ledger.WithAdmission(k, now)
 }
 
 // busySlots returns the number of slots that are used by running requests or reserved for the first
@@ -63,27 +52,13 @@
 func (t *table) busySlots(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for k, at := range t.firstRequestPending {
-		if now.Sub(at) > firstRequestTimeout {
-			delete(t.firstRequestPending, k)
-		}
-	}
-	return t.runningRequests + len(t.firstRequestPending)
-}
-
-// endRequest returns the flow without a running request and lowers the number of running requests. t must
-// be locked.
-func (t *table) endRequest(f flow) flow {
-	if !f.requestAt.IsZero() {
-		f.requestAt = time.Time{}
-		t.runningRequests--
-	}
-	return f
+	return t.ledger.BusySlots(now)
 }
 
-// recordLatency adds the latency of a request to the moving average. The first averageDivisor requests have
-// equal weights; after that, recent ones weigh more. t must be locked.
-func (t *table) recordLatency(latency time.Duration) {
-	t.measuredRequests++
-	t.averageLatency += (latency - t.averageLatency) / time.Duration(min(t.measuredRequests, averageDivisor))
+// nextLapse returns the next time at which the number of busy slots falls although no packet arrives; false
+// when there is none.
+func (t *table) nextLapse(now time.Time) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.NextLapse(now)
 }
--- a/sidecar/pkg/relay/outcome.go
+++ b/sidecar/pkg/relay/outcome.go
@@ -6,19 +6,12 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
-const (
-	// overdueFactor is the multiple of the average latency after which a request counts as a failure.
-	overdueFactor = 10
-	// minOverdueTime is the least time after which a request counts as a failure. The present callers consider
-	// a response late after 200 to 800 ms.
-	minOverdueTime = time.Second
-)
-
 // recordOutcome records whether the request of flow f failed, if segment s from the upstream ends that
 // request. t must be locked.
 func (t *table) recordOutcome(f flow, s landing.Segment, now time.Time) {
+	request, found := t.ledger.Find(s.Key())
 	switch {
-	case f.requestAt.IsZero() || f.isRequestOverdue:
+	case !found || request.IsOverdue():
 	case s.PayloadBytes() > 0:
 		t.history = t.history.WithOutcome(s.IsServerError(), now)
 	case s.IsReset() && !f.hasUpstreamFin:
@@ -30,13 +23,10 @@
 func (t *table) recordOverdueRequests(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	overdueAfter := max(overdueFactor*t.averageLatency, minOverdueTime)
-	for k, f := range t.flows {
-		if !f.requestAt.IsZero() && !f.isRequestOverdue && now.Sub(f.requestAt) > overdueAfter {
-			f.isRequestOverdue = true
-			t.flows[k] = f
-			t.history = t.history.WithOutcome(true, now)
-		}
+	ledger, failures := t.ledger.WithOverdue(now)
+	t.ledger = ledger
+	for range failures {
+		t.history = t.history.WithOutcome(true, now)
 	}
 }
 
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -7,6 +7,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 	"github.com/crocuslanding/crocuslanding/core/pkg/backlog"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 )
 
 // waitQueue holds the SYNs that wait for a free slot of the upstream. Its methods may be called from
@@ -69,7 +70,7 @@
 		WithPriority(listener.Priority()).
 		WithLastCopyAt(now)
 	f.telemetry.Counters().Counter("waited").Inc(1)
-	l := f.table.load()
+	l := f.table.load(now)
 	f.telemetry.Log().Info("flow waits", "flow", address.FormatFlow(segment.Key()), "copies", segment.EarlierCopies(),
 		"priority", listener.Priority(), "running", l.runningRequests, "waiting", f.queue.len())
 	for _, refused := range f.queue.add(packet, backlog.Limit(s.upstream.Slots(), l.averageLatency)) {
@@ -78,6 +79,27 @@
 			"priority", refused.Priority(), "running", l.runningRequests, "usual", l.averageLatency.String())
 		f.returnToBalancer(refused.ForwardedPacket(), landing.RefusalQueue)
 	}
+	common.Notify(f.queueBlocked)
+}
+
+// admitOnLapse admits waiting SYNs when a slot becomes free without a packet, because a request or the
+// reservation of an admitted flow has lapsed.
+func (f *Forwarder) admitOnLapse() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-f.stopper.C():
+			return
+		case <-timer.C:
+			f.admitWaiting()
+		case <-f.queueBlocked:
+		}
+		now := time.Now()
+		if next, found := f.table.nextLapse(now); found && f.queue.len() > 0 {
+			timer.Reset(next.Sub(now))
+		}
+	}
 }
 
 // admitWaiting admits waiting SYNs while the upstream has free slots.
@@ -85,6 +107,7 @@
 	for f.queue.len() > 0 {
 		now := time.Now()
 		if f.isUpstreamFull(f.controlThread.Snapshot(), now) {
+			common.Notify(f.queueBlocked)
 			return
 		}
 		packet, found := f.queue.next(now)
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -24,7 +24,7 @@
 func (f *Forwarder) reportStatus() {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
-	previous := f.table.load()
+	previous := f.table.load(time.Now())
 	for {
 		select {
 		case <-f.stopper.C():
@@ -32,7 +32,7 @@
 		case now := <-ticker.C:
 			f.admitWaiting()
 			f.table.recordOverdueRequests(now)
-			current := f.table.load()
+			current := f.table.load(now)
 			f.logEjection(previous, current, now)
 			previous = current
 			sequence := f.statusCount.Add(1)
@@ -60,7 +60,7 @@
 // balancer.
 func (f *Forwarder) sendStatus(s Snapshot, sequence uint64, phase landing.Phase) {
 	now := time.Now()
-	l := f.table.load()
+	l := f.table.load(now)
 	requestsPerSecond := uint32(0)
 	if l.isMeasured {
 		requestsPerSecond = weight.FromLatency(s.upstream.Slots(), l.averageLatency)
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
+	"github.com/crocuslanding/crocuslanding/core/pkg/occupancy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/outlier"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/warmup"
@@ -17,9 +18,6 @@
 	// handshakeTimeout is the time after which an incomplete handshake is removed. It is longer than a caller
 	// tries to open a flow, which is 1.4 s.
 	handshakeTimeout = 3 * time.Second
-	// requestTimeout is the time after which a request without a response no longer counts as running. It is
-	// longer than the present callers wait for a response.
-	requestTimeout = 10 * time.Second
 	// maxFlows limits the memory of the table.
 	maxFlows = 1 << 16
 )
@@ -45,17 +43,12 @@
 	// segment. A FIN with this number ends the flow without a further response. A FIN with a later number has
 	// overtaken the response.
 	responseEnd uint32
-	// requestAt is the arrival time of the request to which the upstream has not responded yet; the zero time
-	// when there is none.
-	requestAt time.Time
 	// hasCallerFin reports whether the caller has ended its side of the flow with a FIN. It then no longer waits
 	// for a response, and its upstream discards the request.
 	hasCallerFin bool
 	// hasUpstreamFin reports whether the upstream has ended its side of the flow with a FIN. When another
 	// request arrives after that, the upstream resets the flow, which is not a failure.
 	hasUpstreamFin bool
-	// isRequestOverdue reports whether the request has already been counted as a failure.
-	isRequestOverdue bool
 }
 
 func (f flow) withState(s landing.FlowState) flow {
@@ -68,21 +61,19 @@
 type table struct {
 	mu    sync.Mutex
 	flows map[landing.FlowKey]flow
-	// runningRequests is the number of requests without a response.
-	runningRequests int
-	averageLatency  time.Duration
-	// measuredRequests is the number of requests whose latencies are in averageLatency.
-	measuredRequests int
+	// ledger holds the requests that the upstream has not responded to.
+	ledger occupancy.Ledger
+	// requestTimeout returns the time for which the caller of a flow waits for a response; 0 when it is not
+	// known.
+	requestTimeout func(landing.FlowKey) time.Duration
 	// newFlows are the recent admissions, which limit new flows in cold start.
 	newFlows warmup.Window
 	// history is the history of the outcomes of requests, from which the upstream may be ejected.
 	history outlier.History
-	// firstRequestPending holds the admission times of flows whose first request is expected soon.
-	firstRequestPending map[landing.FlowKey]time.Time
 }
 
-func newTable(now time.Time) *table {
-	return &table{flows: map[landing.FlowKey]flow{}, firstRequestPending: map[landing.FlowKey]time.Time{}, newFlows: warmup.New(now)}
+func newTable(now time.Time, requestTimeout func(landing.FlowKey) time.Duration) *table {
+	return &table{flows: map[landing.FlowKey]flow{}, requestTimeout: requestTimeout, newFlows: warmup.New(now)}
 }
 
 // decide returns the action for a segment from a caller and records the new state of the flow. untracked is
@@ -101,7 +92,7 @@
 	}
 	refusal := landing.RefusalUnspecified
 	if s.IsSyn() && !found {
-		refusal = refusalReason(t.loadLocked())
+		refusal = refusalReason(t.loadLocked(now))
 		if len(t.flows) >= maxFlows && refusal == landing.RefusalUnspecified {
 			refusal = landing.RefusalRoom
 		}
@@ -128,8 +119,7 @@
 	return action
 }
 
-// withCallerSegment returns the flow after a segment from its caller, and updates the number of running
-// requests. t must be locked.
+// withCallerSegment returns the flow after a segment from its caller, and updates the ledger. t must be locked.
 func (t *table) withCallerSegment(f flow, s landing.Segment, now time.Time) flow {
 	f.lastSegmentAt = now
 	if s.HasAck() {
@@ -139,16 +129,13 @@
 	if s.PayloadBytes() > 0 && isAfter(end, f.sentEnd) {
 		f.sentEnd = end
 		// Packets can arrive out of order: a FIN can come before the request that precedes it.
-		if f.requestAt.IsZero() && !f.hasCallerFin {
-			f.requestAt = now
-			f.isRequestOverdue = false
-			t.runningRequests++
-			delete(t.firstRequestPending, s.Key())
+		if !f.hasCallerFin {
+			t.ledger = t.ledger.WithRequest(s.Key(), t.requestTimeout(s.Key()), now)
 		}
 	}
 	f.hasCallerFin = f.hasCallerFin || s.HasFin()
 	if s.IsReset() || s.HasFin() {
-		f = t.endRequest(f)
+		t.ledger = t.ledger.Without(s.Key())
 	}
 	return f
 }
@@ -193,15 +180,12 @@
 	t.recordOutcome(f, s, now)
 	f.hasUpstreamFin = f.hasUpstreamFin || s.HasFin()
 	latency := time.Duration(0)
-	if s.PayloadBytes() > 0 && !f.requestAt.IsZero() {
-		latency = max(now.Sub(f.requestAt), 1)
-		if !s.IsServerError() {
-			t.recordLatency(latency)
-		}
-		f = t.endRequest(f)
+	if request, found := t.ledger.Find(s.Key()); found && s.PayloadBytes() > 0 {
+		latency = max(now.Sub(request.ArrivedAt()), 1)
+		t.ledger = t.ledger.WithResponse(s.Key(), s.IsServerError(), now)
 	}
 	if s.HasFin() && s.PayloadBytes() == 0 && s.SequenceNumber() == f.responseEnd {
-		f = t.endRequest(f)
+		t.ledger = t.ledger.Without(s.Key())
 	}
 	f.responseEnd = laterSequence(f.responseEnd, s.SequenceNumber()+s.PayloadBytes())
 	t.put(s.Key(), f)
@@ -295,16 +279,14 @@
 
 // removeLocked does the same as remove. t must be locked.
 func (t *table) removeLocked(k landing.FlowKey) {
-	f, found := t.flows[k]
-	if !found {
-		return
+	if _, found := t.flows[k]; found {
+		t.ledger = t.ledger.Without(k)
+		delete(t.flows, k)
 	}
-	t.endRequest(f)
-	delete(t.flows, k)
 }
 
 // expire removes flows without a segment for longer than idleTimeout, and incomplete handshakes after
-// handshakeTimeout. Requests without a response for longer than requestTimeout no longer count as running.
+// handshakeTimeout.
 func (t *table) expire(idleTimeout time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -313,8 +295,6 @@
 		silence := now.Sub(f.lastSegmentAt)
 		if silence > idleTimeout || (!isOpen && silence > handshakeTimeout) {
 			t.removeLocked(k)
-		} else if !f.requestAt.IsZero() && now.Sub(f.requestAt) > requestTimeout {
-			t.flows[k] = t.endRequest(f)
 		}
 	}
 }
@@ -339,12 +319,12 @@
 			}
 			t.removeLocked(k)
 		case isOpen:
-			f = t.endRequest(f)
+			t.ledger = t.ledger.Without(k)
 			f.claimBalancer = 0
 			t.flows[k] = f.withState(landing.FlowUnknown{})
 		}
 	}
-	t.averageLatency, t.measuredRequests = 0, 0
+	t.ledger = t.ledger.WithoutLatency()
 	t.history = outlier.History{}
 	return list
 }
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -10,9 +10,10 @@
 )
 
 var (
-	start    = time.Unix(1000, 0)
-	flowKey  = landing.FlowKey{}.WithSourceAddress(1).WithSourcePort(2).WithDestinationAddress(3).WithDestinationPort(4)
-	admitAll = func(upstreamLoad) landing.Refusal { return landing.RefusalUnspecified }
+	start     = time.Unix(1000, 0)
+	flowKey   = landing.FlowKey{}.WithSourceAddress(1).WithSourcePort(2).WithDestinationAddress(3).WithDestinationPort(4)
+	admitAll  = func(upstreamLoad) landing.Refusal { return landing.RefusalUnspecified }
+	noTimeout = func(landing.FlowKey) time.Duration { return 0 }
 	// lastHop is the position of the last sidecar in a part of the chain, after which other parts follow.
 	lastHop = landing.ChainPosition{}.WithHasMore(true)
 )
@@ -21,7 +22,7 @@
 // and the upstream's SYN-ACK 500.
 func newTableWithFlow(t *testing.T) *table {
 	is := is.New(t)
-	tb := newTable(start)
+	tb := newTable(start, noTimeout)
 	syn := landing.Segment{}.WithKey(flowKey).WithIsSyn(true).WithSequenceNumber(100)
 	is.Equal(tb.decide(syn, lastHop, landing.FlowAbsent{}, admitAll, start), landing.AdmitFlow{})
 	tb.recordUpstreamSegment(landing.Segment{}.WithKey(flowKey).WithIsSynAck(true).WithSequenceNumber(500), start)
@@ -83,6 +84,61 @@
 	is.Equal(tb.busySlots(start), 0)
 }
 
+// The response to a request was lost and its caller has gone without a FIN. When the upstream responds to later
+// requests, the request no longer holds a slot.
+func TestTableFreesSlotOfOvertakenRequest(t *testing.T) {
+	is := is.New(t)
+	tb := newTableWithFlow(t)
+	tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start)
+	now := start
+	for i := range uint32(10) {
+		key := flowKey.WithSourcePort(1000 + i)
+		tb.recordUpstreamSegment(landing.Segment{}.WithKey(key).WithHasAck(true).WithSequenceNumber(500), now)
+		tb.decide(requestSegment(101).WithKey(key), lastHop, landing.FlowAbsent{}, admitAll, now)
+		now = now.Add(20 * time.Millisecond)
+		is.True(tb.recordUpstreamSegment(responseSegment.WithKey(key), now) > 0)
+	}
+	is.Equal(tb.busySlots(now), 0)
+}
+
+// Guards against an upstream that hangs and is never ejected, because its callers give up before their requests
+// count as failed: after 800 ms on deployment ringwright-lb.
+func TestTableEjectsHangingUpstreamBeforeCallersGiveUp(t *testing.T) {
+	is := is.New(t)
+	tb := newTableWithFlow(t)
+	tb.requestTimeout = func(landing.FlowKey) time.Duration { return 800 * time.Millisecond }
+	other := flowKey.WithSourcePort(9)
+	tb.recordUpstreamSegment(landing.Segment{}.WithKey(other).WithHasAck(true).WithSequenceNumber(500), start)
+	tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start)
+	tb.decide(requestSegment(101).WithKey(other), lastHop, landing.FlowAbsent{}, admitAll, start)
+	now := start.Add(750 * time.Millisecond)
+	tb.recordOverdueRequests(now)
+	is.True(tb.load(now).history.IsEjected(now))
+}
+
+// A packet that is only offered to the upstream, to learn whether it holds the flow, holds no slot. Neither does
+// the request of a flow that becomes one of unknown state when the upstream's process has ended.
+func TestTableOfferedRequestHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(start, noTimeout)
+	is.Equal(tb.decide(requestSegment(101), lastHop, landing.FlowUnknown{}, admitAll, start), landing.OfferToUpstream{})
+	is.Equal(tb.busySlots(start), 0)
+	tb = newTableWithFlow(t)
+	tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start)
+	tb.clear(start.Add(-time.Millisecond))
+	is.Equal(tb.busySlots(start), 0)
+}
+
+// The caller has started over at another sidecar, and its old flow here is replaced by a SYN.
+func TestTableFreesSlotOfReplacedFlow(t *testing.T) {
+	is := is.New(t)
+	tb := newTableWithFlow(t)
+	tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start)
+	refuseAll := func(upstreamLoad) landing.Refusal { return landing.RefusalLeaving }
+	tb.decide(landing.Segment{}.WithKey(flowKey).WithIsSyn(true).WithSequenceNumber(9000), lastHop, landing.FlowAbsent{}, refuseAll, start)
+	is.Equal(tb.busySlots(start), 0)
+}
+
 // The packets of an upstream can arrive out of order. A FIN that has overtaken the response must not hide the
 // latency of the request.
 func TestTableRecordsResponseAfterUpstreamFin(t *testing.T) {
@@ -95,12 +151,11 @@
 	is.Equal(tb.busySlots(later), 0)
 }
 
-func TestTableFreesSlotAfterRequestTimeout(t *testing.T) {
+func TestTableFreesSlotOfOverdueRequest(t *testing.T) {
 	is := is.New(t)
 	tb := newTableWithFlow(t)
 	tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start)
-	later := start.Add(requestTimeout + time.Second)
-	tb.expire(time.Hour, later)
+	later := start.Add(2 * time.Second)
 	is.Equal(tb.busySlots(later), 0)
 }
 
@@ -148,7 +203,7 @@
 	is := is.New(t)
 	tb := newTableWithFlow(t)
 	is.Equal(len(tb.clear(start)), 1)
-	is.Equal(tb.load().flowCount, 0)
+	is.Equal(tb.load(start).flowCount, 0)
 }
 
 // Guards against the reset of a flow that another sidecar holds. A sidecar was paused with a SYN in its
@@ -157,10 +212,10 @@
 // seed 126.
 func TestTableClearOmitsHalfOpenFlows(t *testing.T) {
 	is := is.New(t)
-	tb := newTable(start)
+	tb := newTable(start, noTimeout)
 	syn := landing.Segment{}.WithKey(flowKey).WithIsSyn(true).WithSequenceNumber(100)
 	tb.decide(syn, lastHop, landing.FlowAbsent{}, admitAll, start)
 	tb.recordUpstreamSegment(landing.Segment{}.WithKey(flowKey).WithIsSynAck(true).WithSequenceNumber(500), start)
 	is.Equal(len(tb.clear(start)), 0)
-	is.Equal(tb.load().flowCount, 0)
+	is.Equal(tb.load(start).flowCount, 0)
 }
--- a/sidecar/pkg/relay/trace.go
+++ b/sidecar/pkg/relay/trace.go
@@ -23,7 +23,7 @@
 	if request == "" {
 		return
 	}
-	l := f.table.load()
+	l := f.table.load(time.Now())
 	f.telemetry.Log().Info(requestArrivedEvent, "request", request, "flow", address.FormatFlow(s.Key()),
 		"asked", isOffered, "part", forwarded.ChainPart(), "position", forwarded.HopIndex(), "running", l.runningRequests, "usual", l.averageLatency.Round(time.Millisecond).String())
 }
--- a/sidecar/pkg/relay/upstream.go
+++ b/sidecar/pkg/relay/upstream.go
@@ -46,8 +46,8 @@
 	f.sendToCaller(segment.Key(), packet)
 	if latency > 0 {
 		f.responseTimes.Update(int64(latency))
-		f.admitWaiting()
 	}
+	f.admitWaiting()
 }
 
 // sendToCaller sends a packet to the caller of flow k.
@@ -74,6 +74,7 @@
 	action := hold.Decide(landing.FlowAbsent{}, segment, f.position(s, forwarded), refusal)
 	f.logAction(segment, forwarded, action, refusal)
 	f.execute(action, forwarded.WithPacket(packet.Bytes()), packet, segment, refusal)
+	f.admitWaiting()
 }
 
 // hasUpstreamEnded reports whether the upstream's process has ended, so that its port is closed. It does not
