Crash test waits until the upstream that crashes holds a flow

That is as meant: a sidecar of which a balancer has heard is preferred. A cold start was presumed before; no upstream was cold.

Change: the test opens flows until upstream 0 holds one of them. Its checks and bounds are as before.

--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -151,7 +151,13 @@
 func TestUpstreamCrashResetsOnlyItsFlows(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 1, 3)
-	flows := openFlows(t, f, 30, f.RouteThrough(0))
+	var flows []*endpoint.Flow
+	// Balancers prefer sidecars from which they have received a status, and that of sidecar 0 may be the last to arrive.
+	others := f.Upstream(0).OpenedFlows()
+	await(t, "upstream 0 holds one of the flows", func() bool {
+		flows = append(flows, openFlows(t, f, 30, f.RouteThrough(0))...)
+		return f.Upstream(0).OpenedFlows() > others
+	})
 	openedBefore := f.Upstream(0).OpenedFlows()
 	f.CrashUpstream(0)
 	is.NoErr(f.StartUpstream(0))
