Searches: a part that does not come back is not the end of a walk

Ruled out: sidecars that stop and stay enrolled.

Change: walk.Search, apart from I/O, holds what has come back of a packet. A part has 70 ms; when it is lost, its sidecars are asked one by one and the others in parts that do not wait for each other. Sidecars that stay silent, and those that said that they stop, are asked after others. The next copy begins with those that have not returned this one; the proof before a reset still needs every sidecar's answer to one copy. At most eight searches of a balancer are wide at once. Silent sidecars are logged. A sidecar whose upstream acknowledges a packet that was only offered claims the flow at once, and the request counts as running.

--- a/balancer/pkg/relay/forwarder.go
+++ b/balancer/pkg/relay/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -25,8 +26,11 @@
 	// callerPort is the UDP port at the callers to which resets are sent.
 	callerPort uint16
 	// zone is the availability zone of the balancer.
-	zone             string
-	flows            *flowCache
+	zone     string
+	flows    *flowCache
+	searches *searchTable
+	// searchBegun receives a value when a search has begun.
+	searchBegun      chan struct{}
 	statuses         statusInbox
 	orphanCandidates chan<- orphanCandidate
 	stopper          *common.Stopper
@@ -57,6 +61,8 @@
 		callerPort:       frontAddress.Port(),
 		zone:             s.Zone(),
 		flows:            newFlowCache(),
+		searches:         newSearchTable(),
+		searchBegun:      make(chan struct{}, 1),
 		orphanCandidates: orphanCandidates,
 		stopper:          common.NewStopper(),
 	}
@@ -80,6 +86,7 @@
 	f.stopper.Go(func() { link.ReadDatagrams(f.callerConn, f.telemetry.Counters(), f.handleCallerPacket) })
 	f.stopper.Go(func() { f.link.Receive(f.handleDatagram) })
 	f.stopper.Go(f.postStatuses)
+	f.stopper.Go(f.continueSearches)
 }
 
 // Stop closes the sockets and waits until the goroutines have ended.
@@ -140,6 +147,7 @@
 		f.statuses.add(landing.ReceivedStatus{}.WithStatus(datagram).WithSourceAddress(sender).WithReceivedAt(time.Now()))
 	case landing.FlowClaim:
 		f.flows.putClaim(datagram.Key(), sender, datagram.UpstreamStartMillis(), time.Now())
+		f.handleFound(datagram.Key(), sender)
 	case landing.IndirectProbeAck:
 		f.control.Post(landing.ProbeAckReceived{}.WithSubjectAddress(datagram.SubjectAddress()).WithProxyAddress(sender).WithReceivedAt(time.Now()))
 	case landing.ForwardedPacket, landing.StatusSubscription, landing.IndirectProbe:
@@ -148,7 +156,7 @@
 }
 
 // handleReturnedPacket handles a packet that no sidecar of its chain accepted. It offers a new flow to further sidecars,
-// refuses it or leaves it to the caller's next copy. It sends a packet of an open flow along the next part of the walk.
+// refuses it or leaves it to the caller's next copy. For a packet of an open flow it begins or continues a search.
 func (f *Forwarder) handleReturnedPacket(returned landing.ReturnedPacket) {
 	p := returned.ForwardedPacket()
 	packet, err := platform.ParsePacket(p.Packet())
@@ -172,6 +180,8 @@
 	}
 	if p.ChainPart() == 0 {
 		f.flows.remove(segment.Key(), p.HopAddressesAt(p.HopAddressesLen()-1))
+		f.findHolder(s, listener, segment, f.newForwardedPacket(s, packet))
+		return
 	}
-	f.findHolder(s, listener, segment, withHopsAsked(s, listener, p))
+	f.continueSearch(s, listener, segment, p.SearchNumber(), slices.Clone(p.HopAddresses()))
 }
--- a/balancer/pkg/relay/search.go
+++ b/balancer/pkg/relay/search.go
@@ -5,7 +5,9 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
 	"github.com/crocuslanding/crocuslanding/platform"
@@ -89,42 +91,141 @@
 	return [][]uint64{direct}
 }
 
-// findHolder sends a packet along the next part of the walk over all sidecars, to find the one that holds the flow. When
-// all have been asked, it reports the flow as a candidate for a reset. It gives up after maxWalkParts parts.
+// findHolder begins a search over all sidecars for the one that holds the flow of a packet.
 func (f *Forwarder) findHolder(s Snapshot, listener landing.Listener, segment landing.Segment, p landing.ForwardedPacket) {
-	unreachable := absence.UnreachableZones(s.directory.Sidecars(), time.Now())
-	hops := walk.NextPart(walkCandidates(s, listener), withSkipped(s, p.AskedSidecars(), unreachable), chain.HashKey(segment.Key()))
-	if len(hops) == 0 {
-		f.reportOrphanCandidate(s, segment, p, unreachable)
+	number, isBegun := f.searches.begin(segment.Key(), p, s.directory.ChangedRevision(), time.Now())
+	if !isBegun {
+		// searches_left_out counts packets whose holder was not searched because too many searches are in progress.
+		f.telemetry.Counters().Counter("searches_left_out").Inc(1)
 		return
 	}
-	if p.ChainPart() >= maxWalkParts {
-		f.telemetry.Counters().Counter("walks_broken_off").Inc(1)
+	common.Notify(f.searchBegun)
+	f.continueSearch(s, listener, segment, number, nil)
+}
+
+// continueSearch sends the packet of a search to the next sidecars, after a part with the hops returned has come back or,
+// without hops, because the search is due. When nothing is left to ask and no sidecar holds the flow, it reports the flow
+// as a candidate for a reset. The search starts again when the set of enrolled sidecars has changed, since the sidecars
+// are denoted by their index in it.
+func (f *Forwarder) continueSearch(s Snapshot, listener landing.Listener, segment landing.Segment, number uint32, returned []uint64) {
+	now := time.Now()
+	f.searches.trust(returned...)
+	unreachable := absence.UnreachableZones(s.directory.Sidecars(), now)
+	skipped := skippedSidecars(s, unreachable)
+	candidates := walk.NewCandidates(s.directory.Sidecars(), func(service string) bool { return rules.Allows(listener, service) }, f.searches.doubtedSidecars(now), now)
+	var parts [][]uint64
+	var silent []uint64
+	current, found := f.searches.update(number, segment.Key(), func(p packetSearch, mayWiden bool) packetSearch {
+		if p.enrollmentsRevision != s.directory.ChangedRevision() {
+			p.enrollmentsRevision, p.search = s.directory.ChangedRevision(), walk.Search{}
+		}
+		p.search, parts, silent = p.search.WithReturned(candidates, returned).Next(candidates, skipped, chain.HashKey(segment.Key()), mayWiden, now)
+		p.isEnded = p.search.IsEnded(candidates, skipped)
+		return p
+	})
+	if !found {
+		return
+	}
+	for _, hops := range parts {
+		f.send(current.forwarded.WithHopAddresses(hops...).WithHopIndex(0).WithChainPart(firstSearchPart))
+	}
+	f.noteSilent(s, segment, silent, now)
+	if current.isEnded && current.search.IsUnheld(candidates, skipped) {
+		f.reportOrphanCandidate(current, segment, unreachable)
+	}
+}
+
+// firstSearchPart is the number of a chain's part that is sent in a search. Part 0 goes to the cached sidecar.
+const firstSearchPart = 1
+
+// noteSilent logs the sidecars that have left a packet unanswered, and has them asked last for some time.
+func (f *Forwarder) noteSilent(s Snapshot, segment landing.Segment, silent []uint64, now time.Time) {
+	if len(silent) == 0 {
+		return
+	}
+	f.searches.doubt(silent, now)
+	names := make([]string, 0, len(silent))
+	for _, sidecarAddress := range silent {
+		sidecar, _ := s.directory.Find(sidecarAddress)
+		names = append(names, sidecar.Enrollment().Instance())
+	}
+	f.telemetry.Counters().Counter("searches_unanswered").Inc(int64(len(silent)))
+	f.telemetry.Log().Info("search unanswered", "flow", address.FormatFlow(segment.Key()), "sidecars", names)
+}
+
+// handleFound ends the searches for a flow that the sidecar at this address has claimed. Packets of the flow that are
+// still on their way to other sidecars are sent to it at once.
+func (f *Forwarder) handleFound(key landing.FlowKey, sidecarAddress uint64) {
+	f.searches.trust(sidecarAddress)
+	unfinished := f.searches.takeFound(key)
+	if len(unfinished) < 2 {
+		return
+	}
+	for _, p := range unfinished {
+		f.send(p.forwarded.WithHopAddresses(sidecarAddress).WithHopIndex(0).WithChainPart(0))
+	}
+}
+
+// continueSearches continues the searches that are due, until the forwarder stops.
+func (f *Forwarder) continueSearches() {
+	for {
+		select {
+		case <-f.stopper.C():
+			return
+		case <-f.searchBegun:
+		}
+		for common.Sleep(f.stopper, searchInterval) {
+			due, isActive := f.searches.due(time.Now())
+			for _, number := range due {
+				f.continueDueSearch(number)
+			}
+			if !isActive {
+				break
+			}
+		}
+	}
+}
+
+// searchInterval is the interval at which searches are continued whose packets do not come back.
+const searchInterval = walk.BurstInterval
+
+// continueDueSearch continues one search, unless the rules no longer have its listener.
+func (f *Forwarder) continueDueSearch(number uint32) {
+	p, found := f.searches.find(number)
+	if !found {
+		return
+	}
+	packet, err := platform.ParsePacket(p.forwarded.Packet())
+	if err != nil {
 		return
 	}
-	f.send(p.WithHopAddresses(hops...).WithHopIndex(0).WithChainPart(p.ChainPart() + 1))
+	s := f.control.Snapshot()
+	segment := packet.CallerSegment()
+	if listener, found := s.policy.Rules().FindListener(segment.Key()); found {
+		f.continueSearch(s, listener, segment, number, nil)
+	}
 }
 
-// withSkipped returns the set together with the sidecars that need not be asked: those that have reported the end of
-// their upstream, and those in unreachable zones.
-func withSkipped(s Snapshot, asked walk.AskedSet, unreachable map[string]bool) walk.AskedSet {
+// skippedSidecars returns the sidecars that need not be asked: those that have reported the end of their upstream, and
+// those in unreachable zones.
+func skippedSidecars(s Snapshot, unreachable map[string]bool) walk.AskedSet {
+	var skipped walk.AskedSet
 	for i, sidecar := range s.directory.Sidecars() {
 		if sidecar.LastStatus().UpstreamPhase() == landing.PhaseLeft || unreachable[sidecar.Enrollment().Zone()] {
-			asked = asked.With(i)
+			skipped = skipped.With(i)
 		}
 	}
-	return asked
+	return skipped
 }
 
 // reportOrphanCandidate counts a packet whose flow no known sidecar holds as refused, and passes the flow on to the
-// OrphanResetter. The flow is not passed on when the packet is itself a reset, when the channel is full, or when the set
-// of enrolled sidecars has changed since the walk last began, so that some were not asked.
-func (f *Forwarder) reportOrphanCandidate(s Snapshot, segment landing.Segment, p landing.ForwardedPacket, unreachable map[string]bool) {
+// OrphanResetter. The flow is not passed on when the packet is itself a reset, or when the channel is full.
+func (f *Forwarder) reportOrphanCandidate(p packetSearch, segment landing.Segment, unreachable map[string]bool) {
 	f.telemetry.Counters().CountRefusal(landing.RefusalUnknown)
-	if p.EnrollmentsChangedRevision() != s.directory.ChangedRevision() || segment.IsReset() {
+	if segment.IsReset() {
 		return
 	}
-	candidate := orphanCandidate{key: segment.Key(), lastAcknowledged: segment.AcknowledgementNumber(), enrollmentsRevision: p.EnrollmentsChangedRevision(), requestID: requestIDOf(p), unreachableZones: unreachable}
+	candidate := orphanCandidate{key: segment.Key(), lastAcknowledged: segment.AcknowledgementNumber(), enrollmentsRevision: p.enrollmentsRevision, requestID: requestIDOf(p.forwarded), unreachableZones: unreachable}
 	select {
 	case f.orphanCandidates <- candidate:
 	default:
@@ -141,24 +242,3 @@
 	}
 	return platform.RequestID(packet.Payload())
 }
-
-// maxWalkParts limits the parts of a walk, so that a walk that starts again at each change of the enrolled sidecars ends.
-// 320 parts of 8 sidecars each (walk.MaxHopsPerPart) reach 2,560 sidecars, which is more than a region of the largest
-// intended size has.
-const maxWalkParts = 320
-
-// walkCandidates returns all known sidecars with the ranks that determine the order of a walk for a flow of the listener.
-func walkCandidates(s Snapshot, listener landing.Listener) []walk.Candidate {
-	isAllowed := func(service string) bool { return rules.Allows(listener, service) }
-	return walk.NewCandidates(s.directory.Sidecars(), isAllowed, time.Now())
-}
-
-// withHopsAsked returns the packet with its hops marked as asked. When the set of enrolled sidecars has changed since the
-// walk last began, all marks are cleared and the walk starts again, since the marks are indexes into the old list.
-func withHopsAsked(s Snapshot, listener landing.Listener, p landing.ForwardedPacket) landing.ForwardedPacket {
-	revision := s.directory.ChangedRevision()
-	if p.EnrollmentsChangedRevision() != revision {
-		return p.WithEnrollmentsChangedRevision(revision).WithAskedSidecars(nil)
-	}
-	return p.WithAskedSidecars(walk.AskedSet(p.AskedSidecars()).WithAddresses(walkCandidates(s, listener), p.HopAddresses()))
-}
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -291,6 +291,7 @@
 	m.Packet = v.Packet()
 	m.EnrollmentsChangedRevision = v.EnrollmentsChangedRevision()
 	m.AskedSidecars = v.AskedSidecars()
+	m.SearchNumber = v.SearchNumber()
 	return m
 }
 
@@ -313,6 +314,7 @@
 	v = v.WithPacket(m.GetPacket())
 	v = v.WithEnrollmentsChangedRevision(m.GetEnrollmentsChangedRevision())
 	v = v.WithAskedSidecars(m.GetAskedSidecars())
+	v = v.WithSearchNumber(m.GetSearchNumber())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -915,6 +915,7 @@
 	packet                     []byte
 	enrollmentsChangedRevision uint64
 	askedSidecars              []byte
+	searchNumber               uint32
 }
 
 func (ForwardedPacket) isDatagram() {}
@@ -1066,8 +1067,8 @@
 
 // EnrollmentsChangedRevision returns the field of the same name.
 //
-// Platform revision at which the balancer last saw the set of enrolled sidecars change. Bits in
-// asked_sidecars are valid only as long as this revision stays the same.
+// Used by balancers of the previous version only, whose packets sidecars return unchanged: the
+// platform revision at which the balancer last saw the set of enrolled sidecars change.
 func (v ForwardedPacket) EnrollmentsChangedRevision() uint64 {
 	return v.enrollmentsChangedRevision
 }
@@ -1080,8 +1081,7 @@
 
 // AskedSidecars returns the field of the same name.
 //
-// Bitmap of the sidecars to which the packet was offered and which do not hold the flow, by their
-// index in the list of enrolled sidecars: sidecar i is bit i%8 of byte i/8.
+// Used by balancers of the previous version only: bitmap of the sidecars that were asked.
 func (v ForwardedPacket) AskedSidecars() []byte {
 	return v.askedSidecars
 }
@@ -1092,6 +1092,20 @@
 	return v
 }
 
+// SearchNumber returns the field of the same name.
+//
+// Number that the balancer gave to the search for the holder of the packet's flow; 0: the packet
+// is not part of a search.
+func (v ForwardedPacket) SearchNumber() uint32 {
+	return v.searchNumber
+}
+
+// WithSearchNumber returns a copy of v with the given searchNumber.
+func (v ForwardedPacket) WithSearchNumber(searchNumber uint32) ForwardedPacket {
+	v.searchNumber = searchNumber
+	return v
+}
+
 // Datagram is any message that processes of the fleet send each other over UDP on the relay path.
 //
 //sumtype:decl
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -405,6 +405,7 @@
 	b = field.AppendBytes(b, 10, v.Packet())
 	b = field.AppendUint(b, 11, v.EnrollmentsChangedRevision())
 	b = field.AppendBytes(b, 12, v.AskedSidecars())
+	b = field.AppendUint(b, 13, uint64(v.SearchNumber()))
 	return b
 }
 
@@ -439,6 +440,8 @@
 			v = v.WithEnrollmentsChangedRevision(r.Uint())
 		case 12:
 			v = v.WithAskedSidecars(r.Copy())
+		case 13:
+			v = v.WithSearchNumber(uint32(r.Uint()))
 		}
 	}
 	v = v.WithHopAddresses(hopAddresses...)
--- a/core/pkg/walk/candidates.go
+++ b/core/pkg/walk/candidates.go
@@ -23,6 +23,9 @@
 	rankTimely = iota
 	// rankUnsubscribed is for sidecars that the balancer does not subscribe to.
 	rankUnsubscribed
+	// rankDoubted is for sidecars that have recently left a packet unanswered, and for those that have
+	// announced that they stop.
+	rankDoubted
 	// rankSilent is for sidecars whose statuses are missing, and for those that the balancer does
 	// not subscribe to in a silent zone.
 	rankSilent
@@ -33,12 +36,17 @@
 
 // NewCandidates returns the sidecars as candidates of a walk. IsAllowed reports whether new flows
 // of the listener may go to a service. Sidecars of services for which it returns false come last.
-// They are not left out, since open flows stay where they are when the rules change.
-func NewCandidates(sidecars []landing.KnownSidecar, isAllowed func(service string) bool, now time.Time) []Candidate {
+// They are not left out, since open flows stay where they are when the rules change. The addresses in
+// doubted are those of sidecars that have recently left a packet unanswered.
+func NewCandidates(sidecars []landing.KnownSidecar, isAllowed func(service string) bool, doubted map[uint64]bool, now time.Time) []Candidate {
 	silentZones := findSilentZones(sidecars, now)
 	candidates := make([]Candidate, 0, len(sidecars))
 	for _, s := range sidecars {
 		candidate := Candidate{Address: s.Address(), Rank: rankOf(s, silentZones, now)}
+		isStopping := candidate.Rank == rankTimely && s.LastStatus().UpstreamPhase() == landing.PhaseUnspecified
+		if candidate.Rank < rankDoubted && (doubted[s.Address()] || isStopping) {
+			candidate.Rank = rankDoubted
+		}
 		if candidate.Rank == rankUnsubscribed {
 			candidate.Salt = uint64(now.UnixNano() / int64(reorderInterval))
 		}
--- a/core/pkg/walk/walk.go
+++ b/core/pkg/walk/walk.go
@@ -67,10 +67,43 @@
 	return index/bitsPerByte < len(s) && s[index/bitsPerByte]&(1<<(index%bitsPerByte)) != 0
 }
 
+// hasAddress reports whether the candidate at this address is in the set.
+func (s AskedSet) hasAddress(candidates []Candidate, address uint64) bool {
+	i := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Address == address })
+	return i >= 0 && s.Has(i)
+}
+
+// union returns the candidates that are in one of the two sets.
+func (s AskedSet) union(other AskedSet) AskedSet {
+	if len(other) > len(s) {
+		s, other = other, s
+	}
+	set := bytes.Clone(s)
+	for i, b := range other {
+		set[i] |= b
+	}
+	return set
+}
+
+// hasAll reports whether the set has the first count candidates.
+func (s AskedSet) hasAll(count int) bool {
+	for i := range count {
+		if !s.Has(i) {
+			return false
+		}
+	}
+	return true
+}
+
 // NextPart returns the addresses of the next candidates to ask for the flow with this hash, in
 // order and at most MaxHopsPerPart. It returns none when all have been asked. Within a rank,
 // rendezvous hashing determines the order, so that all balancers use the same one.
 func NextPart(candidates []Candidate, asked AskedSet, hash uint64) []uint64 {
+	return nextHops(candidates, asked, hash, MaxHopsPerPart)
+}
+
+// nextHops returns the addresses of at most limit candidates that have not been asked, in order.
+func nextHops(candidates []Candidate, asked AskedSet, hash uint64, limit int) []uint64 {
 	order := make([]Candidate, 0, len(candidates))
 	for i, c := range candidates {
 		if !asked.Has(i) {
@@ -80,8 +113,8 @@
 	slices.SortFunc(order, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(RendezvousScore(b.Address, hash^b.Salt), RendezvousScore(a.Address, hash^a.Salt)))
 	})
-	hops := make([]uint64, 0, MaxHopsPerPart)
-	for _, c := range order[:min(len(order), MaxHopsPerPart)] {
+	hops := make([]uint64, 0, limit)
+	for _, c := range order[:min(len(order), limit)] {
 		hops = append(hops, c.Address)
 	}
 	return hops
--- a/core/pkg/walk/walk_test.go
+++ b/core/pkg/walk/walk_test.go
@@ -79,10 +79,12 @@
 
 var now = time.Unix(1000, 0)
 
-// sidecar returns a sidecar of service s whose last status arrived at this time; the zero time
+// sidecar returns a sidecar of service s whose upstream serves and whose last status arrived at this time; the zero time
 // means that the balancer does not subscribe to it.
 func sidecar(address uint64, zone string, lastStatusAt time.Time) landing.KnownSidecar {
-	return landing.KnownSidecar{}.WithAddress(address).WithLastStatusAt(lastStatusAt).WithEnrollment(landing.Enrollment{}.WithZone(zone).WithService("s"))
+	return landing.KnownSidecar{}.WithAddress(address).WithLastStatusAt(lastStatusAt).
+		WithLastStatus(landing.SidecarStatus{}.WithUpstreamPhase(landing.PhaseServing)).
+		WithEnrollment(landing.Enrollment{}.WithZone(zone).WithService("s"))
 }
 
 func allowAll(string) bool { return true }
@@ -97,7 +99,19 @@
 		sidecar(3, "b", now), sidecar(4, "b", time.Time{}),
 	}
 	for hash := range uint64(20) {
-		hops := NextPart(NewCandidates(sidecars, allowAll, now), nil, hash)
+		hops := NextPart(NewCandidates(sidecars, allowAll, nil, now), nil, hash)
+		is.Equal(hops[:2], []uint64{3, 4})
+	}
+}
+
+// Sidecars that have left a packet unanswered or have announced that they stop are asked after others.
+func TestNewCandidates_DoubtedAndStoppingLast(t *testing.T) {
+	is := is.New(t)
+	stopping := sidecar(1, "a", now).WithLastStatus(landing.SidecarStatus{})
+	sidecars := []landing.KnownSidecar{stopping, sidecar(2, "a", now), sidecar(3, "a", time.Time{}), sidecar(4, "a", time.Time{})}
+	for hash := range uint64(20) {
+		hops := NextPart(NewCandidates(sidecars, allowAll, map[uint64]bool{2: true}, now), nil, hash)
+		slices.Sort(hops[:2])
 		is.Equal(hops[:2], []uint64{3, 4})
 	}
 }
@@ -108,8 +122,8 @@
 	for i := range uint64(20) {
 		sidecars = append(sidecars, sidecar(i+1, "a", time.Time{}))
 	}
-	first := NextPart(NewCandidates(sidecars, allowAll, now), nil, 7)
-	second := NextPart(NewCandidates(sidecars, allowAll, now.Add(200*time.Millisecond)), nil, 7)
+	first := NextPart(NewCandidates(sidecars, allowAll, nil, now), nil, 7)
+	second := NextPart(NewCandidates(sidecars, allowAll, nil, now.Add(200*time.Millisecond)), nil, 7)
 	is.True(!slices.Equal(first, second))
 }
 
@@ -118,6 +132,6 @@
 	other := sidecar(1, "a", now)
 	other = other.WithEnrollment(other.Enrollment().WithService("t"))
 	silent := sidecar(2, "a", now.Add(-time.Minute))
-	hops := NextPart(NewCandidates([]landing.KnownSidecar{other, silent}, func(s string) bool { return s == "s" }, now), nil, 1)
+	hops := NextPart(NewCandidates([]landing.KnownSidecar{other, silent}, func(s string) bool { return s == "s" }, nil, now), nil, 1)
 	is.Equal(hops, []uint64{2, 1})
 }
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -208,6 +208,9 @@
 func (sc *Sidecar) Stop() {
 	s := sc.controlThread.Snapshot()
 	hasUpstreamEnded := sc.forwarder.hasUpstreamEnded()
+	if hasUpstreamEnded {
+		sc.postUpstreamEvent(landing.UpstreamSocketClosed{}.WithDetectedAt(time.Now()))
+	}
 	sc.controlThread.Update(Snapshot.WithStopping)
 	sc.forwarder.announceStop(hasUpstreamEnded)
 	if hasUpstreamEnded && !s.enrolledAt.IsZero() {
--- a/sidecar/pkg/relay/execute.go
+++ b/sidecar/pkg/relay/execute.go
@@ -14,11 +14,11 @@
 	switch action := action.(type) {
 	case landing.CompleteHandshake:
 		f.deliver(forwarded, packet)
-		f.claimFlow(forwarded, segment.Key())
+		f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 	case landing.Deliver:
 		f.deliver(forwarded, packet)
 		if forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0 {
-			f.claimFlow(forwarded, segment.Key())
+			f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 		}
 	case landing.AdmitFlow:
 		now := time.Now()
@@ -29,9 +29,10 @@
 		f.table.recordAdmission(segment.Key(), now)
 		f.deliver(forwarded, packet)
 		if forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0 {
-			f.claimFlow(forwarded, segment.Key())
+			f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 		}
 	case landing.OfferToUpstream:
+		f.table.recordOffer(segment, forwarded.BalancerAddress(), time.Now())
 		f.deliver(forwarded, packet)
 	case landing.DeliverAndForward:
 		f.deliver(forwarded, packet)
@@ -75,17 +76,18 @@
 	f.link.Send(landing.ReturnedPacket{}.WithForwardedPacket(forwarded).WithReason(reason), forwarded.BalancerAddress())
 }
 
-// claimFlow tells the balancer that sent a packet that this sidecar's upstream holds flow k. Whether the
+// claimFlow tells the balancer at this address, which has sent a packet of flow k, that this sidecar's upstream holds
+// the flow. Whether the
 // flow belongs to the upstream's current process is certain only after the next heartbeat. Until then the
 // claim states the start time 0.
-func (f *Forwarder) claimFlow(forwarded landing.ForwardedPacket, k landing.FlowKey) {
-	f.table.setClaimBalancer(k, forwarded.BalancerAddress())
+func (f *Forwarder) claimFlow(balancerAddress uint64, k landing.FlowKey) {
+	f.table.setClaimBalancer(k, balancerAddress)
 	s := f.controlThread.Snapshot()
 	startMillis := uint64(0)
 	if firstReplyAt, isOpen := f.table.firstReplyTime(k); isOpen && presence.OwnsFlow(s.upstream, firstReplyAt) {
 		startMillis = upstreamStartMillis(s.upstream)
 	}
-	f.link.Send(landing.FlowClaim{}.WithKey(k).WithUpstreamStartMillis(startMillis), forwarded.BalancerAddress())
+	f.link.Send(landing.FlowClaim{}.WithKey(k).WithUpstreamStartMillis(startMillis), balancerAddress)
 }
 
 // claimPendingFlows tells balancers which of the flows that were opened since the previous heartbeat belong
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -174,6 +174,7 @@
 	for ctx.Err() == nil {
 		err := s.tryRemoveEnrollment(ctx)
 		if err == nil {
+			s.telemetry.Log().Info("enrollment taken back", "revision", s.storedEnrollment.Revision())
 			return
 		}
 		s.telemetry.Log().Info("enrollment cannot be taken back", "error", err.Error())
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -88,9 +88,10 @@
 }
 
 // UpstreamPhase returns the phase of the upstream at this time. It is unspecified when the sidecar is
-// stopping, and when the upstream was serving but its heartbeats, due at this interval, no longer arrive.
+// stopping although its upstream has not ended, and when the upstream was serving but its heartbeats, due at this
+// interval, no longer arrive.
 func (s Snapshot) UpstreamPhase(now time.Time, interval time.Duration) landing.Phase {
-	if s.isStopping {
+	if s.isStopping && s.upstream.Phase() != landing.PhaseLeft {
 		return landing.PhaseUnspecified
 	}
 	return presence.PhaseAt(s.upstream, now, interval)
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -70,10 +70,21 @@
 	newFlows warmup.Window
 	// history is the history of the outcomes of requests, from which the upstream may be ejected.
 	history outlier.History
+	// offers holds the last packet of each flow of unknown state that was offered to the upstream.
+	offers map[landing.FlowKey]offer
+}
+
+// offer is a packet that was offered to the upstream to learn whether it holds the flow.
+type offer struct {
+	offeredAt time.Time
+	// balancerAddress is the address of the balancer that sent the packet.
+	balancerAddress uint64
+	// hasRequest reports whether the packet has a payload.
+	hasRequest bool
 }
 
 func newTable(now time.Time, requestTimeout func(landing.FlowKey) time.Duration) *table {
-	return &table{flows: map[landing.FlowKey]flow{}, requestTimeout: requestTimeout, newFlows: warmup.New(now)}
+	return &table{flows: map[landing.FlowKey]flow{}, offers: map[landing.FlowKey]offer{}, requestTimeout: requestTimeout, newFlows: warmup.New(now)}
 }
 
 // decide returns the action for a segment from a caller and records the new state of the flow. untracked is
@@ -162,6 +173,10 @@
 	if !found {
 		f = flow{state: landing.FlowAdmitted{}, sentEnd: s.AcknowledgementNumber()}
 	}
+	if o, isOffered := t.offers[s.Key()]; isOffered && o.hasRequest && s.HasAck() {
+		// The upstream holds the flow: it processes the request that was offered to it.
+		t.ledger = t.ledger.WithRequest(s.Key(), t.requestTimeout(s.Key()), o.offeredAt)
+	}
 	f.lastSegmentAt = now
 	switch state := f.state.(type) {
 	case landing.FlowAdmitted:
@@ -195,6 +210,24 @@
 	return latency
 }
 
+// recordOffer records a packet of an unknown flow that is offered to the upstream.
+func (t *table) recordOffer(s landing.Segment, balancerAddress uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.offers) < maxFlows {
+		t.offers[s.Key()] = offer{offeredAt: now, balancerAddress: balancerAddress, hasRequest: s.PayloadBytes() > 0}
+	}
+}
+
+// takeOffer removes the offer of a flow and returns the balancer that sent the packet; false when there is none.
+func (t *table) takeOffer(k landing.FlowKey) (uint64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o, found := t.offers[k]
+	delete(t.offers, k)
+	return o.balancerAddress, found
+}
+
 func (t *table) put(k landing.FlowKey, f flow) {
 	t.flows[k] = f
 }
@@ -279,6 +312,7 @@
 
 // removeLocked does the same as remove. t must be locked.
 func (t *table) removeLocked(k landing.FlowKey) {
+	delete(t.offers, k)
 	if _, found := t.flows[k]; found {
 		t.ledger = t.ledger.Without(k)
 		delete(t.flows, k)
@@ -286,7 +320,7 @@
 }
 
 // expire removes flows without a segment for longer than idleTimeout, and incomplete handshakes after
-// handshakeTimeout.
+// handshakeTimeout. Offers that the upstream has not reacted to are removed after the same time.
 func (t *table) expire(idleTimeout time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -297,6 +331,11 @@
 			t.removeLocked(k)
 		}
 	}
+	for k, o := range t.offers {
+		if now.Sub(o.offeredAt) > handshakeTimeout {
+			delete(t.offers, k)
+		}
+	}
 }
 
 // clear removes the flows that were opened up to the time until, since the process of the upstream to which
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -116,6 +116,21 @@
 	is.True(tb.load(now).history.IsEjected(now))
 }
 
+// The upstream acknowledges a packet that was offered to it, so it holds the flow and processes the request.
+func TestTableCountsAcknowledgedOffer(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(start, noTimeout)
+	tb.recordOffer(requestSegment(101), 7, start)
+	is.Equal(tb.busySlots(start), 0)
+	tb.recordUpstreamSegment(landing.Segment{}.WithKey(flowKey).WithHasAck(true).WithSequenceNumber(501).WithAcknowledgementNumber(201), start)
+	is.Equal(tb.busySlots(start), 1)
+	balancerAddress, isOffered := tb.takeOffer(flowKey)
+	is.True(isOffered)
+	is.Equal(balancerAddress, uint64(7))
+	is.Equal(tb.recordUpstreamSegment(responseSegment, start.Add(time.Millisecond)), time.Millisecond)
+	is.Equal(tb.busySlots(start), 0)
+}
+
 // A packet that is only offered to the upstream, to learn whether it holds the flow, holds no slot. Neither does
 // the request of a flow that becomes one of unknown state when the upstream's process has ended.
 func TestTableOfferedRequestHoldsNoSlot(t *testing.T) {
--- a/sidecar/pkg/relay/upstream.go
+++ b/sidecar/pkg/relay/upstream.go
@@ -44,6 +44,9 @@
 	segment := packet.UpstreamSegment()
 	latency := f.table.recordUpstreamSegment(segment, time.Now())
 	f.sendToCaller(segment.Key(), packet)
+	if balancerAddress, isOffered := f.table.takeOffer(segment.Key()); isOffered && !segment.IsReset() {
+		f.claimFlow(balancerAddress, segment.Key())
+	}
 	if latency > 0 {
 		f.responseTimes.Update(int64(latency))
 	}
