Opening packets wait as long as their callers do

Cause: a waiting packet had 800 ms after its last copy, whatever its callers' patience.

Change: backlog.WaitLimit, from the listener's timeout, the copy and the average latency. A packet with no time left is refused at once, and the queue holds what can be served within the limit. Without a stated timeout the limit stays 800 ms.

--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -941,6 +941,7 @@
 	m.Key = EncodeFlowKey(v.Key())
 	m.Priority = v.Priority()
 	m.LastCopyAt = timestamppb.New(v.LastCopyAt())
+	m.WaitLimit = durationpb.New(v.WaitLimit())
 	return m
 }
 
@@ -951,6 +952,7 @@
 	v = v.WithKey(DecodeFlowKey(m.GetKey()))
 	v = v.WithPriority(m.GetPriority())
 	v = v.WithLastCopyAt(m.GetLastCopyAt().AsTime())
+	v = v.WithWaitLimit(m.GetWaitLimit().AsDuration())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -2220,6 +2220,7 @@
 	key             FlowKey
 	priority        uint32
 	lastCopyAt      time.Time
+	waitLimit       time.Duration
 }
 
 // ForwardedPacket returns the field of the same name.
@@ -2275,6 +2276,19 @@
 	return v
 }
 
+// WaitLimit returns the field of the same name.
+//
+// Time for which the packet waits after last_copy_at.
+func (v QueuedPacket) WaitLimit() time.Duration {
+	return v.waitLimit
+}
+
+// WithWaitLimit returns a copy of v with the given waitLimit.
+func (v QueuedPacket) WithWaitLimit(waitLimit time.Duration) QueuedPacket {
+	v.waitLimit = waitLimit
+	return v
+}
+
 // HeldFlowList is the record of an upstream's flows that a sidecar stores in the platform. After a
 // power loss it is used to reset those flows, so that their callers notice the loss at once.
 type HeldFlowList struct {
--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -21,9 +21,13 @@
 	// arrived. A caller that gets no response retransmits its opening packet 200 and 600 ms after
 	// the first transmission (each transmission is a copy), and gives up 800 ms after the last one.
 	MaxWaitSinceLastCopy = 800 * time.Millisecond
+	// secondCopyAfter and thirdCopyAfter are the times after the first transmission at which a caller
+	// sends the copies.
+	secondCopyAfter = 200 * time.Millisecond
+	thirdCopyAfter  = 600 * time.Millisecond
 	// minCopyInterval is the shortest time after which a caller sends the next copy of its opening
 	// packet.
-	minCopyInterval = 200 * time.Millisecond
+	minCopyInterval = secondCopyAfter
 	// assumedRequestTime is the processing time that is assumed for a request until one has been
 	// measured.
 	assumedRequestTime = 50 * time.Millisecond
@@ -39,14 +43,38 @@
 	return len(b.packets)
 }
 
-// Limit returns the number of packets that an upstream can serve before their callers give up, at
-// least 1. The upstream processes as many requests at once as it has slots, and each takes
-// requestTime. A requestTime of 0 means that it has not been measured yet.
-func Limit(slots uint32, requestTime time.Duration) int {
+// WaitLimit returns the longest time for which a packet with this number of earlier copies waits. A
+// request that begins later takes longer than its caller waits for the response: requestTimeout after
+// the first copy, or not stated if that is 0. RequestTime is the time that the upstream takes for a
+// request. At 0 the packet must be refused at once.
+func WaitLimit(earlierCopies uint32, requestTimeout, requestTime time.Duration) time.Duration {
+	if requestTimeout <= 0 {
+		return MaxWaitSinceLastCopy
+	}
+	return min(max(requestTimeout-sentAfter(earlierCopies)-requestTime, 0), MaxWaitSinceLastCopy)
+}
+
+// sentAfter returns the time from the first transmission of an opening packet to the copy before
+// which this number of copies was sent.
+func sentAfter(earlierCopies uint32) time.Duration {
+	switch earlierCopies {
+	case 0:
+		return 0
+	case 1:
+		return secondCopyAfter
+	default:
+		return thirdCopyAfter
+	}
+}
+
+// Limit returns the number of packets that an upstream can serve within waitLimit, at least 1. The
+// upstream processes as many requests at once as it has slots, and each takes requestTime. A
+// requestTime of 0 means that it has not been measured yet.
+func Limit(slots uint32, requestTime, waitLimit time.Duration) int {
 	if requestTime <= 0 {
 		requestTime = assumedRequestTime
 	}
-	return max(int(time.Duration(slots)*MaxWaitSinceLastCopy/requestTime), 1)
+	return max(int(time.Duration(slots)*waitLimit/requestTime), 1)
 }
 
 // With returns the backlog with one more packet. A copy replaces the earlier packet of the same
@@ -79,7 +107,7 @@
 // since that copy may have opened the flow at another sidecar.
 func (b Backlog) Prune(limit int, now time.Time) (Backlog, []landing.QueuedPacket) {
 	kept := slices.DeleteFunc(slices.Clone(b.packets), func(packet landing.QueuedPacket) bool {
-		return now.Sub(packet.LastCopyAt()) > MaxWaitSinceLastCopy
+		return now.Sub(packet.LastCopyAt()) > packet.WaitLimit()
 	})
 	if len(kept) <= limit {
 		return Backlog{packets: kept}, nil
--- a/core/pkg/backlog/backlog_test.go
+++ b/core/pkg/backlog/backlog_test.go
@@ -18,7 +18,8 @@
 	return landing.QueuedPacket{}.
 		WithKey(landing.FlowKey{}.WithSourcePort(port)).
 		WithPriority(priority).
-		WithLastCopyAt(start.Add(lastCopyAfter))
+		WithLastCopyAt(start.Add(lastCopyAfter)).
+		WithWaitLimit(MaxWaitSinceLastCopy)
 }
 
 func ExampleBacklog() {
@@ -85,7 +86,7 @@
 			fresh++
 			b = b.With(queuedPacket(uint32(fresh), 2, now))
 		}
-		b, _ = b.Prune(Limit(slots, requestTime), start.Add(now))
+		b, _ = b.Prune(Limit(slots, requestTime, MaxWaitSinceLastCopy), start.Add(now))
 		for len(busyUntil) > 0 && busyUntil[0] <= now {
 			busyUntil = busyUntil[1:]
 		}
@@ -121,3 +122,78 @@
 	is.Equal(kept.Len(), 1)
 	is.Equal(len(refused), 0)
 }
+
+// servedInVain simulates an upstream with 3 slots of 25 ms whose 300 callers come back within 200 ms, and
+// send copies after 200 and 600 ms. They wait for 800 ms for a response. For 2 s a fresh caller arrives
+// every 12 ms. It returns how many callers were served after they had given up, and how many in time.
+func servedInVain(waitLimit func(earlierCopies uint32) time.Duration) (int, int) {
+	const (
+		slots          = 3
+		requestTime    = 25 * time.Millisecond
+		requestTimeout = 800 * time.Millisecond
+		callers        = 300
+	)
+	firstCopies := map[time.Duration][]uint32{}
+	for i := range uint32(callers) {
+		at := time.Duration(i) * 200 * time.Millisecond / callers
+		firstCopies[at.Truncate(time.Millisecond)] = append(firstCopies[at.Truncate(time.Millisecond)], i)
+	}
+	for i := range uint32(160) {
+		at := time.Duration(i) * 12 * time.Millisecond
+		firstCopies[at] = append(firstCopies[at], callers+i)
+	}
+	var b Backlog
+	var busyUntil []time.Duration
+	isServed := map[uint32]bool{}
+	inVain, inTime := 0, 0
+	for now := time.Duration(0); now < 4*time.Second; now += time.Millisecond {
+		for copies := range uint32(3) {
+			for _, caller := range firstCopies[now-sentAfter(copies)] {
+				if !isServed[caller] {
+					b = b.With(queuedPacket(caller, 2, now).WithWaitLimit(waitLimit(copies)))
+				}
+			}
+		}
+		b, _ = b.Prune(Limit(slots, requestTime, MaxWaitSinceLastCopy), start.Add(now))
+		for len(busyUntil) > 0 && busyUntil[0] <= now {
+			busyUntil = busyUntil[1:]
+		}
+		for len(busyUntil) < slots && b.Len() > 0 {
+			var packet landing.QueuedPacket
+			packet, b, _ = b.Pop()
+			busyUntil = append(busyUntil, now+requestTime)
+			caller := packet.Key().SourcePort()
+			isServed[caller] = true
+			firstCopyAt := time.Duration(caller) * 200 * time.Millisecond / callers
+			if caller >= callers {
+				firstCopyAt = time.Duration(caller-callers) * 12 * time.Millisecond
+			}
+			if now+requestTime > firstCopyAt.Truncate(time.Millisecond)+requestTimeout {
+				inVain++
+			} else {
+				inTime++
+			}
+		}
+	}
+	return inVain, inTime
+}
+
+// Callers of one deployment give up after 800 ms, which is 200 ms after their last copy. An upstream whose
+// queue kept that copy for 800 ms served callers that had gone (deployment ringwright-lb).
+func TestWaitLimit_FollowsTimeoutOfCallers(t *testing.T) {
+	is := is.New(t)
+	inVainBefore, inTimeBefore := servedInVain(func(uint32) time.Duration { return MaxWaitSinceLastCopy })
+	inVain, inTime := servedInVain(func(copies uint32) time.Duration {
+		return WaitLimit(copies, 800*time.Millisecond, 25*time.Millisecond)
+	})
+	t.Logf("served in vain %d, in time %d; with the same limit for all %d, %d", inVain, inTime, inVainBefore, inTimeBefore)
+	is.True(inVainBefore > 0)
+	is.Equal(inVain, 0)
+	is.True(inTime >= inTimeBefore)
+}
+
+func TestWaitLimit_WithoutTimeout(t *testing.T) {
+	is := is.New(t)
+	is.Equal(WaitLimit(2, 0, time.Second), MaxWaitSinceLastCopy)
+	is.Equal(WaitLimit(2, 500*time.Millisecond, 0), time.Duration(0))
+}
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -64,24 +64,35 @@
 func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, now time.Time) {
 	listener, _ := s.policy.Rules().FindListener(segment.Key())
 	f.table.remove(segment.Key())
+	l := f.table.load(now)
+	waitLimit := backlog.WaitLimit(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency)
 	packet := landing.QueuedPacket{}.
 		WithForwardedPacket(forwarded).
 		WithKey(segment.Key()).
 		WithPriority(listener.Priority()).
-		WithLastCopyAt(now)
+		WithLastCopyAt(now).
+		WithWaitLimit(waitLimit)
+	if waitLimit == 0 {
+		f.refuseWaiting(packet, l)
+		return
+	}
 	f.telemetry.Counters().Counter("waited").Inc(1)
-	l := f.table.load(now)
 	f.telemetry.Log().Info("flow waits", "flow", address.FormatFlow(segment.Key()), "copies", segment.EarlierCopies(),
 		"priority", listener.Priority(), "running", l.runningRequests, "waiting", f.queue.len())
-	for _, refused := range f.queue.add(packet, backlog.Limit(s.upstream.Slots(), l.averageLatency)) {
-		f.telemetry.Counters().CountRefusal(landing.RefusalQueue)
-		f.telemetry.Log().Info("flow refused", "flow", address.FormatFlow(refused.Key()), "reason", landing.RefusalQueue.String(),
-			"priority", refused.Priority(), "running", l.runningRequests, "usual", l.averageLatency.String())
-		f.returnToBalancer(refused.ForwardedPacket(), landing.RefusalQueue)
+	for _, refused := range f.queue.add(packet, backlog.Limit(s.upstream.Slots(), l.averageLatency, waitLimit)) {
+		f.refuseWaiting(refused, l)
 	}
 	common.Notify(f.queueBlocked)
 }
 
+// refuseWaiting refuses a SYN that cannot be served before its caller gives up.
+func (f *Forwarder) refuseWaiting(packet landing.QueuedPacket, l upstreamLoad) {
+	f.telemetry.Counters().CountRefusal(landing.RefusalQueue)
+	f.telemetry.Log().Info("flow refused", "flow", address.FormatFlow(packet.Key()), "reason", landing.RefusalQueue.String(),
+		"priority", packet.Priority(), "running", l.runningRequests, "usual", l.averageLatency.String())
+	f.returnToBalancer(packet.ForwardedPacket(), landing.RefusalQueue)
+}
+
 // admitOnLapse admits waiting SYNs when a slot becomes free without a packet, because a request or the
 // reservation of an admitted flow has lapsed.
 func (f *Forwarder) admitOnLapse() {
