--- a/experiment/pkg/scenario/process_test.go
+++ b/experiment/pkg/scenario/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -50,6 +51,9 @@
 			_ = running.Resume()
 			running.Kill()
 		}
+		if t.Failed() {
+			p.printLogs(t)
+		}
 	})
 	p.start(t, "standin", "platform", "platform")
 	for _, path := range settingsFiles(t, "balancer-*.json") {
@@ -65,6 +69,25 @@
 	return p
 }
 
+// printLogs prints the last lines of the logs of all processes, since the folder of the logs is removed after the test.
+func (p *processes) printLogs(t *testing.T) {
+	t.Helper()
+	const maxLines = 40
+	paths, err := filepath.Glob(filepath.Join(p.logFolder, "*"))
+	if err != nil {
+		t.Log(err)
+	}
+	for _, path := range paths {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Log(err)
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+		t.Logf("%s:\n%s", filepath.Base(path), strings.Join(lines[max(len(lines)-maxLines, 0):], "\n"))
+	}
+}
+
 // settingsFiles returns the paths of the deployment's settings files that match pattern.
 func settingsFiles(t *testing.T, pattern string) []string {
 	t.Helper()
