Records of flows follow the writes that the platform allows

Cause: after a power loss a caller learns that its flow is lost by a reset from the record of held flows, or by losing a request on it.

Change: the sidecar's settings carry the writes that the platform allows (`writes`, from platform.writes_per_s), and records take a fiftieth of them. A record is written when a quarter of the flows is missing in the last one, or when it is 30 s old and any is; flows that have ended are no reason.

--- a/core/gen/codec/settings.go
+++ b/core/gen/codec/settings.go
@@ -301,6 +301,7 @@
 	m.Heartbeat = durationpb.New(v.Heartbeat())
 	m.Verbosity = v.Verbosity()
 	m.Grace = durationpb.New(v.Grace())
+	m.Writes = v.Writes()
 	return m
 }
 
@@ -326,5 +327,6 @@
 	v = v.WithHeartbeat(m.GetHeartbeat().AsDuration())
 	v = v.WithVerbosity(m.GetVerbosity())
 	v = v.WithGrace(m.GetGrace().AsDuration())
+	v = v.WithWrites(m.GetWrites())
 	return v
 }
--- a/core/gen/form/settings.go
+++ b/core/gen/form/settings.go
@@ -45,5 +45,6 @@
 	v = v.WithHeartbeat(r.Duration("heartbeat"))
 	v = v.WithVerbosity(r.Uint32("verbosity"))
 	v = v.WithGrace(r.Duration("grace"))
+	v = v.WithWrites(r.Uint32("writes"))
 	return v
 }
--- a/core/gen/landing/settings.go
+++ b/core/gen/landing/settings.go
@@ -1066,6 +1066,7 @@
 	heartbeat time.Duration
 	verbosity uint32
 	grace     time.Duration
+	writes    uint32
 }
 
 // Instance returns the field of the same name.
@@ -1279,3 +1280,17 @@
 	v.grace = grace
 	return v
 }
+
+// Writes returns the field of the same name.
+//
+// Number of writes per second that the platform allows all processes of the fleet together. A
+// fiftieth of it is used for records of flows. 0: not known, 200 are assumed.
+func (v RelaySidecarSettings) Writes() uint32 {
+	return v.writes
+}
+
+// WithWrites returns a copy of v with the given writes.
+func (v RelaySidecarSettings) WithWrites(writes uint32) RelaySidecarSettings {
+	v.writes = writes
+	return v
+}
--- a/sidecar/pkg/relay/recorder.go
+++ b/sidecar/pkg/relay/recorder.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -35,8 +34,11 @@
 	store         *platform.StoreClient
 	forwarder     *Forwarder
 	stopper       common.ContextStopper
-	// lastWritten holds the flows in the last record that was written.
-	lastWritten []landing.FlowKey
+	// recorded holds the flows in the last record that was written, recordedAt its time, and recordedStart the start
+	// time of the upstream's process in it.
+	recorded      map[landing.FlowKey]bool
+	recordedAt    time.Time
+	recordedStart uint64
 	// hasRecord reports whether the platform holds a record of this sidecar.
 	hasRecord bool
 }
@@ -59,7 +61,7 @@
 func (r *Recorder) run() {
 	r.resetRecordedFlows()
 	for {
-		interval, isEnabled := pace.RecordInterval(r.controlThread.Snapshot().sidecarCount)
+		interval, isEnabled := pace.RecordInterval(r.controlThread.Snapshot().sidecarCount, r.settings.Writes())
 		if !common.Sleep(r.stopper.Stopper, interval) {
 			return
 		}
@@ -112,26 +114,40 @@
 	}
 }
 
-// recordFlows writes a record if the flows have changed since the last one.
+// recordFlows writes a record if too many of the flows are missing in the last one.
 func (r *Recorder) recordFlows() {
 	upstream := r.controlThread.Snapshot().upstream
 	startMillis := upstreamStartMillis(upstream)
 	if startMillis == 0 {
 		return
 	}
-	held := r.forwarder.table.heldFlows(upstream, time.Now().Add(-minRecordedAge), maxRecordedFlows)
-	keys := make([]landing.FlowKey, 0, len(held))
-	for _, h := range held {
-		keys = append(keys, h.Key())
-	}
-	if slices.Equal(keys, r.lastWritten) {
+	now := time.Now()
+	held := r.forwarder.table.heldFlows(upstream, now.Add(-minRecordedAge), maxRecordedFlows)
+	if !pace.IsRecordDue(len(held), r.countUnrecorded(held, startMillis), now.Sub(r.recordedAt)) {
 		return
 	}
 	if err := r.writeRecord(landing.HeldFlowList{}.WithUpstreamStartMillis(startMillis).WithFlows(held...)); err != nil {
 		r.telemetry.Log().V(1).Info("record cannot be written", "error", err.Error())
 		return
 	}
-	r.lastWritten = keys
+	r.recorded, r.recordedAt, r.recordedStart = map[landing.FlowKey]bool{}, now, startMillis
+	for _, h := range held {
+		r.recorded[h.Key()] = true
+	}
+}
+
+// countUnrecorded returns the number of flows that are not in the last record of the upstream's process.
+func (r *Recorder) countUnrecorded(held []landing.HeldFlow, startMillis uint64) int {
+	if startMillis != r.recordedStart {
+		return len(held)
+	}
+	count := 0
+	for _, h := range held {
+		if !r.recorded[h.Key()] {
+			count++
+		}
+	}
+	return count
 }
 
 // writeRecord creates or replaces the record. When the creation fails because there already is a record, the
