A sidecar that starts reads its rules from the platform and from peers at the same time

The store is back at 37.4 s and balancers have their rules by 37.45 s, but sidecars refuse 2,830 offers of flows (`service`) until 38.0 to 38.2 s: each waited up to 0.8 s for every seed in turn, and the seeds had no power. Counted from the logs of all processes in steps of 0.2 s.

Ruled out: admission without rules, since the limits of a cold upstream would not be known.

Change: catchup.ReadFirst asks both at once until one has responded, every 100 ms, by stale reads, which cost a tenth and no rate.

Tests: a platform that returns while peers are silent, the reverse, and the end of the context.

--- a/core/pkg/catchup/catchup.go
+++ b/core/pkg/catchup/catchup.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
@@ -79,6 +81,48 @@
 	return false
 }
 
+// ReadFirst reads the rules and exclusions of a process that has none, and returns true when it has
+// them. It reads from the platform and from peers at the same time, since either may not respond, and
+// repeats a failed read after the pause. It returns false when ctx is done before.
+//
+// The load pattern that it answers is the start of all processes after a power loss while the platform
+// is unavailable: the seeds do not respond, and until the process has read the rules it refuses the
+// callers who come back.
+func (r Reader) ReadFirst(ctx context.Context, pause time.Duration) bool {
+	reading, cancel := context.WithCancel(ctx)
+	var readers sync.WaitGroup
+	readUntilComplete := func(read func(context.Context) error) {
+		for reading.Err() == nil {
+			if err := read(reading); err != nil {
+				r.telemetry.Log().V(1).Info("source cannot be read", "error", err.Error())
+			}
+			r.control.AwaitPosted()
+			if r.control.Policy().IsComplete() {
+				cancel()
+				return
+			}
+			sleep(reading, pause)
+		}
+	}
+	readers.Go(func() { readUntilComplete(r.ReadFromPeers) })
+	readUntilComplete(func(ctx context.Context) error {
+		return r.readStore(ctx, landing.FreshnessRecent, r.control.Policy(), true) // true: everything is missing
+	})
+	cancel()
+	readers.Wait()
+	return ctx.Err() == nil
+}
+
+// sleep returns after the pause, or when ctx is done.
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // readFrom reads from one source and posts the result. Before is the policy before the read.
 func (r Reader) readFrom(ctx context.Context, source landing.ReadSource, before policy.Policy, isIsolated bool) error {
 	switch source.(type) {
--- a/core/pkg/catchup/catchup_test.go
+++ b/core/pkg/catchup/catchup_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
@@ -154,3 +156,81 @@
 	is.True(!process.policy.IsBehind())
 	is.Equal(platform.consistentReads, 2)
 }
+
+// silentPeers never respond.
+type silentPeers struct{}
+
+func (silentPeers) FetchSnapshot(ctx context.Context, _ []uint64) (landing.PlatformSnapshot, error) {
+	<-ctx.Done()
+	return landing.PlatformSnapshot{}, ctx.Err()
+}
+
+// silentPlatform never responds.
+type silentPlatform struct{}
+
+func (silentPlatform) ReadRules(ctx context.Context, _ landing.Freshness) (landing.RoutingRules, uint64, error) {
+	<-ctx.Done()
+	return landing.RoutingRules{}, 0, ctx.Err()
+}
+
+func (silentPlatform) ReadExclusions(ctx context.Context, _ landing.ZoneExclusions, _ landing.Freshness) (landing.ZoneExclusions, error) {
+	<-ctx.Done()
+	return landing.ZoneExclusions{}, ctx.Err()
+}
+
+// returningPlatform fails a number of reads before it responds.
+type returningPlatform struct {
+	fakePlatform
+	failures int
+}
+
+func (p *returningPlatform) ReadRules(ctx context.Context, f landing.Freshness) (landing.RoutingRules, uint64, error) {
+	p.failures--
+	p.isUnavailable = p.failures >= 0
+	return p.fakePlatform.ReadRules(ctx, f)
+}
+
+// lockedProcess is a process whose control thread is used by several goroutines.
+type lockedProcess struct {
+	mu sync.Mutex
+	fakeProcess
+}
+
+func (p *lockedProcess) Policy() policy.Policy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.policy
+}
+
+func (p *lockedProcess) Post(event landing.RelayEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fakeProcess.Post(event)
+}
+
+// After a power loss with the platform unavailable the seeds did not respond either. A sidecar waited for them while the
+// platform was back, and refused the callers for 0.6 s more (deployment nosa-lb-grown, day trouble-2).
+func TestReadFirst_PlatformReturnsWhilePeersAreSilent(t *testing.T) {
+	is := is.New(t)
+	process := &lockedProcess{}
+	platform := &returningPlatform{fakePlatform: fakePlatform{recent: revisions(5), newest: revisions(5)}, failures: 3}
+	r := New(common.New(logr.Discard(), counter.New()), platform, silentPeers{}, process)
+	is.True(r.ReadFirst(t.Context(), time.Millisecond))
+	is.True(process.Policy().IsComplete())
+	is.Equal(platform.consistentReads, 0)
+}
+
+func TestReadFirst_PeerRespondsWhilePlatformIsSilent(t *testing.T) {
+	is := is.New(t)
+	process := &lockedProcess{}
+	peer := &fakeProcess{peer: &fakeProcess{policy: policyAt(5)}}
+	is.True(New(common.New(logr.Discard(), counter.New()), silentPlatform{}, peer, process).ReadFirst(t.Context(), time.Millisecond))
+	is.Equal(process.Policy().KnownRevisions(), revisions(5))
+}
+
+func TestReadFirst_EndsWithContext(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(!New(common.New(logr.Discard(), counter.New()), silentPlatform{}, silentPeers{}, &lockedProcess{}).ReadFirst(ctx, time.Millisecond))
+}
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// firstReadPause is the pause between two reads while rules or exclusions are missing. Callers come back within
+	// a second after an outage, and are refused until then.
+	firstReadPause = 100 * time.Millisecond
 	// readPause is the least time between two reads, so that many changes in a short time cost few calls.
 	readPause = 250 * time.Millisecond
 	// pollInterval is the interval between two reads while no balancer subscribes, since no process then
@@ -70,6 +73,7 @@
 // advertised newer revisions, when a read did not catch up with these, and at each pollInterval while no
 // balancer subscribes or while rules or exclusions are missing.
 func (s *PlatformSync) followPolicy() {
+	s.reader.ReadFirst(s.stopper.Context(), firstReadPause)
 	for {
 		if !s.reader.CatchUp(s.stopper.Context(), !s.controlThread.Snapshot().HasSubscriber(time.Now())) {
 			common.Notify(s.controlThread.policyOutdated)
