--- a/balancer/pkg/relay/search_table.go
+++ b/balancer/pkg/relay/search_table.go
@@ -64,11 +64,14 @@
 func (t *searchTable) begin(key landing.FlowKey, forwarded landing.ForwardedPacket, enrollmentsRevision uint64, now time.Time) (uint32, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if len(t.searches) >= maxSearches {
+		t.removeExpired(now)
+	}
 	if len(t.searches) >= maxSearches {
 		return 0, false
 	}
 	p := packetSearch{key: key, startedAt: now, enrollmentsRevision: enrollmentsRevision}
-	if previous, found := t.searches[t.latest(key)]; found && previous.enrollmentsRevision == enrollmentsRevision {
+	if previous, found := t.searches[t.latest(key)]; found && previous.enrollmentsRevision == enrollmentsRevision && now.Sub(previous.startedAt) <= searchLifetime {
 		p.search = previous.search.ForNextCopy()
 	}
 	t.lastNumber++
@@ -160,21 +163,32 @@
 	t.numbers[key] = numbers
 }
 
-// due returns the numbers of the searches that must go on now, and whether there are any searches. It removes those that
-// are older than searchLifetime.
+// removeExpired removes the searches that are older than searchLifetime. t must be locked.
+func (t *searchTable) removeExpired(now time.Time) {
+	for number, p := range t.searches {
+		if now.Sub(p.startedAt) > searchLifetime {
+			t.removeLocked(number, p.key)
+		}
+	}
+}
+
+// due returns the numbers of the searches that must go on now, and whether any search has not ended.
 func (t *searchTable) due(now time.Time) ([]uint32, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.removeExpired(now)
 	var due []uint32
+	isActive := false
 	for number, p := range t.searches {
-		switch dueAt := p.search.DueAt(); {
-		case now.Sub(p.startedAt) > searchLifetime:
-			t.removeLocked(number, p.key)
-		case !p.isEnded && !dueAt.IsZero() && !dueAt.After(now):
+		if p.isEnded {
+			continue
+		}
+		isActive = true
+		if dueAt := p.search.DueAt(); !dueAt.IsZero() && !dueAt.After(now) {
 			due = append(due, number)
 		}
 	}
-	return due, len(t.searches) > 0
+	return due, isActive
 }
 
 // doubt records that these sidecars have left a packet unanswered.
--- a/core/pkg/catchup/catchup.go
+++ b/core/pkg/catchup/catchup.go
@@ -82,8 +82,9 @@
 }
 
 // ReadFirst reads the rules and exclusions of a process that has none, and returns true when it has
-// them. It reads from the platform and from peers at the same time, since either may not respond, and
-// repeats a failed read after the pause. It returns false when ctx is done before.
+// them. When the platform has not responded after the pause, it reads from peers at the same time, since
+// either may not respond, and repeats failed reads after the pause. It returns false when ctx is done
+// before.
 //
 // The load pattern that it answers is the start of all processes after a power loss while the platform
 // is unavailable: the seeds do not respond, and until the process has read the rules it refuses the
@@ -104,7 +105,11 @@
 			sleep(reading, pause)
 		}
 	}
-	readers.Go(func() { readUntilComplete(r.ReadFromPeers) })
+	readers.Go(func() {
+		// The peers are the same for many processes, which may all start at the same time.
+		sleep(reading, pause)
+		readUntilComplete(r.ReadFromPeers)
+	})
 	readUntilComplete(func(ctx context.Context) error {
 		return r.readStore(ctx, landing.FreshnessRecent, r.control.Policy(), true) // true: everything is missing
 	})
--- a/core/pkg/catchup/catchup_test.go
+++ b/core/pkg/catchup/catchup_test.go
@@ -234,3 +234,13 @@
 	cancel()
 	is.True(!New(common.New(logr.Discard(), counter.New()), silentPlatform{}, silentPeers{}, &lockedProcess{}).ReadFirst(ctx, time.Millisecond))
 }
+
+// All sidecars start at the same time and have the same few seeds. While the platform responds they do not ask them.
+func TestReadFirst_SparesPeersWhilePlatformResponds(t *testing.T) {
+	is := is.New(t)
+	process := &lockedProcess{}
+	peer := &fakeProcess{peer: &fakeProcess{policy: policyAt(5)}}
+	platform := &fakePlatform{recent: revisions(5), newest: revisions(5)}
+	is.True(New(common.New(logr.Discard(), counter.New()), platform, peer, process).ReadFirst(t.Context(), time.Minute))
+	is.Equal(peer.peerReads, 0)
+}
--- a/core/pkg/occupancy/occupancy.go
+++ b/core/pkg/occupancy/occupancy.go
@@ -53,7 +53,7 @@
 	timeout time.Duration
 	// isOvertaken reports whether the upstream has responded to a request that arrived later.
 	isOvertaken bool
-	// isOverdue reports whether the request was returned by WithOverdue.
+	// isOverdue reports whether WithOverdue has counted the request.
 	isOverdue bool
 }
 
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -173,8 +173,8 @@
 	if !found {
 		f = flow{state: landing.FlowAdmitted{}, sentEnd: s.AcknowledgementNumber()}
 	}
-	if o, isOffered := t.offers[s.Key()]; isOffered && o.hasRequest && s.HasAck() {
-		// The upstream holds the flow: it processes the request that was offered to it.
+	if o, isOffered := t.offers[s.Key()]; isOffered && o.hasRequest && s.HasAck() && !s.IsReset() {
+		// The upstream holds the flow and processes the request that was offered to it.
 		t.ledger = t.ledger.WithRequest(s.Key(), t.requestTimeout(s.Key()), o.offeredAt)
 	}
 	f.lastSegmentAt = now
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -131,6 +131,21 @@
 	is.Equal(tb.busySlots(start), 0)
 }
 
+// Guards against the ejection of an upstream that resets a flow that has ended there, to which late data was offered.
+func TestTableResetOfOfferedDataIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(start, noTimeout)
+	for range 5 {
+		tb.recordOffer(requestSegment(101), 7, start)
+		tb.recordUpstreamSegment(landing.Segment{}.WithKey(flowKey).WithHasAck(true).WithIsReset(true).WithSequenceNumber(501), start)
+		_, isOffered := tb.takeOffer(flowKey)
+		is.True(!isOffered)
+	}
+	l := tb.load(start)
+	is.Equal(l.runningRequests, 0)
+	is.True(l.history.IsHealthy(start))
+}
+
 // A packet that is only offered to the upstream, to learn whether it holds the flow, holds no slot. Neither does
 // the request of a flow that becomes one of unknown state when the upstream's process has ended.
 func TestTableOfferedRequestHoldsNoSlot(t *testing.T) {
