--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 # Plays the days of deploy/regression.json on the users' test bench and compares them with the last landing's figures.
 # WRITE=FILE keeps the results: make regress WRITE=deploy/regression.json
 regress:
-	go run ./experiment regress -bench $(BENCH) -sites $(PAGES) $(if $(WRITE),-write $(WRITE))
+	go run ./experiment regress -bench $(BENCH) -sites $(PAGES) $(if $(WRITE),-write $(WRITE) -commit $$(git rev-parse --short HEAD))
 
 # Runs the checks of recorded histories for RUNS seeds from SEED on, more than CI does: make history SEED=1 RUNS=50
 history:
--- a/experiment/pkg/app/app.go
+++ b/experiment/pkg/app/app.go
@@ -11,7 +11,7 @@
 )
 
 const usage = `usage: experiment [-out FOLDER] [balance] [capacity] [changes] [download] [zone]   (all when none is named)
-       experiment regress -bench PROGRAM -sites FOLDER [-baseline FILE] [-write FILE]`
+       experiment regress -bench PROGRAM -sites FOLDER [-baseline FILE] [-write FILE -commit COMMIT]`
 
 // Run runs the measurements named on the command line, or all of them when none is named, and exits the process.
 func Run() {
--- a/experiment/pkg/app/regress.go
+++ b/experiment/pkg/app/regress.go
@@ -19,6 +19,7 @@
 	folder := flags.String("sites", "", "folder to which the paths of sites are relative")
 	path := flags.String("baseline", "deploy/regression.json", "file with the results of the last landing")
 	output := flags.String("write", "", "file to which the results are written, as the next baseline")
+	commit := flags.String("commit", "", "commit that is played, for the file with the results")
 	reason := flags.String("why", "regression run", "reason for the plays, for the journal")
 	_ = flags.Parse(args)
 	if *program == "" || *folder == "" || flags.NArg() > 0 {
@@ -31,7 +32,7 @@
 	}
 	results, isGood := regression.Run(context.Background(), os.Stdout, bench.NewPlayer(*program, *folder, *reason), baseline)
 	if *output != "" {
-		if err := regression.WriteFile(*output, results); err != nil {
+		if err := regression.WriteFile(*output, results.WithCommit(*commit)); err != nil {
 			return err
 		}
 	}
--- a/experiment/pkg/regression/regression.go
+++ b/experiment/pkg/regression/regression.go
@@ -39,8 +39,8 @@
 }
 
 // Run plays all days of the baseline and prints a line for each, as soon as it was played. It returns the results in the
-// form of a baseline, and whether no day is worse. A day that cannot be played counts as worse and is left out of the
-// results.
+// form of a baseline, and whether no day is worse. A day that cannot be played counts as worse and keeps its earlier
+// result.
 func Run(ctx context.Context, w io.Writer, player Player, baseline landing.RegressionBaseline) (landing.RegressionBaseline, bool) {
 	isGood := true
 	number, count := 0, countDays(baseline)
@@ -52,6 +52,7 @@
 			result, err := player.Play(ctx, site.Site(), before.Day())
 			if err != nil {
 				isGood = false
+				days = append(days, before)
 				fmt.Fprintf(w, "[%d/%d] %s %s: NOT PLAYED: %v\n", number, count, site.Site(), before.Day(), err)
 				continue
 			}
@@ -63,7 +64,7 @@
 		}
 		sites = append(sites, landing.SiteBaseline{}.WithSite(site.Site()).WithDays(days...))
 	}
-	return landing.RegressionBaseline{}.WithCommit(baseline.Commit()).WithSites(sites...), isGood
+	return baseline.WithSites(sites...), isGood
 }
 
 func countDays(baseline landing.RegressionBaseline) int {
--- a/experiment/pkg/regression/regression_test.go
+++ b/experiment/pkg/regression/regression_test.go
@@ -54,7 +54,7 @@
 	delete(played, "a trouble-1")
 	results, isGood = Run(context.Background(), &w, played, baseline)
 	is.True(!isGood)
-	is.Equal(results.SitesAt(0).DaysLen(), 1)
+	is.Equal(results.SitesAt(0).DaysAt(1).Worth(), 0.8) // that of the baseline
 }
 
 func TestFile_RoundTrip(t *testing.T) {
--- a/sidecar/pkg/relay/execute.go
+++ b/sidecar/pkg/relay/execute.go
@@ -76,10 +76,9 @@
 	f.link.Send(landing.ReturnedPacket{}.WithForwardedPacket(forwarded).WithReason(reason), forwarded.BalancerAddress())
 }
 
-// claimFlow tells the balancer at this address, which has sent a packet of flow k, that this sidecar's upstream holds
-// the flow. Whether the
-// flow belongs to the upstream's current process is certain only after the next heartbeat. Until then the
-// claim states the start time 0.
+// claimFlow tells the balancer at this address, which has sent a packet of flow k, that this sidecar's upstream
+// holds the flow. Whether the flow belongs to the upstream's current process is certain only after the next
+// heartbeat. Until then the claim states the start time 0.
 func (f *Forwarder) claimFlow(balancerAddress uint64, k landing.FlowKey) {
 	f.table.setClaimBalancer(k, balancerAddress)
 	s := f.controlThread.Snapshot()
