--- a/core/pkg/walk/walk.go
+++ b/core/pkg/walk/walk.go
@@ -7,8 +7,8 @@
 // the balancer checks.
 //
 // A walk is split into parts, each of which starts at a balancer. Between two parts, the order of
-// the sidecars changes when some fall silent or send statuses again. The forwarded packet therefore
-// carries the set of sidecars that have been asked.
+// the sidecars changes when some fall silent or send statuses again. A Search therefore holds the set
+// of sidecars that have been asked.
 package walk
 
 import (
@@ -38,8 +38,8 @@
 	Salt uint64
 }
 
-// AskedSet is a bitmap of the candidates that were asked and do not hold the flow: candidate i is
-// bit i%8 of byte i/8. It is immutable.
+// AskedSet is a bitmap of candidates, mostly of those that were asked and do not hold the flow:
+// candidate i is bit i%8 of byte i/8. It is immutable.
 type AskedSet []byte
 
 // With returns the set with the candidate of this index added.
