A record is written when any flow is missing in it

Change: any flow that is missing is a reason for a write, at the interval that the platform's writes allow; a flow that has ended is none.

Conclusion: the threshold is reverted; the interval that follows the platform's writes stays.

--- a/core/pkg/pace/pace.go
+++ b/core/pkg/pace/pace.go
@@ -41,12 +41,6 @@
 	recordShare = 50
 	// assumedWritesPerSecond is the number of writes that is assumed when the settings state none.
 	assumedWritesPerSecond = 200
-	// unrecordedShare is the part of an upstream's flows, a quarter, that must be missing in the last
-	// record before the next one is written.
-	unrecordedShare = 4
-	// maxRecordAge is the age from which a record is replaced although it has most flows. A caller
-	// accepts a reset only near the number that it acknowledged last, which the record states.
-	maxRecordAge = 30 * time.Second
 	// maxRecordInterval is the interval beyond which records would be too old to be useful, so that
 	// none are written.
 	maxRecordInterval = time.Minute
@@ -118,11 +112,3 @@
 	interval := max(time.Duration(sidecars)*recordShare*time.Second/time.Duration(writesPerSecond), minRecordInterval)
 	return interval*3/4 + rand.N(interval/2), interval <= maxRecordInterval
 }
-
-// IsRecordDue reports whether a record is written, when this many of the upstream's flows are held and
-// not in the last record, which has this age. After a power loss the flows in the record are reset at
-// once, so that their callers lose no request on them; flows that ended meanwhile are no reason for a
-// write.
-func IsRecordDue(held, unrecorded int, age time.Duration) bool {
-	return unrecorded > 0 && (unrecorded*unrecordedShare >= held || age > maxRecordAge)
-}
--- a/sidecar/pkg/relay/recorder.go
+++ b/sidecar/pkg/relay/recorder.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -34,10 +35,9 @@
 	store         *platform.StoreClient
 	forwarder     *Forwarder
 	stopper       common.ContextStopper
-	// recorded holds the flows in the last record that was written, recordedAt its time, and recordedStart the start
-	// time of the upstream's process in it.
+	// recorded holds the flows in the last record that was written, and recordedStart the start time of the
+	// upstream's process in it.
 	recorded      map[landing.FlowKey]bool
-	recordedAt    time.Time
 	recordedStart uint64
 	// hasRecord reports whether the platform holds a record of this sidecar.
 	hasRecord bool
@@ -114,40 +114,34 @@
 	}
 }
 
-// recordFlows writes a record if too many of the flows are missing in the last one.
+// recordFlows writes a record if a flow is missing in the last one. A flow that has ended meanwhile is no reason
+// for a write: nobody waits for the reset that it would get.
 func (r *Recorder) recordFlows() {
 	upstream := r.controlThread.Snapshot().upstream
 	startMillis := upstreamStartMillis(upstream)
 	if startMillis == 0 {
 		return
 	}
-	now := time.Now()
-	held := r.forwarder.table.heldFlows(upstream, now.Add(-minRecordedAge), maxRecordedFlows)
-	if !pace.IsRecordDue(len(held), r.countUnrecorded(held, startMillis), now.Sub(r.recordedAt)) {
+	held := r.forwarder.table.heldFlows(upstream, time.Now().Add(-minRecordedAge), maxRecordedFlows)
+	if !r.hasUnrecorded(held, startMillis) {
 		return
 	}
 	if err := r.writeRecord(landing.HeldFlowList{}.WithUpstreamStartMillis(startMillis).WithFlows(held...)); err != nil {
 		r.telemetry.Log().V(1).Info("record cannot be written", "error", err.Error())
 		return
 	}
-	r.recorded, r.recordedAt, r.recordedStart = map[landing.FlowKey]bool{}, now, startMillis
+	r.recorded, r.recordedStart = map[landing.FlowKey]bool{}, startMillis
 	for _, h := range held {
 		r.recorded[h.Key()] = true
 	}
 }
 
-// countUnrecorded returns the number of flows that are not in the last record of the upstream's process.
-func (r *Recorder) countUnrecorded(held []landing.HeldFlow, startMillis uint64) int {
+// hasUnrecorded reports whether one of the flows is not in the last record of the upstream's process.
+func (r *Recorder) hasUnrecorded(held []landing.HeldFlow, startMillis uint64) bool {
 	if startMillis != r.recordedStart {
-		return len(held)
+		return len(held) > 0
 	}
-	count := 0
-	for _, h := range held {
-		if !r.recorded[h.Key()] {
-			count++
-		}
-	}
-	return count
+	return slices.ContainsFunc(held, func(h landing.HeldFlow) bool { return !r.recorded[h.Key()] })
 }
 
 // writeRecord creates or replaces the record. When the creation fails because there already is a record, the
