--- a/core/pkg/catchup/catchup.go
+++ b/core/pkg/catchup/catchup.go
@@ -102,12 +102,12 @@
 				cancel()
 				return
 			}
-			sleep(reading, pause)
+			common.SleepContext(reading, pause)
 		}
 	}
 	readers.Go(func() {
 		// The peers are the same for many processes, which may all start at the same time.
-		sleep(reading, pause)
+		common.SleepContext(reading, pause)
 		readUntilComplete(r.ReadFromPeers)
 	})
 	readUntilComplete(func(ctx context.Context) error {
@@ -118,16 +118,6 @@
 	return ctx.Err() == nil
 }
 
-// sleep returns after the pause, or when ctx is done.
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // readFrom reads from one source and posts the result. Before is the policy before the read.
 func (r Reader) readFrom(ctx context.Context, source landing.ReadSource, before policy.Policy, isIsolated bool) error {
 	switch source.(type) {
--- a/core/pkg/occupancy/occupancy.go
+++ b/core/pkg/occupancy/occupancy.go
@@ -1,5 +1,5 @@
-// Package occupancy decides how many slots of an upstream its sidecar believes to be in use. A slot
-// is one of the requests that the upstream processes at once.
+// Package occupancy estimates how many slots of an upstream are in use. A slot is one of the requests
+// that the upstream processes at once.
 //
 // The load pattern that it answers is the return of all callers after an outage. Many callers give
 // up while their requests are on the way, and packets are lost and arrive out of order, so the
@@ -159,8 +159,8 @@
 	return l.requests[i], true
 }
 
-// RunningRequests returns the number of requests that are believed to hold a slot or to wait for one
-// at the upstream.
+// RunningRequests returns the estimated number of requests that hold a slot or wait for one at the
+// upstream.
 func (l Ledger) RunningRequests(now time.Time) int {
 	running := 0
 	for _, r := range l.requests {
--- a/core/pkg/walk/search_test.go
+++ b/core/pkg/walk/search_test.go
@@ -161,8 +161,8 @@
 	is.True(found > 0 && found < 200*time.Millisecond)
 }
 
-// No reset is sent on the word of some sidecars: a search in which one is silent shows nothing about
-// it, and neither do the answers to an earlier copy.
+// A flow is reset only when every sidecar has returned the packet. A search in which one is silent is not
+// enough, and neither are the answers to an earlier copy.
 func TestSearch_SilentSidecarIsNoProof(t *testing.T) {
 	is := is.New(t)
 	candidates := []Candidate{{Address: 1}, {Address: 2}, {Address: 3}}
--- a/sidecar/pkg/relay/load.go
+++ b/sidecar/pkg/relay/load.go
@@ -12,7 +12,8 @@
 type upstreamLoad struct {
 	// flowCount is the number of flows in the table.
 	flowCount int
-	// runningRequests is the number of requests that the upstream is believed to process or to hold in its queue.
+	// runningRequests is the number of requests that the upstream processes or holds in its queue, as estimated
+	// from the packets that passed.
 	runningRequests int
 	averageLatency  time.Duration
 	// isMeasured reports whether averageLatency is based on enough requests.
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -182,11 +182,6 @@
 			return
 		}
 		s.telemetry.Log().Info("enrollment cannot be taken back", "error", err.Error())
-		timer := time.NewTimer(enrollRetryPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		common.SleepContext(ctx, enrollRetryPause)
 	}
 }
