--- a/core/pkg/walk/search.go
+++ b/core/pkg/walk/search.go
@@ -182,8 +182,3 @@
 func (s Search) IsUnheld(candidates []Candidate, skipped AskedSet) bool {
 	return s.asked.union(skipped).hasAll(len(candidates))
 }
-
-// Asked returns the sidecars that have returned the packet.
-func (s Search) Asked() AskedSet {
-	return s.asked
-}
