--- a/experiment/pkg/app/app.go
+++ b/experiment/pkg/app/app.go
@@ -10,7 +10,8 @@
 	"github.com/crocuslanding/crocuslanding/experiment/pkg/measure"
 )
 
-const usage = "usage: experiment [-out FOLDER] [balance] [capacity] [changes] [download] [zone]   (all when none is named)"
+const usage = `usage: experiment [-out FOLDER] [balance] [capacity] [changes] [download] [zone]   (all when none is named)
+       experiment regress -bench PROGRAM -sites FOLDER [-baseline FILE] [-write FILE]`
 
 // Run runs the measurements named on the command line, or all of them when none is named, and exits the process.
 func Run() {
@@ -21,6 +22,9 @@
 	}
 	flag.Parse()
 	names := flag.Args()
+	if len(names) > 0 && names[0] == "regress" {
+		program.Exit(regress(names[1:]))
+	}
 	if len(names) == 0 {
 		names = []string{"changes", "balance", "capacity", "download", "zone"}
 	}
