--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -232,7 +232,7 @@
 	target  *target
 }
 
-func (n *side) app() netip.AddrPort { return netip.AddrPortFrom(n.ip, n.lab.port(portApp)) }
+func (n *side) app() netip.AddrPort      { return netip.AddrPortFrom(n.ip, n.lab.port(portApp)) }
 func (n *side) outbound() netip.AddrPort { return netip.AddrPortFrom(n.ip, n.lab.port(portOutbound)) }
 
 func (n *side) control() netip.AddrPort { return netip.AddrPortFrom(n.ip, n.lab.port(portControl)) }
