--- a/review/lab/heartbeat.go
+++ b/review/lab/heartbeat.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// lateHeartbeatCase: a target has crashed and its successor has registered at the same address. The sidecar is killed and
-// starts again, and then a heartbeat of the crashed target arrives that was held up.
+// lateHeartbeatCase: a target has crashed and its successor has registered at the same address. The sidecar is restarted
+// as planned, and then a heartbeat of the crashed target arrives that was held up.
 func lateHeartbeatCase(l *lab) {
 	l.standardLab()
 	n := l.sides[0]
@@ -15,8 +15,8 @@
 	flows := l.openFlows(24, l.routeOf)
 	time.Sleep(touchWindow)
 	disruptedAt := time.Now()
-	n.process.kill()
-	l.logf("%s is killed", n.name)
+	n.process.terminate()
+	l.logf("%s has stopped as planned", n.name)
 	time.Sleep(500 * time.Millisecond)
 	n.start()
 	if l.trouble {
