--- a/balancer/pkg/relay/app.go
+++ b/balancer/pkg/relay/app.go
@@ -24,6 +24,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/form"
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
@@ -149,7 +150,7 @@
 // listen opens the HTTP servers for readiness, for other processes of the fleet and for metrics.
 func (b *Balancer) listen(s landing.RelayBalancerSettings) error {
 	handlers := map[string]http.Handler{
-		s.Readiness(): platform.NewReadinessHandler(func() bool { return b.control.Snapshot().IsReady(time.Now()) }),
+		s.Readiness(): platform.NewReadinessHandler(func() bool { return b.control.Snapshot().IsReady(clock.Now()) }),
 		s.Fleet(): peer.NewHandler(func() (landing.PlatformSnapshot, bool) {
 			snapshot := b.control.Snapshot()
 			return snapshot.PlatformSnapshot(), snapshot.HasInitialState()
--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -2,9 +2,9 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
@@ -146,7 +146,7 @@
 		c.telemetry.Log().Info("sidecars enrolled", "revision", list.Revision(), "sidecars", list.EnrollmentsLen())
 		common.Notify(c.sidecarsChanged)
 	}
-	return s.WithDirectory(s.directory.WithEnrollmentList(list, time.Now()))
+	return s.WithDirectory(s.directory.WithEnrollmentList(list, clock.Now()))
 }
 
 // detectUpstreamRestart calls onUpstreamRestart when the status carries another start time of the upstream than the last
--- a/balancer/pkg/relay/forwarder.go
+++ b/balancer/pkg/relay/forwarder.go
@@ -4,11 +4,11 @@
 	"net"
 	"net/netip"
 	"slices"
-	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/link"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
@@ -144,12 +144,12 @@
 	case landing.ReturnedPacket:
 		f.handleReturnedPacket(datagram)
 	case landing.SidecarStatus:
-		f.statuses.add(landing.ReceivedStatus{}.WithStatus(datagram).WithSourceAddress(sender).WithReceivedAt(time.Now()))
+		f.statuses.add(landing.ReceivedStatus{}.WithStatus(datagram).WithSourceAddress(sender).WithReceivedAt(clock.Now()))
 	case landing.FlowClaim:
-		f.flows.putClaim(datagram.Key(), sender, datagram.UpstreamStartMillis(), time.Now())
+		f.flows.putClaim(datagram.Key(), sender, datagram.UpstreamStartMillis(), clock.Now())
 		f.handleFound(datagram.Key(), sender)
 	case landing.IndirectProbeAck:
-		f.control.Post(landing.ProbeAckReceived{}.WithSubjectAddress(datagram.SubjectAddress()).WithProxyAddress(sender).WithReceivedAt(time.Now()))
+		f.control.Post(landing.ProbeAckReceived{}.WithSubjectAddress(datagram.SubjectAddress()).WithProxyAddress(sender).WithReceivedAt(clock.Now()))
 	case landing.ForwardedPacket, landing.StatusSubscription, landing.IndirectProbe:
 		f.telemetry.Counters().CountRefusal(landing.RefusalMalformed)
 	}
--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -7,6 +7,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/placement"
 	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
@@ -25,7 +26,7 @@
 // have newer rules that allow the flow.
 func (f *Forwarder) refuseUnknownService(segment landing.Segment) {
 	f.telemetry.Counters().CountRefusal(landing.RefusalService)
-	sidecarAddress, found := f.flows.lookupAndUpdate(segment, time.Now())
+	sidecarAddress, found := f.flows.lookupAndUpdate(segment, clock.Now())
 	if found {
 		f.flows.remove(segment.Key(), sidecarAddress)
 	}
@@ -36,7 +37,7 @@
 
 // openFlow offers a new flow to the most suitable sidecars, or refuses it when there are none.
 func (f *Forwarder) openFlow(s Snapshot, listener landing.Listener, segment landing.Segment, packet platform.Packet) {
-	now := time.Now()
+	now := clock.Now()
 	service, candidates := f.rankCandidates(s, listener, segment.Key(), now)
 	if previousAddress, isCached := f.flows.lookupAndUpdate(segment, now); isCached && segment.EarlierCopies() > 0 {
 		sidecar, _ := s.directory.Find(previousAddress)
@@ -81,7 +82,7 @@
 
 // sendOpening sends an opening packet along hops, and caches and counts it for the first of them.
 func (f *Forwarder) sendOpening(s Snapshot, service string, segment landing.Segment, hops []uint64, part uint32, packet platform.Packet) {
-	f.flows.putOpening(segment, hops[0], time.Now())
+	f.flows.putOpening(segment, hops[0], clock.Now())
 	if sidecar, found := s.directory.Find(hops[0]); found {
 		f.flows.countNewFlow(sidecar)
 		f.telemetry.Log().Info("flow placed", "flow", address.FormatFlow(segment.Key()), "sidecar", sidecar.Enrollment().Instance(),
@@ -96,14 +97,14 @@
 	if sidecar.LastStatusAt().IsZero() {
 		return "none"
 	}
-	return time.Since(sidecar.LastStatusAt()).Round(time.Millisecond).String()
+	return clock.Since(sidecar.LastStatusAt()).Round(time.Millisecond).String()
 }
 
 // refuseUnserved refuses a new flow for which there is no candidate. It sends no reset while a sidecar may soon be
 // available, because the enrolled sidecars have just changed or the phase of an upstream is not known. The caller then
 // sends another copy.
 func (f *Forwarder) refuseUnserved(s Snapshot, listener landing.Listener, segment landing.Segment) {
-	if !reject.IsEnrollmentListSettled(s.directory.ChangedAt(), time.Now()) {
+	if !reject.IsEnrollmentListSettled(s.directory.ChangedAt(), clock.Now()) {
 		f.telemetry.Counters().CountRefusal(landing.RefusalUnready)
 		return
 	}
@@ -129,7 +130,7 @@
 	}
 	f.flows.remove(segment.Key(), returned.HopAddressesAt(0))
 	tried := returned.HopAddresses()[:returned.HopIndex()+1]
-	service, candidates := f.rankCandidates(s, listener, segment.Key(), time.Now())
+	service, candidates := f.rankCandidates(s, listener, segment.Key(), clock.Now())
 	hops := slices.DeleteFunc(addressesOf(candidates), func(hop uint64) bool { return slices.Contains(tried, hop) })
 	if returned.ChainPart() == 0 && len(hops) > 0 {
 		f.sendOpening(s, service, segment, hops[:min(len(hops), walk.MaxHopsPerPart)], 1, packet) // part 1 is the second
@@ -148,7 +149,7 @@
 // refuseOpening refuses a new flow with a reset. It sends no reset in reply to a later copy of an opening packet or for a
 // cached flow, since an earlier copy may have opened the flow meanwhile.
 func (f *Forwarder) refuseOpening(segment landing.Segment, reason landing.Refusal) {
-	if _, isCached := f.flows.lookupAndUpdate(segment, time.Now()); isCached || segment.EarlierCopies() > 0 {
+	if _, isCached := f.flows.lookupAndUpdate(segment, clock.Now()); isCached || segment.EarlierCopies() > 0 {
 		f.telemetry.Counters().CountRefusal(reason)
 		return
 	}
--- a/balancer/pkg/relay/orphan_resetter.go
+++ b/balancer/pkg/relay/orphan_resetter.go
@@ -6,6 +6,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
 	"github.com/crocuslanding/crocuslanding/platform"
@@ -95,7 +96,7 @@
 		r.telemetry.Log().Info("flows not reset", "reason", "other sidecars have enrolled", "flows", len(pending))
 		return
 	}
-	unreachable := absence.UnreachableZones(r.control.Snapshot().directory.Sidecars(), time.Now())
+	unreachable := absence.UnreachableZones(r.control.Snapshot().directory.Sidecars(), clock.Now())
 	for _, candidate := range pending {
 		// The walk must have covered the sidecars that are enrolled now, and the zones that it left out must still be
 		// unreachable.
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -7,6 +7,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/catchup"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
 	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
@@ -267,7 +268,7 @@
 		snapshot := s.control.Snapshot()
 		s.forwarder.sendSubscriptions(snapshot, tick%subscribeAllTicks == 0)
 		if tick%removeIdleTicks == 0 {
-			s.forwarder.flows.removeIdle(2*max(snapshot.policy.Rules().Rules().IdleTimeout(), minIdleTimeout), time.Now())
+			s.forwarder.flows.removeIdle(2*max(snapshot.policy.Rules().Rules().IdleTimeout(), minIdleTimeout), clock.Now())
 		}
 	}
 }
@@ -275,7 +276,7 @@
 // sendSubscriptions sends a subscription, with the revisions that this balancer has in force, to the sidecars whose
 // statuses the balancer subscribes to: to all of them, or only to those whose status is overdue.
 func (f *Forwarder) sendSubscriptions(s Snapshot, all bool) {
-	now := time.Now()
+	now := clock.Now()
 	advertised := s.policy.AdvertisedRevisions()
 	subscription := landing.StatusSubscription{}.
 		WithBalancerAddress(f.link.LocalAddress()).
--- a/balancer/pkg/relay/reaper.go
+++ b/balancer/pkg/relay/reaper.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
 	"github.com/crocuslanding/crocuslanding/platform"
@@ -69,7 +70,7 @@
 // for an answer. It also logs the zones that can be reached again.
 func (r *Reaper) handleZoneChanges(s Snapshot) {
 	sidecars := s.directory.Sidecars()
-	unreachable := absence.UnreachableZones(sidecars, time.Now())
+	unreachable := absence.UnreachableZones(sidecars, clock.Now())
 	for zone := range unreachable {
 		if r.unreachableZones[zone] {
 			continue
@@ -96,7 +97,7 @@
 	maps.DeleteFunc(r.removed, func(enrollment landing.Enrollment, _ bool) bool {
 		return !slices.ContainsFunc(sidecars, func(sidecar landing.KnownSidecar) bool { return sidecar.Enrollment() == enrollment })
 	})
-	return slices.DeleteFunc(absence.RemovableSidecars(sidecars, time.Now()), func(sidecar landing.KnownSidecar) bool {
+	return slices.DeleteFunc(absence.RemovableSidecars(sidecars, clock.Now()), func(sidecar landing.KnownSidecar) bool {
 		return r.removed[sidecar.Enrollment()]
 	})
 }
@@ -105,7 +106,7 @@
 // posts which sidecars were probed.
 func (r *Reaper) sendProbes(s Snapshot) {
 	var local, remote []uint64 // probed through a proxy in the sidecar's own zone, and in another zone
-	for _, probe := range absence.DueProbes(s.directory.Subscribed(), time.Now()) {
+	for _, probe := range absence.DueProbes(s.directory.Subscribed(), clock.Now()) {
 		for _, proxy := range probe.Proxies {
 			r.forwarder.link.Send(landing.IndirectProbe{}.WithSubjectAddress(probe.Subject.Address()).WithBalancerAddress(r.forwarder.link.LocalAddress()), proxy)
 		}
--- a/balancer/pkg/relay/search.go
+++ b/balancer/pkg/relay/search.go
@@ -7,6 +7,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 	"github.com/crocuslanding/crocuslanding/core/pkg/chain"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 	"github.com/crocuslanding/crocuslanding/core/pkg/walk"
@@ -31,7 +32,7 @@
 // unreachable. In the second case the flow is reset at once if the sidecar has claimed it for an upstream process whose
 // start time is known: that sidecar then certainly held the flow, and cannot be reached.
 func (f *Forwarder) forwardOpenFlow(s Snapshot, listener landing.Listener, segment landing.Segment, packet platform.Packet) {
-	sidecarAddress, found := f.flows.lookupAndUpdate(segment, time.Now())
+	sidecarAddress, found := f.flows.lookupAndUpdate(segment, clock.Now())
 	unreachable := f.zonesIfUnreachable(s, sidecarAddress)
 	switch {
 	case unreachable != nil && f.flows.isClaimedByKnownProcess(segment.Key()):
@@ -49,7 +50,7 @@
 // zonesIfUnreachable returns all unreachable zones if the sidecar at this address is in one of them and its status is
 // overdue, and nil otherwise.
 func (f *Forwarder) zonesIfUnreachable(s Snapshot, sidecarAddress uint64) map[string]bool {
-	now := time.Now()
+	now := clock.Now()
 	sidecar, found := s.directory.Find(sidecarAddress)
 	if !found || !absence.IsStatusOverdue(sidecar, now) {
 		return nil
@@ -76,7 +77,7 @@
 // the only path leads through the proxy. Otherwise, when the status is overdue, the packet is sent both directly and
 // through a third sidecar (the detour), if there is one. The upstream discards the duplicate.
 func (f *Forwarder) paths(s Snapshot, sidecarAddress uint64) [][]uint64 {
-	now := time.Now()
+	now := clock.Now()
 	direct := []uint64{sidecarAddress}
 	sidecar, found := s.directory.Find(sidecarAddress)
 	if !found {
@@ -93,7 +94,7 @@
 
 // findHolder begins a search over all sidecars for the one that holds the flow of a packet.
 func (f *Forwarder) findHolder(s Snapshot, listener landing.Listener, segment landing.Segment, p landing.ForwardedPacket) {
-	number, isBegun := f.searches.begin(segment.Key(), p, s.directory.ChangedRevision(), time.Now())
+	number, isBegun := f.searches.begin(segment.Key(), p, s.directory.ChangedRevision(), clock.Now())
 	if !isBegun {
 		// searches_left_out counts packets whose holder was not searched because too many searches are in progress.
 		f.telemetry.Counters().Counter("searches_left_out").Inc(1)
@@ -108,7 +109,7 @@
 // as a candidate for a reset. The search starts again when the set of enrolled sidecars has changed, since the sidecars
 // are denoted by their index in it.
 func (f *Forwarder) continueSearch(s Snapshot, listener landing.Listener, segment landing.Segment, number uint32, returned []uint64) {
-	now := time.Now()
+	now := clock.Now()
 	f.searches.trust(returned...)
 	unreachable := absence.UnreachableZones(s.directory.Sidecars(), now)
 	skipped := skippedSidecars(s, unreachable)
@@ -175,7 +176,7 @@
 		case <-f.searchBegun:
 		}
 		for common.Sleep(f.stopper, searchInterval) {
-			due, isActive := f.searches.due(time.Now())
+			due, isActive := f.searches.due(clock.Now())
 			for _, number := range due {
 				f.continueDueSearch(number)
 			}
--- a/core/gen/codec/flow.go
+++ b/core/gen/codec/flow.go
@@ -208,6 +208,7 @@
 func EncodeFlowAdmitted(v landing.FlowAdmitted) *landingpb.FlowAdmitted {
 	m := &landingpb.FlowAdmitted{}
 	m.InitialSequenceNumber = v.InitialSequenceNumber()
+	m.OpenFlowPossible = v.OpenFlowPossible()
 	return m
 }
 
@@ -215,6 +216,7 @@
 func DecodeFlowAdmitted(m *landingpb.FlowAdmitted) landing.FlowAdmitted {
 	v := landing.FlowAdmitted{}
 	v = v.WithInitialSequenceNumber(m.GetInitialSequenceNumber())
+	v = v.WithOpenFlowPossible(m.GetOpenFlowPossible())
 	return v
 }
 
@@ -223,6 +225,7 @@
 	m := &landingpb.FlowHalfOpen{}
 	m.InitialSequenceNumber = v.InitialSequenceNumber()
 	m.ExpectedAcknowledgement = v.ExpectedAcknowledgement()
+	m.OpenFlowPossible = v.OpenFlowPossible()
 	return m
 }
 
@@ -231,6 +234,7 @@
 	v := landing.FlowHalfOpen{}
 	v = v.WithInitialSequenceNumber(m.GetInitialSequenceNumber())
 	v = v.WithExpectedAcknowledgement(m.GetExpectedAcknowledgement())
+	v = v.WithOpenFlowPossible(m.GetOpenFlowPossible())
 	return v
 }
 
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -244,6 +244,8 @@
 	m.ExclusionsChangedRevision = v.ExclusionsChangedRevision()
 	m.Instance = v.Instance()
 	m.SidecarCount = v.SidecarCount()
+	m.StatusIncarnation = v.StatusIncarnation()
+	m.StatusSequenceNumber = v.StatusSequenceNumber()
 	return m
 }
 
@@ -255,6 +257,8 @@
 	v = v.WithExclusionsChangedRevision(m.GetExclusionsChangedRevision())
 	v = v.WithInstance(m.GetInstance())
 	v = v.WithSidecarCount(m.GetSidecarCount())
+	v = v.WithStatusIncarnation(m.GetStatusIncarnation())
+	v = v.WithStatusSequenceNumber(m.GetStatusSequenceNumber())
 	return v
 }
 
@@ -721,6 +725,7 @@
 	m := &landingpb.SubscriptionReceived{}
 	m.Subscription = EncodeStatusSubscription(v.Subscription())
 	m.ReceivedAt = timestamppb.New(v.ReceivedAt())
+	m.AcknowledgedAt = timestamppb.New(v.AcknowledgedAt())
 	return m
 }
 
@@ -729,6 +734,7 @@
 	v := landing.SubscriptionReceived{}
 	v = v.WithSubscription(DecodeStatusSubscription(m.GetSubscription()))
 	v = v.WithReceivedAt(m.GetReceivedAt().AsTime())
+	v = v.WithAcknowledgedAt(m.GetAcknowledgedAt().AsTime())
 	return v
 }
 
--- a/core/gen/landing/flow.go
+++ b/core/gen/landing/flow.go
@@ -490,6 +490,7 @@
 // FlowAdmitted means that the sidecar admitted the flow and no SYN-ACK has been sent yet.
 type FlowAdmitted struct {
 	initialSequenceNumber uint32
+	openFlowPossible      bool
 }
 
 func (FlowAdmitted) isFlowState() {}
@@ -507,10 +508,24 @@
 	return v
 }
 
+// OpenFlowPossible returns the field of the same name.
+//
+// Whether the upstream may hold an open flow with the same key, because the SYN may be a late copy.
+func (v FlowAdmitted) OpenFlowPossible() bool {
+	return v.openFlowPossible
+}
+
+// WithOpenFlowPossible returns a copy of v with the given openFlowPossible.
+func (v FlowAdmitted) WithOpenFlowPossible(openFlowPossible bool) FlowAdmitted {
+	v.openFlowPossible = openFlowPossible
+	return v
+}
+
 // FlowHalfOpen means that the SYN-ACK was sent and the caller has not acknowledged it yet.
 type FlowHalfOpen struct {
 	initialSequenceNumber   uint32
 	expectedAcknowledgement uint32
+	openFlowPossible        bool
 }
 
 func (FlowHalfOpen) isFlowState() {}
@@ -541,6 +556,19 @@
 	return v
 }
 
+// OpenFlowPossible returns the field of the same name.
+//
+// Whether the upstream may hold an open flow with the same key, because the SYN may be a late copy.
+func (v FlowHalfOpen) OpenFlowPossible() bool {
+	return v.openFlowPossible
+}
+
+// WithOpenFlowPossible returns a copy of v with the given openFlowPossible.
+func (v FlowHalfOpen) WithOpenFlowPossible(openFlowPossible bool) FlowHalfOpen {
+	v.openFlowPossible = openFlowPossible
+	return v
+}
+
 // FlowEstablished means that the handshake is complete.
 type FlowEstablished struct {
 }
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -794,6 +794,8 @@
 	exclusionsChangedRevision uint64
 	instance                  string
 	sidecarCount              uint32
+	statusIncarnation         uint64
+	statusSequenceNumber      uint64
 }
 
 func (StatusSubscription) isDatagram() {}
@@ -864,6 +866,34 @@
 	return v
 }
 
+// StatusIncarnation returns the field of the same name.
+//
+// Incarnation and sequence number of the last status that the balancer received from the sidecar;
+// 0 when it received none or is of a version that does not state them. The sidecar takes the time
+// at which it sent that status as the time up to which the subscription confirms its enrollment.
+func (v StatusSubscription) StatusIncarnation() uint64 {
+	return v.statusIncarnation
+}
+
+// WithStatusIncarnation returns a copy of v with the given statusIncarnation.
+func (v StatusSubscription) WithStatusIncarnation(statusIncarnation uint64) StatusSubscription {
+	v.statusIncarnation = statusIncarnation
+	return v
+}
+
+// StatusSequenceNumber returns the field of the same name.
+//
+
+func (v StatusSubscription) StatusSequenceNumber() uint64 {
+	return v.statusSequenceNumber
+}
+
+// WithStatusSequenceNumber returns a copy of v with the given statusSequenceNumber.
+func (v StatusSubscription) WithStatusSequenceNumber(statusSequenceNumber uint64) StatusSubscription {
+	v.statusSequenceNumber = statusSequenceNumber
+	return v
+}
+
 // FlowClaim reports to a balancer that the upstream of the sending sidecar holds a flow, that is,
 // has the TCP state of the flow.
 type FlowClaim struct {
@@ -1794,8 +1824,9 @@
 
 // SubscriptionReceived means that a balancer subscribed to the sidecar's status.
 type SubscriptionReceived struct {
-	subscription StatusSubscription
-	receivedAt   time.Time
+	subscription   StatusSubscription
+	receivedAt     time.Time
+	acknowledgedAt time.Time
 }
 
 func (SubscriptionReceived) isRelayEvent() {}
@@ -1826,6 +1857,20 @@
 	return v
 }
 
+// AcknowledgedAt returns the field of the same name.
+//
+// Time at which the sidecar sent the status that the subscription acknowledges, or, if it
+// acknowledges none, the time at which the sidecar started. By the clock of the sidecar.
+func (v SubscriptionReceived) AcknowledgedAt() time.Time {
+	return v.acknowledgedAt
+}
+
+// WithAcknowledgedAt returns a copy of v with the given acknowledgedAt.
+func (v SubscriptionReceived) WithAcknowledgedAt(acknowledgedAt time.Time) SubscriptionReceived {
+	v.acknowledgedAt = acknowledgedAt
+	return v
+}
+
 // RevisionsSeen means that a datagram named newer revisions than this process has.
 type RevisionsSeen struct {
 	revisions PolicyRevisions
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -339,6 +339,8 @@
 	b = field.AppendUint(b, 3, v.ExclusionsChangedRevision())
 	b = field.AppendString(b, 4, v.Instance())
 	b = field.AppendUint(b, 5, uint64(v.SidecarCount()))
+	b = field.AppendUint(b, 6, v.StatusIncarnation())
+	b = field.AppendUint(b, 7, v.StatusSequenceNumber())
 	return b
 }
 
@@ -358,6 +360,10 @@
 			v = v.WithInstance(r.String())
 		case 5:
 			v = v.WithSidecarCount(uint32(r.Uint()))
+		case 6:
+			v = v.WithStatusIncarnation(r.Uint())
+		case 7:
+			v = v.WithStatusSequenceNumber(r.Uint())
 		}
 	}
 	return v, r.Err()
--- /dev/null
+++ b/core/pkg/enrollment/enrollment.go
@@ -0,0 +1,80 @@
+// Package enrollment decides whether a sidecar may rely on its enrollment, its entry in the platform
+// (the service outside the fleet that stores shared objects) by which balancers find it. A sidecar
+// whose enrollment does not exist must not admit flows, since balancers would reset them: they take
+// a flow that no enrolled sidecar holds for lost.
+//
+// Balancers remove the enrollment of a sidecar that has been silent for 2.5 s, for instance because
+// its machine was suspended. So a confirmation of the enrollment is like a lease: it is valid for a
+// shorter time, counted from a moment before the message that confirms it was sent. A message that
+// was delayed or waited in a socket then confirms nothing.
+//
+// The list of a balancer can be older than the removal of the enrollment. So once the confirmation
+// has lapsed, only the platform can confirm the enrollment again. While the platform does not answer,
+// balancers are believed, since the platform is needed for a removal too.
+package enrollment
+
+import "time"
+
+const (
+	// Validity is the time for which a confirmation is valid. It is shorter than the silence of 2.5 s
+	// after which balancers remove an enrollment (package absence).
+	Validity = 2 * time.Second
+	// renewAfter is the age of the last confirmation from which the platform is asked to confirm the
+	// enrollment. Balancers renew their subscriptions every second, and acknowledge a status that is
+	// 250 ms old.
+	renewAfter = 1500 * time.Millisecond
+)
+
+// Confirmation is what a sidecar knows of its enrollment. It is immutable. The zero value is that of
+// a sidecar that has just started.
+type Confirmation struct {
+	// confirmedAt is the latest time at which the enrollment is known to have existed; the zero time
+	// before the first confirmation.
+	confirmedAt time.Time
+	// isPlatformAnswering reports whether the last call to the platform has been answered.
+	isPlatformAnswering bool
+}
+
+// WithPlatformAnswer returns the confirmation after the platform has confirmed the enrollment in
+// response to a call that was sent at calledAt.
+func (c Confirmation) WithPlatformAnswer(calledAt time.Time) Confirmation {
+	c.isPlatformAnswering = true
+	return c.withConfirmedAt(calledAt)
+}
+
+// WithPlatformFailure returns the confirmation after a call to the platform has failed.
+func (c Confirmation) WithPlatformFailure() Confirmation {
+	c.isPlatformAnswering = false
+	return c
+}
+
+// WithSubscription returns the confirmation after a balancer that has the sidecar in its list has
+// acknowledged a status that the sidecar sent at sentAt.
+func (c Confirmation) WithSubscription(sentAt, now time.Time) Confirmation {
+	if c.isPlatformAnswering && !c.IsValid(now) {
+		return c
+	}
+	return c.withConfirmedAt(sentAt)
+}
+
+// IsValid reports whether the sidecar may rely on its enrollment.
+func (c Confirmation) IsValid(now time.Time) bool {
+	return c.HasBeenConfirmed() && now.Sub(c.confirmedAt) <= Validity
+}
+
+// IsRenewalDue reports whether the platform must be asked to confirm the enrollment.
+func (c Confirmation) IsRenewalDue(now time.Time) bool {
+	return !c.isPlatformAnswering || now.Sub(c.confirmedAt) > renewAfter
+}
+
+// HasBeenConfirmed reports whether the enrollment was confirmed since the sidecar started.
+func (c Confirmation) HasBeenConfirmed() bool {
+	return !c.confirmedAt.IsZero()
+}
+
+func (c Confirmation) withConfirmedAt(t time.Time) Confirmation {
+	if t.After(c.confirmedAt) {
+		c.confirmedAt = t
+	}
+	return c
+}
--- /dev/null
+++ b/core/pkg/enrollment/enrollment_test.go
@@ -0,0 +1,80 @@
+package enrollment
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func ExampleConfirmation() {
+	c := Confirmation{}.WithPlatformAnswer(start)
+	fmt.Println(c.IsValid(start.Add(time.Second)), c.IsValid(start.Add(3*time.Second)))
+	// Output:
+	// true false
+}
+
+// Guards against a sidecar that admits flows after its machine was suspended for 3.1 s, because
+// subscriptions that had waited in its socket confirmed an enrollment that balancers had removed.
+// Its flows were reset when their packets came through other balancers (deployment nosa-lb).
+func TestWithSubscription_DoesNotRenewLapsedConfirmation(t *testing.T) {
+	is := is.New(t)
+	wokenAt := start.Add(3100 * time.Millisecond)
+	c := Confirmation{}.WithPlatformAnswer(start).WithSubscription(start, wokenAt)
+	is.True(!c.IsValid(wokenAt))
+	is.True(c.IsRenewalDue(wokenAt))
+	c = c.WithSubscription(wokenAt, wokenAt) // of a balancer whose list is older than the removal
+	is.True(!c.IsValid(wokenAt))
+	is.True(c.WithPlatformAnswer(wokenAt).IsValid(wokenAt))
+}
+
+// Guards against a fleet that admits no flow while the platform is down.
+func TestWithSubscription_RenewsWhilePlatformFails(t *testing.T) {
+	is := is.New(t)
+	later := start.Add(time.Minute)
+	c := Confirmation{}.WithPlatformAnswer(start).WithPlatformFailure().WithSubscription(later, later)
+	is.True(c.IsValid(later))
+	is.True(c.IsRenewalDue(later)) // the platform must be asked again
+	is.True(Confirmation{}.WithSubscription(later, later).IsValid(later))
+}
+
+// Guards against calls to the platform while subscriptions arrive as usual.
+func TestIsRenewalDue_NotWhileSubscriptionsArrive(t *testing.T) {
+	is := is.New(t)
+	c := Confirmation{}.WithPlatformAnswer(start)
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * time.Second)
+		c = c.WithSubscription(now.Add(-300*time.Millisecond), now)
+		is.True(c.IsValid(now.Add(time.Second)))
+		is.True(!c.IsRenewalDue(now.Add(time.Second)))
+	}
+}
+
+// Balancers remove the enrollment 2.5 s after the last sign of life, which is at the earliest the last
+// status that one of them has acknowledged. Whatever the order and delay of messages, the sidecar does
+// not rely on its enrollment at that time.
+func TestIsValid_EndsBeforeRemoval(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const removedAfter = 2500 * time.Millisecond
+		now, lastStatusAt := start, start
+		c := Confirmation{}.WithPlatformAnswer(start)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				lastStatusAt = now
+			case 1:
+				c = c.WithSubscription(lastStatusAt, now) // delayed since the status was sent
+			case 2:
+				c = c.WithPlatformAnswer(lastStatusAt)
+			}
+			if c.IsValid(now) && now.Sub(lastStatusAt) >= removedAfter {
+				t.Fatalf("the sidecar relies on its enrollment %s after its last status", now.Sub(lastStatusAt))
+			}
+		}
+	})
+}
--- a/sidecar/pkg/relay/admission.go
+++ b/sidecar/pkg/relay/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/entry"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
@@ -11,7 +12,7 @@
 
 // position returns the position of a packet in its chain, and whether the upstream is busy.
 func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket) landing.ChainPosition {
-	now := time.Now()
+	now := clock.Now()
 	l := f.table.load(now)
 	isFull := s.upstream.Slots() > 0 && l.runningRequests >= int(s.upstream.Slots())
 	return landing.ChainPosition{}.
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -19,6 +19,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/form"
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
@@ -177,7 +178,7 @@
 		sc.telemetry.Log().Info("heartbeat of another upstream", "upstream", heartbeat.Incarnation(), "address", heartbeat.Address())
 		return
 	}
-	sc.postUpstreamEvent(landing.UpstreamHeartbeatReceived{}.WithHeartbeat(heartbeat).WithReceivedAt(time.Now()))
+	sc.postUpstreamEvent(landing.UpstreamHeartbeatReceived{}.WithHeartbeat(heartbeat).WithReceivedAt(clock.Now()))
 }
 
 func (sc *Sidecar) postUpstreamEvent(e landing.UpstreamEvent) {
@@ -209,7 +210,7 @@
 	s := sc.controlThread.Snapshot()
 	hasUpstreamEnded := sc.forwarder.hasUpstreamEnded()
 	if hasUpstreamEnded {
-		sc.postUpstreamEvent(landing.UpstreamSocketClosed{}.WithDetectedAt(time.Now()))
+		sc.postUpstreamEvent(landing.UpstreamSocketClosed{}.WithDetectedAt(clock.Now()))
 	}
 	sc.controlThread.Update(Snapshot.WithStopping)
 	sc.forwarder.announceStop(hasUpstreamEnded)
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
@@ -142,7 +143,7 @@
 		t.telemetry.Log().Info("exclusions in force", "changed", p.Exclusions().ChangedRevision(), "out", isExcluded)
 	}
 	if wasExcluded && !isExcluded {
-		return t.applyUpstreamEvent(s, landing.ZoneRestored{}.WithRestoredAt(time.Now()).WithAssumedColdStart(p.Rules().Pool(t.service).ColdStartDuration()))
+		return t.applyUpstreamEvent(s, landing.ZoneRestored{}.WithRestoredAt(clock.Now()).WithAssumedColdStart(p.Rules().Pool(t.service).ColdStartDuration()))
 	}
 	return s
 }
--- a/sidecar/pkg/relay/execute.go
+++ b/sidecar/pkg/relay/execute.go
@@ -1,9 +1,8 @@
 package relay
 
 import (
-	"time"
-
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
@@ -21,7 +20,7 @@
 			f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 		}
 	case landing.AdmitFlow:
-		now := time.Now()
+		now := clock.Now()
 		if s := f.controlThread.Snapshot(); f.isUpstreamFull(s, now) {
 			f.enqueue(s, forwarded, segment, now)
 			return
@@ -32,7 +31,7 @@
 			f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 		}
 	case landing.OfferToUpstream:
-		f.table.recordOffer(segment, forwarded.BalancerAddress(), time.Now())
+		f.table.recordOffer(segment, forwarded.BalancerAddress(), clock.Now())
 		f.deliver(forwarded, packet)
 	case landing.DeliverAndForward:
 		f.deliver(forwarded, packet)
--- a/sidecar/pkg/relay/forwarder.go
+++ b/sidecar/pkg/relay/forwarder.go
@@ -10,6 +10,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/link"
 	"github.com/crocuslanding/crocuslanding/core/pkg/plan"
@@ -85,11 +86,11 @@
 		delivered:     newPacketRing(),
 		queueBlocked:  make(chan struct{}, 1),
 		stopper:       common.NewStopper(),
-		startedAt:     time.Now(),
+		startedAt:     clock.Now(),
 		responseTimes: c.Counters().DurationHistogram("answer"),
 		waitTimes:     c.Counters().DurationHistogram("wait"),
 	}
-	f.table = newTable(time.Now(), f.requestTimeout)
+	f.table = newTable(clock.Now(), f.requestTimeout)
 	f.registerGauges()
 	return f, nil
 }
@@ -105,8 +106,8 @@
 // upstream's last heartbeat, which is -1 when there was none.
 func (f *Forwarder) registerGauges() {
 	c := f.telemetry.Counters()
-	c.RegisterGauge("flows", func() int64 { return int64(f.table.load(time.Now()).flowCount) })
-	c.RegisterGauge("running", func() int64 { return int64(f.table.load(time.Now()).runningRequests) })
+	c.RegisterGauge("flows", func() int64 { return int64(f.table.load(clock.Now()).flowCount) })
+	c.RegisterGauge("running", func() int64 { return int64(f.table.load(clock.Now()).runningRequests) })
 	c.RegisterGauge("waiting", func() int64 { return int64(f.queue.len()) })
 	c.RegisterGauge("revision.rules", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Rules()) })
 	c.RegisterGauge("revision.exclusions", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Exclusions()) })
@@ -115,7 +116,7 @@
 		if lastHeartbeat.IsZero() {
 			return -1
 		}
-		return time.Since(lastHeartbeat).Milliseconds()
+		return clock.Since(lastHeartbeat).Milliseconds()
 	})
 }
 
@@ -142,7 +143,7 @@
 	case landing.ForwardedPacket:
 		f.handlePacket(d)
 	case landing.StatusSubscription:
-		f.controlThread.Post(landing.SubscriptionReceived{}.WithSubscription(d).WithReceivedAt(time.Now()))
+		f.controlThread.Post(landing.SubscriptionReceived{}.WithSubscription(d).WithReceivedAt(clock.Now()))
 	case landing.IndirectProbe:
 		f.answerProbe(d)
 	case landing.IndirectProbeAck:
@@ -175,7 +176,7 @@
 	if seen := policy.NewRevisions(forwarded.RulesRevision(), forwarded.ExclusionsChangedRevision()); s.policy.IsOlderThan(seen) {
 		f.controlThread.Post(landing.RevisionsSeen{}.WithRevisions(seen))
 	}
-	now := time.Now()
+	now := clock.Now()
 	segment := packet.CallerSegment()
 	refusal := landing.RefusalUnspecified
 	decideRefusal := func(l upstreamLoad) landing.Refusal {
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/catchup"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
 	"github.com/crocuslanding/crocuslanding/platform"
@@ -75,7 +76,7 @@
 func (s *PlatformSync) followPolicy() {
 	s.reader.ReadFirst(s.stopper.Context(), firstReadPause)
 	for {
-		if !s.reader.CatchUp(s.stopper.Context(), !s.controlThread.Snapshot().HasSubscriber(time.Now())) {
+		if !s.reader.CatchUp(s.stopper.Context(), !s.controlThread.Snapshot().HasSubscriber(clock.Now())) {
 			common.Notify(s.controlThread.policyOutdated)
 		}
 		if !common.Sleep(s.stopper.Stopper, readPause) || !s.awaitReadDue() {
@@ -95,7 +96,7 @@
 		case <-s.controlThread.PolicyOutdated():
 			return true
 		case <-ticker.C:
-			if snapshot := s.controlThread.Snapshot(); !snapshot.policy.IsComplete() || !snapshot.HasSubscriber(time.Now()) {
+			if snapshot := s.controlThread.Snapshot(); !snapshot.policy.IsComplete() || !snapshot.HasSubscriber(clock.Now()) {
 				return true
 			}
 		}
@@ -113,12 +114,12 @@
 	}
 	for {
 		pause := enrollRetryPause
-		if s.controlThread.Snapshot().IsEnrolled(time.Now()) {
+		if s.controlThread.Snapshot().IsEnrolled(clock.Now()) {
 			pause = pollInterval
 		} else if err := s.tryEnroll(); err != nil {
 			s.telemetry.Log().V(1).Info("sidecar cannot enroll", "error", err.Error())
 		} else {
-			now := time.Now()
+			now := clock.Now()
 			s.controlThread.Update(func(current Snapshot) Snapshot { return current.WithEnrolledAt(now) })
 			s.telemetry.Log().Info("sidecar enrolled", "revision", s.storedEnrollment.Revision())
 			pause = pollInterval
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -7,6 +7,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 	"github.com/crocuslanding/crocuslanding/core/pkg/backlog"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 )
 
@@ -106,7 +107,7 @@
 			f.admitWaiting()
 		case <-f.queueBlocked:
 		}
-		now := time.Now()
+		now := clock.Now()
 		if next, found := f.table.nextLapse(now); found && f.queue.len() > 0 {
 			timer.Reset(next.Sub(now))
 		}
@@ -116,7 +117,7 @@
 // admitWaiting admits waiting SYNs while the upstream has free slots.
 func (f *Forwarder) admitWaiting() {
 	for f.queue.len() > 0 {
-		now := time.Now()
+		now := clock.Now()
 		if f.isUpstreamFull(f.controlThread.Snapshot(), now) {
 			common.Notify(f.queueBlocked)
 			return
--- a/sidecar/pkg/relay/recorder.go
+++ b/sidecar/pkg/relay/recorder.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
@@ -122,7 +123,7 @@
 	if startMillis == 0 {
 		return
 	}
-	held := r.forwarder.table.heldFlows(upstream, time.Now().Add(-minRecordedAge), maxRecordedFlows)
+	held := r.forwarder.table.heldFlows(upstream, clock.Now().Add(-minRecordedAge), maxRecordedFlows)
 	if !r.hasUnrecorded(held, startMillis) {
 		return
 	}
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/weight"
 )
 
@@ -24,12 +25,13 @@
 func (f *Forwarder) reportStatus() {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
-	previous := f.table.load(time.Now())
+	previous := f.table.load(clock.Now())
 	for {
 		select {
 		case <-f.stopper.C():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := clock.Now()
 			f.admitWaiting()
 			f.table.recordOverdueRequests(now)
 			current := f.table.load(now)
@@ -37,10 +39,10 @@
 			previous = current
 			sequence := f.statusCount.Add(1)
 			s := f.controlThread.Snapshot()
-			f.sendStatus(s, sequence, s.UpstreamPhase(time.Now(), f.settings.Heartbeat()))
+			f.sendStatus(s, sequence, s.UpstreamPhase(clock.Now(), f.settings.Heartbeat()))
 			if sequence%statusesPerExpiry == 0 {
 				idleTimeout := max(f.controlThread.Snapshot().policy.Rules().Rules().IdleTimeout(), minIdleTimeout)
-				f.table.expire(2*idleTimeout, time.Now())
+				f.table.expire(2*idleTimeout, clock.Now())
 			}
 		}
 	}
@@ -59,7 +61,7 @@
 // sendStatus sends a status with this sequence number and phase of the upstream to each subscribed
 // balancer.
 func (f *Forwarder) sendStatus(s Snapshot, sequence uint64, phase landing.Phase) {
-	now := time.Now()
+	now := clock.Now()
 	l := f.table.load(now)
 	requestsPerSecond := uint32(0)
 	if l.isMeasured {
--- a/sidecar/pkg/relay/trace.go
+++ b/sidecar/pkg/relay/trace.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
@@ -23,7 +24,7 @@
 	if request == "" {
 		return
 	}
-	l := f.table.load(time.Now())
+	l := f.table.load(clock.Now())
 	f.telemetry.Log().Info(requestArrivedEvent, "request", request, "flow", address.FormatFlow(s.Key()),
 		"asked", isOffered, "part", forwarded.ChainPart(), "position", forwarded.HopIndex(), "running", l.runningRequests, "usual", l.averageLatency.Round(time.Millisecond).String())
 }
--- a/sidecar/pkg/relay/upstream.go
+++ b/sidecar/pkg/relay/upstream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/hold"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
@@ -25,7 +26,7 @@
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		f.controlThread.Post(landing.UpstreamEventObserved{}.WithEvent(landing.UpstreamSocketClosed{}.WithDetectedAt(time.Now())))
+		f.controlThread.Post(landing.UpstreamEventObserved{}.WithEvent(landing.UpstreamSocketClosed{}.WithDetectedAt(clock.Now())))
 	}
 	f.telemetry.Counters().Counter("write_failed").Inc(1)
 }
@@ -42,7 +43,7 @@
 		return
 	}
 	segment := packet.UpstreamSegment()
-	latency := f.table.recordUpstreamSegment(segment, time.Now())
+	latency := f.table.recordUpstreamSegment(segment, clock.Now())
 	f.sendToCaller(segment.Key(), packet)
 	if balancerAddress, isOffered := f.table.takeOffer(segment.Key()); isOffered && !segment.IsReset() {
 		f.claimFlow(balancerAddress, segment.Key())
