A sidecar's enrollment counts as confirmed only from the sending of what is confirmed

The sidecar enrolled again only 3 to 5 s after the wake-up, and balancers reset its flows as held by nobody. Change: subscriptions acknowledge a status and confirm the enrollment as of its sending, for 2 s; an expired confirmation is renewed at the platform, checked twice a second. A balancer that hears a sidecar that is not in its list resets no flow as held by nobody, results of walks expire, and after an interruption the silence of sidecars counts anew. Ruled out: a longer silence before removals (resets after a power loss would come later).

--- a/balancer/pkg/relay/orphan_resetter.go
+++ b/balancer/pkg/relay/orphan_resetter.go
@@ -18,6 +18,9 @@
 	minReadInterval = 100 * time.Millisecond
 	// maxOrphanCandidates limits the flows that wait for a read of the enrollments.
 	maxOrphanCandidates = 4096
+	// maxCandidateAge is the time after which the result of a walk no longer counts, for instance because the balancer was
+	// paused meanwhile. It covers a read of a slow platform.
+	maxCandidateAge = 4 * time.Second
 )
 
 // OrphanResetter resets orphaned flows, which no reachable sidecar holds. Its candidates are the flows for which a walk,
@@ -96,13 +99,22 @@
 		r.telemetry.Log().Info("flows not reset", "reason", "other sidecars have enrolled", "flows", len(pending))
 		return
 	}
-	unreachable := absence.UnreachableZones(r.control.Snapshot().directory.Sidecars(), clock.Now())
+	now := clock.Now()
+	latest := r.control.Snapshot().directory
+	if latest.HasUnlisted(now) {
+		r.telemetry.Log().Info("flows not reset", "reason", "a sidecar that is not enrolled runs", "flows", len(pending))
+		return
+	}
+	unreachable := absence.UnreachableZones(latest.Sidecars(), now)
 	for _, candidate := range pending {
 		// The walk must have covered the sidecars that are enrolled now, and the zones that it left out must still be
 		// unreachable.
 		if candidate.enrollmentsRevision != snapshot.directory.ChangedRevision() || !isSubset(candidate.unreachableZones, unreachable) {
 			continue
 		}
+		if now.Sub(candidate.foundAt) > maxCandidateAge {
+			continue
+		}
 		r.telemetry.Counters().Counter("reset.nobody").Inc(1)
 		// The key roll holds the revision that identifies the set of enrolled sidecars, and the key dark the number of
 		// unreachable zones.
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -287,6 +287,8 @@
 		if !all && !absence.IsStatusOverdue(sidecar, now) {
 			continue
 		}
-		f.link.Send(subscription.WithInstance(sidecar.Enrollment().Instance()), sidecar.Address())
+		status := sidecar.LastStatus()
+		f.link.Send(subscription.WithInstance(sidecar.Enrollment().Instance()).
+			WithStatusIncarnation(status.Incarnation()).WithStatusSequenceNumber(status.SequenceNumber()), sidecar.Address())
 	}
 }
--- a/balancer/pkg/relay/search.go
+++ b/balancer/pkg/relay/search.go
@@ -25,6 +25,8 @@
 	requestID string
 	// unreachableZones are the zones whose sidecars were not asked.
 	unreachableZones map[string]bool
+	// foundAt is the time at which the walk ended.
+	foundAt time.Time
 }
 
 // forwardOpenFlow sends a packet of an open flow to the sidecar at which the flow was last seen. It starts a walk over
@@ -226,7 +228,7 @@
 	if segment.IsReset() {
 		return
 	}
-	candidate := orphanCandidate{key: segment.Key(), lastAcknowledged: segment.AcknowledgementNumber(), enrollmentsRevision: p.enrollmentsRevision, requestID: requestIDOf(p.forwarded), unreachableZones: unreachable}
+	candidate := orphanCandidate{key: segment.Key(), lastAcknowledged: segment.AcknowledgementNumber(), enrollmentsRevision: p.enrollmentsRevision, requestID: requestIDOf(p.forwarded), unreachableZones: unreachable, foundAt: clock.Now()}
 	select {
 	case f.orphanCandidates <- candidate:
 	default:
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -5,6 +5,7 @@
 package directory
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -30,8 +31,25 @@
 	indexesByService map[string][]int
 	// subscribed holds the addresses of the sidecars whose statuses the balancer subscribes to.
 	subscribed map[uint64]bool
+	// lastStatusAt is the time of arrival of the last status of any sidecar.
+	lastStatusAt time.Time
+	// unlisted holds the time of arrival of the last status of each sidecar that runs but is not
+	// enrolled according to the list, by address.
+	unlisted map[uint64]time.Time
 }
 
+const (
+	// interruptionTime is the time without any status after which the balancer counts as having been
+	// cut off or paused: four status intervals.
+	interruptionTime = time.Second
+	// unlistedValidity is the time for which a status shows that a sidecar runs that is not in the
+	// list. A sidecar whose enrollment was removed while it was suspended enrolls again within a
+	// second, and the list follows within the same time.
+	unlistedValidity = 3 * time.Second
+	// maxUnlisted limits the memory for sidecars that are not in the list.
+	maxUnlisted = 1024
+)
+
 // New returns a directory without sidecars for the balancer at this address.
 func New(balancerAddress uint64) *Directory {
 	return &Directory{balancerAddress: balancerAddress}
@@ -58,6 +76,8 @@
 		changedAt:        d.changedAt,
 		indexByAddress:   map[uint64]int{},
 		indexesByService: map[string][]int{},
+		lastStatusAt:     d.lastStatusAt,
+		unlisted:         d.unlisted,
 	}
 	for i := range list.EnrollmentsLen() {
 		enrollment := list.EnrollmentsAt(i)
@@ -116,12 +136,20 @@
 
 // WithStatuses returns a directory with newer statuses. It ignores a status that is not newer than
 // the known one, and a status that names another instance than the one enrolled at its source
-// address.
+// address. Statuses of sidecars that are not enrolled are remembered for HasUnlisted.
+//
+// When no status of any sidecar has arrived for interruptionTime before, the balancer was cut off or
+// paused. The silence of every sidecar then counts from now on, since the statuses of some sidecars
+// arrive before those of others.
 func (d *Directory) WithStatuses(received ...landing.ReceivedStatus) *Directory {
 	next := *d
 	next.sidecars = slices.Clone(d.sidecars)
 	for _, r := range received {
+		next.noteArrival(r.ReceivedAt())
 		before, found := next.Find(r.SourceAddress())
+		if !found {
+			next.noteUnlisted(r)
+		}
 		if !found || before.Enrollment().Instance() != r.Status().Instance() || !isNewer(r.Status(), before.LastStatus()) {
 			continue
 		}
@@ -134,6 +162,47 @@
 	return &next
 }
 
+// noteArrival records the arrival of a status in a directory that is being made. After an interruption
+// all sidecars count as discovered now, and earlier probes as not sent.
+func (d *Directory) noteArrival(now time.Time) {
+	if !d.lastStatusAt.IsZero() && now.Sub(d.lastStatusAt) > interruptionTime {
+		for i, s := range d.sidecars {
+			d.sidecars[i] = s.WithDiscoveredAt(now).WithUnansweredLocalProbes(0).WithUnansweredRemoteProbes(0)
+		}
+	}
+	if now.After(d.lastStatusAt) {
+		d.lastStatusAt = now
+	}
+}
+
+// noteUnlisted records the status of a sidecar that is not enrolled in a directory that is being made. A
+// sidecar whose upstream has left holds no flows.
+func (d *Directory) noteUnlisted(r landing.ReceivedStatus) {
+	if r.Status().UpstreamPhase() == landing.PhaseLeft {
+		return
+	}
+	unlisted := maps.Clone(d.unlisted)
+	maps.DeleteFunc(unlisted, func(_ uint64, at time.Time) bool { return r.ReceivedAt().Sub(at) > unlistedValidity })
+	if unlisted == nil {
+		unlisted = map[uint64]time.Time{}
+	}
+	if len(unlisted) < maxUnlisted {
+		unlisted[r.SourceAddress()] = r.ReceivedAt()
+	}
+	d.unlisted = unlisted
+}
+
+// HasUnlisted reports whether a sidecar runs that is not enrolled. It may hold flows that no enrolled
+// sidecar holds: its enrollment was removed while it was suspended or unreachable.
+func (d *Directory) HasUnlisted(now time.Time) bool {
+	for sidecarAddress, at := range d.unlisted {
+		if _, isListed := d.indexByAddress[sidecarAddress]; !isListed && now.Sub(at) <= unlistedValidity {
+			return true
+		}
+	}
+	return false
+}
+
 // WithProbeAck returns a directory in which the sidecar at the address subject has answered a probe
 // through the sidecar at the address proxy.
 func (d *Directory) WithProbeAck(subject, proxy uint64, now time.Time) *Directory {
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -118,3 +118,48 @@
 	}
 	is.Equal(withoutStatus, 12)
 }
+
+// receivedAt returns a status of instance a that was received this long after now.
+func receivedAt(sequence uint64, after time.Duration) landing.ReceivedStatus {
+	return received(status(1, sequence)).WithReceivedAt(now.Add(after))
+}
+
+// Guards against a proof that nobody holds a flow while the sidecar that holds it runs: its enrollment
+// was removed while its machine was suspended (deployment nosa-lb).
+func TestHasUnlisted_SidecarThatRunsWithoutEnrollment(t *testing.T) {
+	is := is.New(t)
+	withoutA := landing.EnrollmentList{}.WithRevision(6).WithEnrollments(b)
+	d := New(1).WithEnrollmentList(enrollments, now).WithStatuses(receivedAt(1, 0))
+	is.True(!d.HasUnlisted(now))
+	d = d.WithEnrollmentList(withoutA, now)
+	is.True(!d.HasUnlisted(now))
+	d = d.WithStatuses(receivedAt(2, time.Second))
+	is.True(d.HasUnlisted(now.Add(2 * time.Second)))
+	is.True(!d.HasUnlisted(now.Add(time.Second + unlistedValidity + 1)))
+	enrolledAgain := d.WithEnrollmentList(enrollments.WithRevision(7), now.Add(2*time.Second))
+	is.True(!enrolledAgain.HasUnlisted(now.Add(2 * time.Second)))
+}
+
+func TestHasUnlisted_NotForUpstreamThatHasLeft(t *testing.T) {
+	is := is.New(t)
+	left := received(status(1, 1).WithUpstreamPhase(landing.PhaseLeft))
+	d := New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(b), now).WithStatuses(left)
+	is.True(!d.HasUnlisted(now))
+}
+
+// Guards against a balancer that was paused for some seconds and then takes the sidecars whose statuses
+// are still in its socket for silent, and their zone for unreachable.
+func TestWithStatuses_SilenceCountsAnewAfterInterruption(t *testing.T) {
+	is := is.New(t)
+	addressB := addressA + 1<<16
+	d := New(1).WithEnrollmentList(enrollments, now).WithStatuses(receivedAt(1, 0)).WithProbesSent([]uint64{addressB}, []uint64{addressB})
+	d = d.WithStatuses(receivedAt(2, 500*time.Millisecond))
+	sidecar, _ := d.Find(addressB)
+	is.Equal(sidecar.DiscoveredAt(), now) // no interruption
+	is.Equal(sidecar.UnansweredLocalProbes(), uint32(1))
+	d = d.WithStatuses(receivedAt(3, 4*time.Second))
+	sidecar, _ = d.Find(addressB)
+	is.Equal(sidecar.DiscoveredAt(), now.Add(4*time.Second))
+	is.Equal(sidecar.UnansweredLocalProbes(), uint32(0))
+	is.Equal(sidecar.UnansweredRemoteProbes(), uint32(0))
+}
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -214,7 +214,7 @@
 	}
 	sc.controlThread.Update(Snapshot.WithStopping)
 	sc.forwarder.announceStop(hasUpstreamEnded)
-	if hasUpstreamEnded && !s.enrolledAt.IsZero() {
+	if hasUpstreamEnded && s.confirmation.HasBeenConfirmed() {
 		sc.platformSync.RemoveEnrollment()
 	}
 	sc.Kill()
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -119,7 +119,7 @@
 		subscription := e.Subscription()
 		s = t.recordRevisions(s, policy.NewRevisions(subscription.RulesRevision(), subscription.ExclusionsChangedRevision()))
 		if subscription.Instance() == t.instance {
-			s = s.WithEnrolledAt(e.ReceivedAt())
+			s = s.WithConfirmation(s.confirmation.WithSubscription(e.AcknowledgedAt(), e.ReceivedAt()))
 		}
 		return s.WithSubscriber(subscription, e.ReceivedAt()).WithSidecarCount(int(subscription.SidecarCount()))
 	case landing.RevisionsSeen:
--- a/sidecar/pkg/relay/forwarder.go
+++ b/sidecar/pkg/relay/forwarder.go
@@ -40,6 +40,8 @@
 	startedAt    time.Time
 	// statusCount is the number of statuses sent, which is the sequence number of the last one.
 	statusCount atomic.Uint64
+	// sentStatuses holds the times of the last statuses, which subscriptions acknowledge.
+	sentStatuses statusTimes
 	// responseTimes holds the latencies of requests in nanoseconds.
 	responseTimes metrics.Histogram
 	// waitTimes holds the times in nanoseconds from the last copy of a SYN to the removal of that SYN from
@@ -143,7 +145,7 @@
 	case landing.ForwardedPacket:
 		f.handlePacket(d)
 	case landing.StatusSubscription:
-		f.controlThread.Post(landing.SubscriptionReceived{}.WithSubscription(d).WithReceivedAt(clock.Now()))
+		f.controlThread.Post(landing.SubscriptionReceived{}.WithSubscription(d).WithReceivedAt(clock.Now()).WithAcknowledgedAt(f.acknowledgedAt(d)))
 	case landing.IndirectProbe:
 		f.answerProbe(d)
 	case landing.IndirectProbeAck:
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -21,9 +21,11 @@
 	// readPause is the least time between two reads, so that many changes in a short time cost few calls.
 	readPause = 250 * time.Millisecond
 	// pollInterval is the interval between two reads while no balancer subscribes, since no process then
-	// reports changes, or while rules or exclusions are missing. It is also the interval between two checks of
-	// the enrollment.
+	// reports changes, or while rules or exclusions are missing. It is also the pause between two calls for the
+	// enrollment while the platform fails and balancers confirm the enrollment.
 	pollInterval = 2 * time.Second
+	// renewalCheckInterval is the interval between two checks whether the platform must confirm the enrollment.
+	renewalCheckInterval = 500 * time.Millisecond
 	// enrollRetryPause is the pause between two attempts to write or remove the enrollment.
 	enrollRetryPause = 300 * time.Millisecond
 	// shutdownReserve is the part of the grace period of a planned stop that is kept for all work other than
@@ -103,9 +105,9 @@
 	}
 }
 
-// keepEnrolled writes the sidecar's enrollment when its upstream serves for the first time, and again when
-// it was not confirmed for subscriptionTimeout. Each subscription that names this sidecar confirms the
-// enrollment. Without one, balancers may have removed it while the sidecar was unreachable.
+// keepEnrolled writes the sidecar's enrollment when its upstream serves for the first time, and has the
+// platform confirm it whenever that is due. Balancers may have removed it while the sidecar was unreachable or
+// its machine was suspended.
 func (s *PlatformSync) keepEnrolled() {
 	select {
 	case <-s.stopper.C():
@@ -113,16 +115,9 @@
 	case <-s.controlThread.UpstreamServing():
 	}
 	for {
-		pause := enrollRetryPause
-		if s.controlThread.Snapshot().IsEnrolled(clock.Now()) {
-			pause = pollInterval
-		} else if err := s.tryEnroll(); err != nil {
-			s.telemetry.Log().V(1).Info("sidecar cannot enroll", "error", err.Error())
-		} else {
-			now := clock.Now()
-			s.controlThread.Update(func(current Snapshot) Snapshot { return current.WithEnrolledAt(now) })
-			s.telemetry.Log().Info("sidecar enrolled", "revision", s.storedEnrollment.Revision())
-			pause = pollInterval
+		pause := renewalCheckInterval
+		if s.controlThread.Snapshot().confirmation.IsRenewalDue(clock.Now()) {
+			pause = s.renewEnrollment()
 		}
 		if !common.Sleep(s.stopper.Stopper, pause) {
 			return
@@ -130,6 +125,30 @@
 	}
 }
 
+// renewEnrollment has the platform confirm the enrollment, and returns the pause until the next check.
+func (s *PlatformSync) renewEnrollment() time.Duration {
+	calledAt := clock.Now()
+	before := s.storedEnrollment.Revision()
+	if err := s.tryEnroll(); err != nil {
+		s.telemetry.Log().V(1).Info("sidecar cannot enroll", "error", err.Error())
+		s.controlThread.Update(func(current Snapshot) Snapshot {
+			return current.WithConfirmation(current.confirmation.WithPlatformFailure())
+		})
+		if s.controlThread.Snapshot().IsEnrolled(clock.Now()) {
+			return pollInterval
+		}
+		return enrollRetryPause
+	}
+	s.controlThread.Update(func(current Snapshot) Snapshot {
+		return current.WithConfirmation(current.confirmation.WithPlatformAnswer(calledAt))
+	})
+	s.telemetry.Counters().Counter("enrollment_renewed").Inc(1)
+	if s.storedEnrollment.Revision() != before {
+		s.telemetry.Log().Info("sidecar enrolled", "revision", s.storedEnrollment.Revision())
+	}
+	return renewalCheckInterval
+}
+
 // tryRemoveEnrollment removes the enrollment and the record of flows. The removal needs the revision of the
 // enrollment, which a restarted sidecar does not know: a subscription confirmed the enrollment, so this
 // process has not written it. Such a sidecar tries to create the enrollment, and gets the one that exists.
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/enrollment"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 )
@@ -13,14 +14,17 @@
 // times the interval at which balancers renew it.
 const subscriptionTimeout = 3 * time.Second
 
+// subscriberRetention is the time for which a balancer is remembered that no longer subscribes. A sidecar whose
+// enrollment is not confirmed sends it statuses all the same.
+const subscriberRetention = 30 * time.Second
+
 // Snapshot is the control state that the workers read. It is immutable.
 type Snapshot struct {
 	policy      policy.Policy
 	upstream    landing.UpstreamState
 	subscribers []subscriber
-	// enrolledAt is the last time at which the platform or a balancer confirmed the sidecar's enrollment; the
-	// zero time before the first confirmation.
-	enrolledAt time.Time
+	// confirmation is what is known of the sidecar's enrollment.
+	confirmation enrollment.Confirmation
 	isStopping bool
 	// sidecarCount is the number of enrolled sidecars, as a balancer reported it last.
 	sidecarCount int
@@ -35,6 +39,11 @@
 	revisions landing.PolicyRevisions
 }
 
+// isSubscribed reports whether the subscription has not expired.
+func (b subscriber) isSubscribed(now time.Time) bool {
+	return now.Sub(b.renewedAt) <= subscriptionTimeout
+}
+
 // WithPolicy returns a copy with the given policy in force.
 func (s Snapshot) WithPolicy(p policy.Policy) Snapshot {
 	s.policy = p
@@ -47,9 +56,9 @@
 	return s
 }
 
-// WithEnrolledAt returns a copy in which the sidecar's enrollment was last confirmed at this time.
-func (s Snapshot) WithEnrolledAt(confirmedAt time.Time) Snapshot {
-	s.enrolledAt = confirmedAt
+// WithConfirmation returns a copy with this knowledge of the sidecar's enrollment.
+func (s Snapshot) WithConfirmation(c enrollment.Confirmation) Snapshot {
+	s.confirmation = c
 	return s
 }
 
@@ -59,11 +68,10 @@
 	return s
 }
 
-// IsEnrolled reports whether the sidecar's enrollment was confirmed within subscriptionTimeout, so that every
-// balancer can find the sidecar. Subscriptions of balancers confirm it. The enrollment of a sidecar that was
-// unreachable for longer may have been removed in the meantime.
+// IsEnrolled reports whether the sidecar may rely on its enrollment, so that every balancer can find the flows
+// that it admits.
 func (s Snapshot) IsEnrolled(now time.Time) bool {
-	return !s.enrolledAt.IsZero() && now.Sub(s.enrolledAt) <= subscriptionTimeout
+	return s.confirmation.IsValid(now)
 }
 
 // WithStopping returns a copy for a sidecar that is stopping, which admits no new flows.
@@ -72,11 +80,11 @@
 	return s
 }
 
-// WithSubscriber returns a copy in which a balancer has renewed its subscription now. Expired subscriptions
-// are removed.
+// WithSubscriber returns a copy in which a balancer has renewed its subscription now. Balancers that have not
+// done so for subscriberRetention are removed.
 func (s Snapshot) WithSubscriber(subscription landing.StatusSubscription, now time.Time) Snapshot {
 	s.subscribers = slices.DeleteFunc(slices.Clone(s.subscribers), func(b subscriber) bool {
-		return b.address == subscription.BalancerAddress() || now.Sub(b.renewedAt) > subscriptionTimeout
+		return b.address == subscription.BalancerAddress() || now.Sub(b.renewedAt) > subscriberRetention
 	})
 	s.subscribers = append(s.subscribers, subscriber{address: subscription.BalancerAddress(), renewedAt: now, revisions: policy.NewRevisions(subscription.RulesRevision(), subscription.ExclusionsChangedRevision())})
 	return s
@@ -84,7 +92,32 @@
 
 // HasSubscriber reports whether at least one subscription has not expired.
 func (s Snapshot) HasSubscriber(now time.Time) bool {
-	return slices.ContainsFunc(s.subscribers, func(b subscriber) bool { return now.Sub(b.renewedAt) <= subscriptionTimeout })
+	return s.SubscriberCount(now) > 0
+}
+
+// SubscriberCount returns the number of subscriptions that have not expired.
+func (s Snapshot) SubscriberCount(now time.Time) int {
+	count := 0
+	for _, b := range s.subscribers {
+		if b.isSubscribed(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// StatusReceivers returns the addresses of the balancers that get the sidecar's status: those with a
+// subscription that has not expired. While the sidecar cannot rely on its enrollment, balancers whose list no
+// longer contains it get its status too. They then know that flows which nobody in their list holds may be held
+// by this sidecar, and do not reset them.
+func (s Snapshot) StatusReceivers(now time.Time) []uint64 {
+	var receivers []uint64
+	for _, b := range s.subscribers {
+		if b.isSubscribed(now) || !s.IsEnrolled(now) {
+			receivers = append(receivers, b.address)
+		}
+	}
+	return receivers
 }
 
 // UpstreamPhase returns the phase of the upstream at this time. It is unspecified when the sidecar is
--- a/sidecar/pkg/relay/snapshot_test.go
+++ b/sidecar/pkg/relay/snapshot_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/enrollment"
 )
 
 // Guards against a sidecar that reports its ended upstream as unspecified while it tries to remove its enrollment
@@ -18,3 +20,36 @@
 	serving := Snapshot{}.WithUpstream(landing.UpstreamState{}.WithPhase(landing.PhaseServing)).WithStopping()
 	is.Equal(serving.UpstreamPhase(start, 0), landing.PhaseUnspecified)
 }
+
+// Guards against balancers that take the flows of a sidecar for lost because their list no longer contains it:
+// after a suspension its subscriptions have expired, and it sent its status to nobody.
+func TestStatusReceivers_IncludeFormerSubscribersWhileNotEnrolled(t *testing.T) {
+	is := is.New(t)
+	s := Snapshot{}.
+		WithConfirmation(enrollment.Confirmation{}.WithPlatformAnswer(start)).
+		WithSubscriber(landing.StatusSubscription{}.WithBalancerAddress(7), start)
+	is.Equal(s.StatusReceivers(start.Add(time.Second)), []uint64{7})
+	wokenAt := start.Add(subscriptionTimeout + time.Second)
+	is.True(!s.IsEnrolled(wokenAt))
+	is.Equal(s.StatusReceivers(wokenAt), []uint64{7})
+	is.Equal(s.SubscriberCount(wokenAt), 0)
+	s = s.WithConfirmation(s.confirmation.WithPlatformAnswer(wokenAt))
+	is.Equal(len(s.StatusReceivers(wokenAt)), 0)
+}
+
+// Guards against subscriptions that waited in the socket while the process was stopped and then confirm the
+// enrollment as of now.
+func TestStatusTimes_KnowOnlyRecentStatuses(t *testing.T) {
+	is := is.New(t)
+	var times statusTimes
+	for sequence := range uint64(100) {
+		times.record(sequence+1, start.Add(time.Duration(sequence)*statusInterval))
+	}
+	sentAt, found := times.find(100)
+	is.True(found)
+	is.Equal(sentAt, start.Add(99*statusInterval))
+	for _, sequence := range []uint64{0, 1, 100 - keptStatusTimes, 101} {
+		_, found = times.find(sequence)
+		is.True(!found)
+	}
+}
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -70,7 +70,7 @@
 	advertised := s.policy.AdvertisedRevisions()
 	status := landing.SidecarStatus{}.
 		WithInstance(f.settings.Instance()).
-		WithIncarnation(uint64(f.startedAt.UnixNano())).
+		WithIncarnation(f.incarnation()).
 		WithSequenceNumber(sequence).
 		WithUpstreamPhase(phase).
 		WithRunningRequests(uint32(max(l.runningRequests, 0))).
@@ -81,11 +81,10 @@
 		WithRulesRevision(advertised.Rules()).
 		WithExclusionsChangedRevision(advertised.Exclusions()).
 		WithUpstreamStartMillis(upstreamStartMillis(s.upstream)).
-		WithSubscriberCount(uint32(len(s.subscribers))).
+		WithSubscriberCount(uint32(s.SubscriberCount(now))).
 		WithEjected(!l.history.IsHealthy(now))
-	for _, b := range s.subscribers {
-		if now.Sub(b.renewedAt) <= subscriptionTimeout {
-			f.link.Send(status, b.address)
-		}
+	f.sentStatuses.record(sequence, now)
+	for _, receiver := range s.StatusReceivers(now) {
+		f.link.Send(status, receiver)
 	}
 }
