hold: offer segments beside a handshake to the upstream when an open flow is possible

Cause: a sidecar that started after its upstream admits a late copy of the SYN of an open flow like any other SYN. Change: in FlowAdmitted and FlowHalfOpen with OpenFlowPossible such segments are offered to the upstream. Resets during a handshake are treated as before. The simulation restarts sidecars while a flow is open and lets late copies of the SYN arrive at them.

--- a/core/pkg/hold/hold.go
+++ b/core/pkg/hold/hold.go
@@ -8,6 +8,10 @@
 // (list of targets), two sidecars may admit the same flow. The caller completes the handshake with
 // only one of them. The other sidecar forwards every segment that does not acknowledge its own
 // SYN-ACK, so that the segments still reach the sidecar with which the caller is connected.
+//
+// A sidecar that started after its upstream has no record of the flows that the upstream holds. When a
+// late copy of the SYN of such a flow arrives, the sidecar admits it as a new flow, but offers the
+// segments that are not of the new handshake to the upstream, so that the copy does not mask the flow.
 package hold
 
 import "github.com/crocuslanding/crocuslanding/core/gen/landing"
@@ -87,10 +91,10 @@
 }
 
 // decideAdmitted handles a flow whose SYN-ACK has not been sent yet. Segments other than a SYN
-// cannot belong to its handshake, so they are forwarded.
+// cannot belong to its handshake.
 func decideAdmitted(state landing.FlowAdmitted, s landing.Segment, position landing.ChainPosition) landing.SegmentAction {
 	if !s.IsSyn() {
-		return forwardOrReject(position)
+		return decideOutsideHandshake(state.OpenFlowPossible(), position)
 	}
 	return decideRepeatedSyn(state.InitialSequenceNumber(), s)
 }
@@ -116,7 +120,7 @@
 		return landing.CompleteHandshake{}
 	}
 	if !s.IsReset() {
-		return forwardOrReject(position)
+		return decideOutsideHandshake(state.OpenFlowPossible(), position)
 	}
 	if position.HasNext() {
 		return landing.DeliverAndForward{}
@@ -124,6 +128,16 @@
 	return landing.Deliver{}
 }
 
+// decideOutsideHandshake handles a segment that does not belong to the handshake of its flow at this
+// sidecar. If the upstream may hold an open flow with the same key, the segment is offered to the
+// upstream. Otherwise it belongs to a flow at another sidecar.
+func decideOutsideHandshake(isOpenFlowPossible bool, position landing.ChainPosition) landing.SegmentAction {
+	if isOpenFlowPossible {
+		return landing.OfferToUpstream{}
+	}
+	return forwardOrReject(position)
+}
+
 // forwardOrReject returns the action for a segment other than a SYN that belongs to no flow of this
 // sidecar. The flow is reset, or the segment dropped, only after the last sidecar of the whole
 // chain.
--- a/core/pkg/hold/hold_test.go
+++ b/core/pkg/hold/hold_test.go
@@ -23,6 +23,19 @@
 	return broken
 }
 
+// brokenFlowsAfterRestarts does the same as brokenFlows, with sidecars that restart while the flow is open.
+func brokenFlowsAfterRestarts(decide decideFunc) int {
+	broken := 0
+	for seed := range uint64(seedCount) {
+		s := newSimulation(seed, decide)
+		s.hasRestarts = true
+		if !flowSurvives(s) {
+			broken++
+		}
+	}
+	return broken
+}
+
 func flowSurvives(s *simulation) bool {
 	s.connect()
 	if !s.caller.connected {
@@ -157,3 +170,38 @@
 	is.Equal(Decide(landing.FlowUnknown{}, syn, position, landing.RefusalUnspecified), landing.AdmitFlow{})
 	is.Equal(Decide(landing.FlowUnknown{}, syn, position, landing.RefusalUnready), landing.ReturnToBalancer{})
 }
+
+// Guards against the reset of an open flow that a late copy of its SYN has masked. A sidecar that had been restarted
+// admitted the copy and then reported that it did not hold the flow, until the handshake expired after 3 s.
+func TestDecide_OpenFlowIsOfferedDuringLateHandshake(t *testing.T) {
+	is := is.New(t)
+	position := landing.ChainPosition{}.WithHasNext(true)
+	data := landing.Segment{}.WithHasAck(true).WithAcknowledgementNumber(900)
+	admitted := landing.FlowAdmitted{}.WithInitialSequenceNumber(7).WithOpenFlowPossible(true)
+	halfOpen := landing.FlowHalfOpen{}.WithInitialSequenceNumber(7).WithExpectedAcknowledgement(501).WithOpenFlowPossible(true)
+	for _, state := range []landing.FlowState{admitted, halfOpen} {
+		is.Equal(Decide(state, data, position, landing.RefusalUnspecified), landing.OfferToUpstream{})
+	}
+	for _, state := range []landing.FlowState{admitted.WithOpenFlowPossible(false), halfOpen.WithOpenFlowPossible(false)} {
+		is.Equal(Decide(state, data, position, landing.RefusalUnspecified), landing.ForwardToNext{})
+	}
+	is.Equal(Decide(halfOpen, data.WithAcknowledgementNumber(501), position, landing.RefusalUnspecified), landing.CompleteHandshake{})
+}
+
+// Late copies of the SYN of an open flow arrive at sidecars that have been restarted while their upstreams run.
+func TestDecide_OpenFlowSurvivesLateSynAtRestartedSidecars(t *testing.T) {
+	is := is.New(t)
+	is.Equal(brokenFlowsAfterRestarts(Decide), 0)
+}
+
+// Checks that the simulation detects a sidecar that forwards the segments of a flow that a late SYN has masked.
+func TestSimulation_FlowBreaksWhenLateSynMasksIt(t *testing.T) {
+	is := is.New(t)
+	faulty := func(state landing.FlowState, s landing.Segment, position landing.ChainPosition, refusal landing.Refusal) landing.SegmentAction {
+		if halfOpen, isHalfOpen := state.(landing.FlowHalfOpen); isHalfOpen {
+			state = halfOpen.WithOpenFlowPossible(false)
+		}
+		return Decide(state, s, position, refusal)
+	}
+	is.True(brokenFlowsAfterRestarts(faulty) > 0)
+}
--- a/core/pkg/hold/simulation_test.go
+++ b/core/pkg/hold/simulation_test.go
@@ -20,12 +20,16 @@
 	caller     caller
 	toSidecars []landing.Segment
 	replies    []reply
+	// hasRestarts lets sidecars restart between two data segments while their upstreams run.
+	hasRestarts bool
 }
 
-// sidecar is a model of one sidecar: its state of the flow, the initial sequence number of its
-// SYN-ACK, the number of data segments received, and whether it can admit a new flow.
+// sidecar is a model of one sidecar with its upstream: its state of the flow, whether the upstream holds
+// the flow as an open one, the initial sequence number of its SYN-ACK, the number of data segments
+// received, and whether it can admit a new flow.
 type sidecar struct {
 	state            landing.FlowState
+	isOpen           bool
 	initialSequence  uint32
 	receivedSegments int
 	hasCapacity      bool
@@ -45,6 +49,7 @@
 	initialSequence        uint32
 	sidecar                int
 	sidecarInitialSequence uint32
+	receivedResponses      uint32
 	connected              bool
 	broken                 bool
 }
@@ -83,6 +88,9 @@
 // delayed copies of the SYN in between. It reports whether the segment was received.
 func (s *simulation) sendData() bool {
 	before := s.sidecars[s.caller.sidecar].receivedSegments
+	if s.hasRestarts {
+		s.restart()
+	}
 	for range 200 {
 		s.toSidecars = append(s.toSidecars, s.dataSegment())
 		if s.rng.IntN(4) == 0 {
@@ -94,6 +102,7 @@
 			return false
 		}
 		if s.sidecars[s.caller.sidecar].receivedSegments > before {
+			s.caller.receivedResponses++
 			return true
 		}
 	}
@@ -104,7 +113,17 @@
 	return landing.Segment{}.
 		WithHasAck(true).
 		WithSequenceNumber(s.caller.initialSequence + 1).
-		WithAcknowledgementNumber(s.caller.sidecarInitialSequence + 1)
+		WithAcknowledgementNumber(s.caller.sidecarInitialSequence + 1 + s.caller.receivedResponses)
+}
+
+// restart restarts each sidecar with the probability 0.5. It then has no record of the flow, which its
+// upstream may hold.
+func (s *simulation) restart() {
+	for i := range s.sidecars {
+		if s.rng.IntN(2) == 0 {
+			s.sidecars[i].state = landing.FlowUnknown{}
+		}
+	}
 }
 
 // exchange delivers the segments in transit, in both directions and in random order, until there
@@ -136,11 +155,14 @@
 	}
 	switch s.decide(sc.state, segment, position, refusal).(type) {
 	case landing.AdmitFlow:
-		sc.state = landing.FlowHalfOpen{}.WithInitialSequenceNumber(segment.SequenceNumber()).WithExpectedAcknowledgement(sc.initialSequence + 1)
+		_, isUnknown := sc.state.(landing.FlowUnknown)
+		sc.state = landing.FlowHalfOpen{}.WithInitialSequenceNumber(segment.SequenceNumber()).WithExpectedAcknowledgement(sc.initialSequence + 1).WithOpenFlowPossible(isUnknown)
 		s.replies = append(s.replies, reply{sidecar: chain[hop], initialSequence: sc.initialSequence})
 	case landing.CompleteHandshake:
-		sc.state = landing.FlowEstablished{}
+		sc.state, sc.isOpen = landing.FlowEstablished{}, true
 		sc.receivedSegments++
+	case landing.OfferToUpstream:
+		s.offerToUpstream(segment, chain, hop)
 	case landing.Deliver:
 		s.deliver(chain[hop], segment)
 	case landing.DeliverAndForward:
@@ -150,7 +172,22 @@
 		s.offerToHop(segment, chain, hop+1)
 	case landing.ResetFlow:
 		s.replies = append(s.replies, reply{sidecar: chain[hop], isReset: true, resetSequence: segment.AcknowledgementNumber()})
-	case landing.ReturnToBalancer, landing.DropSegment, landing.AbandonHandshake, landing.ReturnToDeferrer, landing.OfferToUpstream:
+	case landing.ReturnToBalancer, landing.DropSegment, landing.AbandonHandshake, landing.ReturnToDeferrer:
+	}
+}
+
+// offerToUpstream offers the segment to the upstream of the sidecar at index hop of the chain, which
+// returns it if it does not hold the flow. A segment that acknowledges its SYN-ACK opens the flow there.
+func (s *simulation) offerToUpstream(segment landing.Segment, chain []int, hop int) {
+	sc := &s.sidecars[chain[hop]]
+	if sc.isOpen || segment.AcknowledgementNumber() == sc.initialSequence+1 {
+		sc.state, sc.isOpen = landing.FlowEstablished{}, true
+		sc.receivedSegments++
+		return
+	}
+	position := landing.ChainPosition{}.WithHasNext(hop+1 < len(chain))
+	if _, isForwarded := s.decide(landing.FlowAbsent{}, segment, position, landing.RefusalUnspecified).(landing.ForwardToNext); isForwarded {
+		s.offerToHop(segment, chain, hop+1)
 	}
 }
 
@@ -162,7 +199,7 @@
 		s.replies = append(s.replies, reply{sidecar: index, initialSequence: sc.initialSequence})
 		return
 	}
-	if segment.AcknowledgementNumber() != sc.initialSequence+1 {
+	if !sc.isOpen && segment.AcknowledgementNumber() != sc.initialSequence+1 {
 		s.replies = append(s.replies, reply{sidecar: index, isReset: true, resetSequence: segment.AcknowledgementNumber()})
 		return
 	}
@@ -174,7 +211,7 @@
 	c := &s.caller
 	switch {
 	case r.isReset:
-		if c.connected && r.resetSequence == c.sidecarInitialSequence+1 {
+		if c.connected && r.resetSequence == c.sidecarInitialSequence+1+c.receivedResponses {
 			c.broken = true
 		}
 	case !c.connected:
