sidecar: an open flow is no longer masked by a SYN of the same key

Cause: a sidecar that started after its upstream replaced the unknown state of a flow by that of a handshake when a late copy of its SYN arrived, and denied the open flow for 3 s. The same happened when a SYN with another initial sequence number replaced an established entry. Change: such a SYN is admitted with the mark OpenFlowPossible. When the upstream then sends anything but SYN+ACK or RST, the flow is established, the slot reserved for the SYN becomes free, and the flow is claimed. A SYN+ACK no longer uses up the offer of a packet. Found with it and mended in the same manner: - A SYN that replaces an entry and is refused, waits in the queue, is returned or reset by the upstream, or is not acknowledged left no entry, so that the open flow was denied. The entry now goes back to FlowUnknown. - A returned packet of another flow removed the entry of the handshake. - A returned copy of the SYN removed the entry of an established flow. - A SYN of a flow in the state FlowUnknown with the sequence number of the entry was admitted without a check for refusals. - A SYN+ACK of an untracked flow masked an open flow at a restarted sidecar. - After a restart of the upstream during a handshake, the SYN+ACK of the new process did not replace that of the old one. - A retransmission of an offered request counted as a further request.

--- /dev/null
+++ b/experiment/pkg/relayed/openflow_test.go
@@ -0,0 +1,101 @@
+package relayed
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/platform/standin/endpoint"
+)
+
+// offsetAcknowledgement is the offset of the 4 bytes of the acknowledged number in a packet.
+const offsetAcknowledgement = 4
+
+// delayingRouter is a router that receives packets and keeps them until the test passes them on.
+type delayingRouter struct {
+	conn *net.UDPConn
+}
+
+func newDelayingRouter(t *testing.T) delayingRouter {
+	is := is.New(t)
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return delayingRouter{conn: conn}
+}
+
+func (r delayingRouter) address() netip.AddrPort {
+	return r.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// next returns the next packet that has arrived.
+func (r delayingRouter) next(t *testing.T) []byte {
+	is := is.New(t)
+	b := make([]byte, 2048) // longer than any packet
+	is.NoErr(r.conn.SetReadDeadline(time.Now().Add(requestTimeout)))
+	n, err := r.conn.Read(b)
+	is.NoErr(err)
+	return b[:n]
+}
+
+// pass sends a packet to a balancer.
+func (r delayingRouter) pass(t *testing.T, packet []byte, to endpoint.Route) {
+	is := is.New(t)
+	_, err := r.conn.WriteToUDPAddrPort(packet, to())
+	is.NoErr(err)
+}
+
+// passAll changes each packet that arrives and sends it to a balancer, until the end of the test.
+func (r delayingRouter) passAll(to endpoint.Route, change func(packet []byte)) {
+	b := make([]byte, 2048) // longer than any packet
+	_ = r.conn.SetReadDeadline(time.Time{})
+	for {
+		n, err := r.conn.Read(b)
+		if err != nil {
+			return // The socket is closed at the end of the test.
+		}
+		change(b[:n])
+		_, _ = r.conn.WriteToUDPAddrPort(b[:n], to())
+	}
+}
+
+// Guards against the reset of an open flow that a late copy of its SYN has masked. The sidecar was restarted while its
+// upstream ran. The first copy of the SYN, which had been delayed, arrives there, and the next request comes through
+// another balancer. Found by the review, case 2.
+func TestLateSynAtRestartedSidecarKeepsOpenFlow(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 2, 1)
+	r := newDelayingRouter(t)
+	isFirst := true
+	route := func() netip.AddrPort {
+		if isFirst {
+			isFirst = false
+			return r.address()
+		}
+		return f.RouteThrough(0)()
+	}
+	flow, err := f.OpenFlow(func() netip.AddrPort { return route() }, requestTimeout)
+	is.NoErr(err)
+	t.Cleanup(flow.Close)
+	response, err := flow.SendRequest("first", requestTimeout)
+	is.NoErr(err)
+	f.KillSidecar(0)
+	is.NoErr(f.StartSidecar(0))
+	for i := range f.balancers {
+		awaitServing(t, f, i)
+	}
+	r.pass(t, r.next(t), f.RouteThrough(0))
+	time.Sleep(50 * time.Millisecond) // the copy reaches the upstream, and its SYN+ACK the sidecar
+	// A caller acknowledges the responses that it has received, which the stand-in does not do.
+	route = r.address
+	go r.passAll(f.RouteThrough(1), func(request []byte) {
+		acknowledged := binary.LittleEndian.Uint32(request[offsetAcknowledgement:])
+		binary.LittleEndian.PutUint32(request[offsetAcknowledgement:], acknowledged+uint32(len(response)))
+	})
+	_, err = flow.SendRequest("after the late copy", requestTimeout)
+	is.NoErr(err)
+}
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -64,7 +64,7 @@
 // enqueue lets a SYN wait for a free slot, and refuses the SYNs that no longer fit into the queue.
 func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, now time.Time) {
 	listener, _ := s.policy.Rules().FindListener(segment.Key())
-	f.table.remove(segment.Key())
+	f.table.withdrawAdmission(segment.Key())
 	l := f.table.load(now)
 	waitLimit := backlog.WaitLimit(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency)
 	packet := landing.QueuedPacket{}.
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -49,6 +49,10 @@
 	// hasUpstreamFin reports whether the upstream has ended its side of the flow with a FIN. When another
 	// request arrives after that, the upstream resets the flow, which is not a failure.
 	hasUpstreamFin bool
+	// replacesOpenFlow reports whether the flow's SYN has replaced an entry of a flow that may be open. When the
+	// handshake fails, the entry remains in the state FlowUnknown: without it the sidecar would report that its
+	// upstream does not hold the flow.
+	replacesOpenFlow bool
 }
 
 func (f flow) withState(s landing.FlowState) flow {
@@ -56,6 +60,69 @@
 	return f
 }
 
+// isInHandshake reports whether the handshake of the flow is incomplete.
+func (f flow) isInHandshake() bool {
+	switch f.state.(type) {
+	case landing.FlowAdmitted, landing.FlowHalfOpen:
+		return true
+	case landing.FlowEstablished, landing.FlowUnknown, landing.FlowAbsent:
+	}
+	return false
+}
+
+// isOpenFlowPossible reports whether the upstream may hold an open flow, which the current handshake is not part of.
+func (f flow) isOpenFlowPossible() bool {
+	switch state := f.state.(type) {
+	case landing.FlowAdmitted:
+		return state.OpenFlowPossible()
+	case landing.FlowHalfOpen:
+		return state.OpenFlowPossible()
+	case landing.FlowEstablished, landing.FlowUnknown:
+		return true
+	case landing.FlowAbsent:
+	}
+	return false
+}
+
+// withoutOpenFlow returns the flow after the upstream has shown that it holds no open flow beside the handshake.
+func (f flow) withoutOpenFlow() flow {
+	f.replacesOpenFlow = false
+	switch state := f.state.(type) {
+	case landing.FlowAdmitted:
+		return f.withState(state.WithOpenFlowPossible(false))
+	case landing.FlowHalfOpen:
+		return f.withState(state.WithOpenFlowPossible(false))
+	case landing.FlowEstablished, landing.FlowUnknown, landing.FlowAbsent:
+	}
+	return f
+}
+
+// withSynAck returns the flow after a SYN+ACK of the upstream. One with another sequence number than before comes
+// from another process of the upstream, to which the handshake then belongs.
+func (f flow) withSynAck(s landing.Segment, now time.Time) flow {
+	expected := s.SequenceNumber() + 1
+	if state, isHalfOpen := f.state.(landing.FlowHalfOpen); !isHalfOpen || state.ExpectedAcknowledgement() != expected {
+		f.firstReplyAt = now
+		f.responseEnd = expected
+	}
+	return f.withState(landing.FlowHalfOpen{}.
+		WithInitialSequenceNumber(f.initialSequence).
+		WithExpectedAcknowledgement(expected).
+		WithOpenFlowPossible(f.isOpenFlowPossible()))
+}
+
+// withOpenFlowFound returns the flow after a segment with which the upstream shows that it holds the flow as an open
+// one.
+func (f flow) withOpenFlowFound(s landing.Segment, now time.Time) flow {
+	f.firstReplyAt = now
+	f.replacesOpenFlow = false
+	if s.HasAck() {
+		// The caller's data up to here has been offered to the upstream and has not passed withCallerSegment.
+		f.sentEnd = s.AcknowledgementNumber()
+	}
+	return f.withState(landing.FlowEstablished{})
+}
+
 // table holds the flows of the upstream and its load. Its methods may be called from several goroutines,
 // except for those that require that it is locked.
 type table struct {
@@ -81,6 +148,8 @@
 	balancerAddress uint64
 	// hasRequest reports whether the packet has a payload.
 	hasRequest bool
+	// isAccepted reports whether the upstream has shown since that it holds the flow.
+	isAccepted bool
 }
 
 func newTable(now time.Time, requestTimeout func(landing.FlowKey) time.Duration) *table {
@@ -93,16 +162,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f, found := t.flows[s.Key()]
-	if found && s.IsSyn() && f.initialSequence != s.SequenceNumber() {
-		// The caller uses its port for a new flow, which is admitted or refused like any other.
-		t.removeLocked(s.Key())
-		found = false
-	}
 	if !found {
 		f = flow{state: untracked}
 	}
+	_, isUnknown := f.state.(landing.FlowUnknown)
+	opensFlow := s.IsSyn() && (!found || isUnknown || f.initialSequence != s.SequenceNumber())
 	refusal := landing.RefusalUnspecified
-	if s.IsSyn() && !found {
+	if opensFlow {
+		// Also when the caller uses its port for a new flow, that flow is admitted or refused like any other.
+		f = t.replaceLocked(s.Key(), f, untracked)
 		refusal = refusalReason(t.loadLocked(now))
 		if len(t.flows) >= maxFlows && refusal == landing.RefusalUnspecified {
 			refusal = landing.RefusalRoom
@@ -114,10 +182,11 @@
 		t.newFlows = t.newFlows.WithFlow(now)
 		t.history = t.history.WithNewFlow(now)
 		t.flows[s.Key()] = flow{
-			state:           landing.FlowAdmitted{}.WithInitialSequenceNumber(s.SequenceNumber()),
-			initialSequence: s.SequenceNumber(),
-			sentEnd:         s.SequenceNumber(),
-			lastSegmentAt:   now,
+			state:            landing.FlowAdmitted{}.WithInitialSequenceNumber(s.SequenceNumber()).WithOpenFlowPossible(f.isOpenFlowPossible()),
+			initialSequence:  s.SequenceNumber(),
+			sentEnd:          s.SequenceNumber(),
+			lastSegmentAt:    now,
+			replacesOpenFlow: t.hasLocked(s.Key()),
 		}
 	case landing.CompleteHandshake:
 		t.put(s.Key(), t.withCallerSegment(f.withState(landing.FlowEstablished{}), s, now))
@@ -130,6 +199,73 @@
 	return action
 }
 
+// replaceLocked ends flow f, whose caller has sent a SYN that opens a flow with the same key, and returns the flow as
+// the decision about that SYN finds it. Since the SYN may be a late one and f still open, the entry remains in the state
+// FlowUnknown. An entry of a handshake that has replaced no open flow is removed. t must be locked.
+func (t *table) replaceLocked(k landing.FlowKey, f flow, untracked landing.FlowState) flow {
+	if !t.hasLocked(k) {
+		return f
+	}
+	isOpenFlowPossible := f.isOpenFlowPossible()
+	t.endHandshakeLocked(k)
+	if t.hasLocked(k) {
+		t.makeUnknownLocked(k)
+		return t.flows[k]
+	}
+	if isOpenFlowPossible {
+		return flow{state: landing.FlowUnknown{}}
+	}
+	return flow{state: untracked}
+}
+
+// endHandshakeLocked ends the handshake of a flow, if it is incomplete. The entry is removed, or remains in the state
+// FlowUnknown when it has replaced one of a flow that may be open. t must be locked.
+func (t *table) endHandshakeLocked(k landing.FlowKey) {
+	f := t.flows[k]
+	switch {
+	case !f.isInHandshake():
+	case f.replacesOpenFlow:
+		t.makeUnknownLocked(k)
+	default:
+		t.removeLocked(k)
+	}
+}
+
+// makeUnknownLocked changes the state of a flow to FlowUnknown, in which it holds no slot. t must be locked.
+func (t *table) makeUnknownLocked(k landing.FlowKey) {
+	f := t.flows[k]
+	f.claimBalancer = 0
+	t.ledger = t.ledger.Without(k)
+	t.put(k, f.withState(landing.FlowUnknown{}))
+}
+
+// withdrawAdmission takes back the admission of a flow whose SYN has not been delivered to the upstream.
+func (t *table) withdrawAdmission(k landing.FlowKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endHandshakeLocked(k)
+}
+
+// recordReturn records that the upstream has returned a segment of a caller, because it does not hold the flow or cannot
+// accept the segment. A returned SYN shows only that no flow is opened, so the state of an open flow becomes FlowUnknown.
+// Any other returned segment shows that the upstream holds no open flow. A handshake beside such a flow goes on.
+func (t *table) recordReturn(s landing.Segment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, found := t.flows[s.Key()]
+	switch {
+	case f.isInHandshake() && s.IsSyn():
+		t.endHandshakeLocked(s.Key())
+	case found && s.IsSyn():
+		t.makeUnknownLocked(s.Key())
+	case f.isInHandshake() && f.isOpenFlowPossible():
+		delete(t.offers, s.Key())
+		t.put(s.Key(), f.withoutOpenFlow())
+	default:
+		t.removeLocked(s.Key())
+	}
+}
+
 // withCallerSegment returns the flow after a segment from its caller, and updates the ledger. t must be locked.
 func (t *table) withCallerSegment(f flow, s landing.Segment, now time.Time) flow {
 	f.lastSegmentAt = now
@@ -171,26 +307,14 @@
 	defer t.mu.Unlock()
 	f, found := t.flows[s.Key()]
 	if !found {
-		f = flow{state: landing.FlowAdmitted{}, sentEnd: s.AcknowledgementNumber()}
-	}
-	if o, isOffered := t.offers[s.Key()]; isOffered && o.hasRequest && s.HasAck() && !s.IsReset() {
-		// The upstream holds the flow and processes the request that was offered to it.
-		t.ledger = t.ledger.WithRequest(s.Key(), t.requestTimeout(s.Key()), o.offeredAt)
+		f = flow{state: landing.FlowUnknown{}}
 	}
 	f.lastSegmentAt = now
-	switch state := f.state.(type) {
-	case landing.FlowAdmitted:
-		f.firstReplyAt = now
-		if s.IsSynAck() {
-			f.responseEnd = s.SequenceNumber() + 1
-			f.state = landing.FlowHalfOpen{}.WithInitialSequenceNumber(state.InitialSequenceNumber()).WithExpectedAcknowledgement(s.SequenceNumber() + 1)
-		} else if !s.IsReset() {
-			f.state = landing.FlowEstablished{}
-		}
-	case landing.FlowUnknown:
-		f.firstReplyAt = now
-		f.state = landing.FlowEstablished{}
-	case landing.FlowHalfOpen, landing.FlowEstablished, landing.FlowAbsent:
+	switch {
+	case !s.IsSynAck() && !s.IsReset():
+		f = t.withUpstreamAcceptance(f, s, now)
+	case s.IsSynAck() && (!found || f.isInHandshake()):
+		f = f.withSynAck(s, now)
 	}
 	t.recordOutcome(f, s, now)
 	f.hasUpstreamFin = f.hasUpstreamFin || s.HasFin()
@@ -204,12 +328,46 @@
 	}
 	f.responseEnd = laterSequence(f.responseEnd, s.SequenceNumber()+s.PayloadBytes())
 	t.put(s.Key(), f)
-	if s.IsReset() {
+	switch {
+	case s.IsReset() && f.isInHandshake():
+		// The upstream has refused the SYN, which says nothing about an open flow.
+		t.endHandshakeLocked(s.Key())
+	case s.IsReset():
 		t.removeLocked(s.Key())
 	}
 	return latency
 }
 
+// withUpstreamAcceptance returns the flow after a segment that an upstream sends only in a flow that it holds as an open
+// one, and updates the ledger and the offer. t must be locked.
+func (t *table) withUpstreamAcceptance(f flow, s landing.Segment, now time.Time) flow {
+	switch state := f.state.(type) {
+	case landing.FlowAdmitted:
+		t.ledger = t.ledger.Without(s.Key())
+		f = f.withOpenFlowFound(s, now)
+	case landing.FlowHalfOpen:
+		if state.OpenFlowPossible() {
+			// The SYN was a late one, for which no first request follows.
+			t.ledger = t.ledger.Without(s.Key())
+			f = f.withOpenFlowFound(s, now)
+		}
+	case landing.FlowUnknown:
+		f = f.withOpenFlowFound(s, now)
+	case landing.FlowEstablished, landing.FlowAbsent:
+	}
+	o, isOffered := t.offers[s.Key()]
+	if !isOffered || o.isAccepted {
+		return f
+	}
+	if o.hasRequest && s.HasAck() {
+		// The upstream processes the request that was offered to it.
+		t.ledger = t.ledger.WithRequest(s.Key(), t.requestTimeout(s.Key()), o.offeredAt)
+	}
+	o.isAccepted = true
+	t.offers[s.Key()] = o
+	return f
+}
+
 // recordOffer records a packet of an unknown flow that is offered to the upstream.
 func (t *table) recordOffer(s landing.Segment, balancerAddress uint64, now time.Time) {
 	t.mu.Lock()
@@ -219,13 +377,16 @@
 	}
 }
 
-// takeOffer removes the offer of a flow and returns the balancer that sent the packet; false when there is none.
+// takeOffer removes the offer of a flow that the upstream has accepted, and returns the balancer that sent the packet;
+// false when there is none.
 func (t *table) takeOffer(k landing.FlowKey) (uint64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o, found := t.offers[k]
-	delete(t.offers, k)
-	return o.balancerAddress, found
+	o := t.offers[k]
+	if o.isAccepted {
+		delete(t.offers, k)
+	}
+	return o.balancerAddress, o.isAccepted
 }
 
 func (t *table) put(k landing.FlowKey, f flow) {
@@ -299,6 +460,11 @@
 func (t *table) has(k landing.FlowKey) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.hasLocked(k)
+}
+
+// hasLocked does the same as has. t must be locked.
+func (t *table) hasLocked(k landing.FlowKey) bool {
 	_, found := t.flows[k]
 	return found
 }
@@ -319,16 +485,18 @@
 	}
 }
 
-// expire removes flows without a segment for longer than idleTimeout, and incomplete handshakes after
+// expire removes flows without a segment for longer than idleTimeout, and ends incomplete handshakes after
 // handshakeTimeout. Offers that the upstream has not reacted to are removed after the same time.
 func (t *table) expire(idleTimeout time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, f := range t.flows {
-		_, isOpen := f.state.(landing.FlowEstablished)
-		silence := now.Sub(f.lastSegmentAt)
-		if silence > idleTimeout || (!isOpen && silence > handshakeTimeout) {
+		_, isUnknown := f.state.(landing.FlowUnknown)
+		switch silence := now.Sub(f.lastSegmentAt); {
+		case silence > idleTimeout, isUnknown && silence > handshakeTimeout:
 			t.removeLocked(k)
+		case silence > handshakeTimeout:
+			t.endHandshakeLocked(k)
 		}
 	}
 	for k, o := range t.offers {
@@ -358,9 +526,7 @@
 			}
 			t.removeLocked(k)
 		case isOpen:
-			t.ledger = t.ledger.Without(k)
-			f.claimBalancer = 0
-			t.flows[k] = f.withState(landing.FlowUnknown{})
+			t.makeUnknownLocked(k)
 		}
 	}
 	t.ledger = t.ledger.WithoutLatency()
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -249,3 +249,148 @@
 	is.Equal(len(tb.clear(start)), 0)
 	is.Equal(tb.load(start).flowCount, 0)
 }
+
+func synSegment(sequence uint32) landing.Segment {
+	return landing.Segment{}.WithKey(flowKey).WithIsSyn(true).WithSequenceNumber(sequence)
+}
+
+// repeatedSynAck is the SYN+ACK that the upstream repeats for a copy of the SYN of an open flow.
+var repeatedSynAck = landing.Segment{}.WithKey(flowKey).WithIsSynAck(true).WithHasAck(true).WithSequenceNumber(500).WithAcknowledgementNumber(101)
+
+// openFlowSegment is a request of an open flow whose caller has received responses.
+var openFlowSegment = requestSegment(301).WithAcknowledgementNumber(901)
+
+// Guards against the reset of an open flow at its next request, after a late copy of its SYN has arrived at its
+// sidecar, which was restarted. The copy masked the flow for 3 s.
+func TestTableLateSynDoesNotMaskOpenFlow(t *testing.T) {
+	for name, isSynAckFirst := range map[string]bool{"SYN+ACK before the request": true, "SYN+ACK after the request": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tb := newTable(start, noTimeout)
+			is.Equal(tb.decide(synSegment(100), lastHop, landing.FlowUnknown{}, admitAll, start), landing.AdmitFlow{})
+			tb.recordAdmission(flowKey, start)
+			if isSynAckFirst {
+				tb.recordUpstreamSegment(repeatedSynAck, start)
+			}
+			is.Equal(tb.decide(openFlowSegment, lastHop, landing.FlowUnknown{}, admitAll, start), landing.OfferToUpstream{})
+			tb.recordOffer(openFlowSegment, 7, start)
+			if !isSynAckFirst {
+				tb.recordUpstreamSegment(repeatedSynAck, start)
+				_, isOffered := tb.takeOffer(flowKey)
+				is.True(!isOffered) // A repeated SYN+ACK does not show that the upstream holds the flow.
+			}
+			acknowledgement := responseSegment.WithSequenceNumber(901).WithAcknowledgementNumber(401)
+			is.True(tb.recordUpstreamSegment(acknowledgement, start.Add(time.Millisecond)) > 0)
+			balancerAddress, isOffered := tb.takeOffer(flowKey)
+			is.True(isOffered)
+			is.Equal(balancerAddress, uint64(7))
+			is.Equal(tb.busySlots(start.Add(time.Millisecond)), 0) // the reservation of the late SYN is gone as well
+			is.Equal(tb.decide(openFlowSegment, lastHop, landing.FlowUnknown{}, admitAll, start), landing.Deliver{})
+			is.Equal(tb.busySlots(start.Add(time.Millisecond)), 0) // a retransmission is no further request
+		})
+	}
+}
+
+// Guards against the reset of an open flow whose entry was replaced by a SYN with another initial sequence number, such
+// as a late SYN of an earlier flow from the same port. The flow must be offered to the upstream whatever becomes of the
+// SYN, also when another SYN follows.
+func TestTableReplacedFlowIsOffered(t *testing.T) {
+	refuseAll := func(upstreamLoad) landing.Refusal { return landing.RefusalLeaving }
+	for name, replace := range map[string]func(*table){
+		"admitted": func(tb *table) {
+			tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, admitAll, start)
+		},
+		"half open": func(tb *table) {
+			tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, admitAll, start)
+			tb.recordUpstreamSegment(repeatedSynAck.WithSequenceNumber(700), start)
+		},
+		"admitted twice": func(tb *table) {
+			tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, admitAll, start)
+			tb.decide(synSegment(8000), lastHop, landing.FlowAbsent{}, admitAll, start)
+		},
+		"refused": func(tb *table) {
+			tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, refuseAll, start)
+		},
+		"waiting": func(tb *table) {
+			tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, admitAll, start)
+			tb.withdrawAdmission(flowKey)
+		},
+		"returned": func(tb *table) {
+			tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, admitAll, start)
+			tb.recordReturn(synSegment(9000))
+		},
+		"returned copy": func(tb *table) {
+			tb.recordReturn(synSegment(100))
+		},
+		"reset by the upstream": func(tb *table) {
+			tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, admitAll, start)
+			tb.recordUpstreamSegment(landing.Segment{}.WithKey(flowKey).WithHasAck(true).WithIsReset(true).WithAcknowledgementNumber(9001), start)
+		},
+		"expired": func(tb *table) {
+			tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, admitAll, start)
+			tb.expire(time.Minute, start.Add(handshakeTimeout+time.Second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tb := newTableWithFlow(t)
+			replace(tb)
+			is.Equal(tb.decide(openFlowSegment, lastHop, landing.FlowAbsent{}, admitAll, start), landing.OfferToUpstream{})
+			tb.recordUpstreamSegment(responseSegment, start)
+			is.Equal(tb.decide(openFlowSegment, lastHop, landing.FlowAbsent{}, admitAll, start), landing.Deliver{})
+		})
+	}
+}
+
+// A late SYN at a restarted sidecar leaves no entry behind when it is withdrawn or expires, so that such SYNs do not
+// count against the limit of flows. The refusal of a SYN is decided again when it has waited.
+func TestTableWithdrawnSynOfUntrackedFlowLeavesNoEntry(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(start, noTimeout)
+	tb.decide(synSegment(100), lastHop, landing.FlowUnknown{}, admitAll, start)
+	tb.withdrawAdmission(flowKey)
+	is.Equal(tb.load(start).flowCount, 0)
+	tb.decide(synSegment(100), lastHop, landing.FlowUnknown{}, admitAll, start)
+	tb.expire(time.Minute, start.Add(handshakeTimeout+time.Second))
+	is.Equal(tb.load(start).flowCount, 0)
+	tb = newTableWithFlow(t)
+	tb.clear(start.Add(-time.Millisecond))
+	refuseAll := func(upstreamLoad) landing.Refusal { return landing.RefusalLeaving }
+	is.Equal(tb.decide(synSegment(100), lastHop, landing.FlowAbsent{}, refuseAll, start), landing.ReturnToBalancer{})
+}
+
+// Guards against the reset of a new flow from a port that was used before. A late packet of the earlier flow was offered
+// to the upstream and returned. This must not remove the entry of the new flow's handshake.
+func TestTableReturnedPacketOfEarlierFlowKeepsHandshake(t *testing.T) {
+	is := is.New(t)
+	tb := newTableWithFlow(t)
+	tb.decide(synSegment(9000), lastHop, landing.FlowAbsent{}, admitAll, start)
+	tb.recordUpstreamSegment(repeatedSynAck.WithSequenceNumber(700), start)
+	is.Equal(tb.decide(openFlowSegment, lastHop, landing.FlowAbsent{}, admitAll, start), landing.OfferToUpstream{})
+	tb.recordReturn(openFlowSegment)
+	is.Equal(tb.decide(openFlowSegment, lastHop, landing.FlowAbsent{}, admitAll, start), landing.ReturnToBalancer{})
+	acknowledgement := landing.Segment{}.WithKey(flowKey).WithHasAck(true).WithSequenceNumber(9001).WithAcknowledgementNumber(701)
+	is.Equal(tb.decide(acknowledgement, lastHop, landing.FlowAbsent{}, admitAll, start), landing.CompleteHandshake{})
+}
+
+// Guards against the reset of a flow whose handshake took place around a restart of the upstream: the SYN+ACK of the new
+// process replaces that of the previous one.
+func TestTableFollowsSynAckOfRestartedUpstream(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(start, noTimeout)
+	tb.decide(synSegment(100), lastHop, landing.FlowAbsent{}, admitAll, start)
+	tb.recordUpstreamSegment(repeatedSynAck, start)
+	tb.recordUpstreamSegment(repeatedSynAck.WithSequenceNumber(700), start.Add(time.Second))
+	tb.clear(start)
+	acknowledgement := requestSegment(101).WithAcknowledgementNumber(701)
+	is.Equal(tb.decide(acknowledgement, lastHop, landing.FlowAbsent{}, admitAll, start.Add(time.Second)), landing.CompleteHandshake{})
+}
+
+// Guards against an open flow that a SYN+ACK masks at a restarted sidecar: the previous sidecar process had delivered the
+// copy of the SYN to which the upstream responds.
+func TestTableSynAckOfUntrackedFlowDoesNotMaskIt(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(start, noTimeout)
+	tb.recordUpstreamSegment(repeatedSynAck, start)
+	is.Equal(tb.decide(openFlowSegment, lastHop, landing.FlowUnknown{}, admitAll, start), landing.OfferToUpstream{})
+}
--- a/sidecar/pkg/relay/upstream.go
+++ b/sidecar/pkg/relay/upstream.go
@@ -65,7 +65,7 @@
 	forwarded, found := f.delivered.take(packet.Echo())
 	packet.RestoreOriginal()
 	segment := packet.CallerSegment()
-	f.table.remove(segment.Key())
+	f.table.recordReturn(segment)
 	if !found {
 		f.telemetry.Counters().CountRefusal(landing.RefusalUnknown)
 		return
