sidecar: flows of unknown state stay until the idle timeout

Cause: when an upstream ends and starts again, flows that were opened before its first heartbeat become FlowUnknown, since they may belong to the new process. They were removed like incomplete handshakes after 3 s without a packet. Change: only handshakes end after handshakeTimeout. Flows in the state FlowUnknown are removed after the idle timeout. A packet that is offered to the upstream counts as activity of such a flow; it did not before. Result: before the change TestTableKeepsIdleFlowOfUnknownState printed "landing.ReturnToBalancer({}) != landing.OfferToUpstream({})" and TestIdleFlowsOfRestartedUpstreamContinue "err: flow was reset" after a pause of 5 s. Both pass now.

--- a/experiment/pkg/relayed/openflow_test.go
+++ b/experiment/pkg/relayed/openflow_test.go
@@ -3,7 +3,11 @@
 import (
 	"encoding/binary"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
 	"net/netip"
+	"net/url"
 	"testing"
 	"time"
 
@@ -99,3 +103,30 @@
 	_, err = flow.SendRequest("after the late copy", requestTimeout)
 	is.NoErr(err)
 }
+
+// Guards against the reset of flows that were opened before the first heartbeat of an upstream that crashed and started
+// again at once, and were then idle for longer than a handshake takes. Found by the review, case 3.
+func TestIdleFlowsOfRestartedUpstreamContinue(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 1, 1)
+	n := f.nodes[0]
+	heartbeatURL, err := url.Parse("http://" + f.address(n.ip, portOffsetLocal).String())
+	is.NoErr(err)
+	proxy := httputil.NewSingleHostReverseProxy(heartbeatURL)
+	isOpened := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-isOpened
+		proxy.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	f.CrashUpstream(0)
+	n.upstream, err = endpoint.NewUpstream("i-0-2", n.service, f.address(n.ip, portOffsetUpstream), f.address(n.ip, portOffsetOutbound), server.Listener.Addr().String())
+	is.NoErr(err)
+	flows := openFlows(t, f, 5, f.RouteThrough(0))
+	close(isOpened)
+	time.Sleep(5 * time.Second)
+	for _, flow := range flows {
+		_, err := flow.SendRequest("after a pause", requestTimeout)
+		is.NoErr(err)
+	}
+}
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -188,13 +188,18 @@
 			lastSegmentAt:    now,
 			replacesOpenFlow: t.hasLocked(s.Key()),
 		}
+	case landing.OfferToUpstream:
+		if found {
+			f.lastSegmentAt = now
+			t.put(s.Key(), f)
+		}
 	case landing.CompleteHandshake:
 		t.put(s.Key(), t.withCallerSegment(f.withState(landing.FlowEstablished{}), s, now))
 	case landing.Deliver, landing.DeliverAndForward:
 		if found {
 			t.put(s.Key(), t.withCallerSegment(f, s, now))
 		}
-	case landing.ForwardToNext, landing.ReturnToBalancer, landing.ResetFlow, landing.DropSegment, landing.AbandonHandshake, landing.DeferAdmission, landing.ReturnToDeferrer, landing.OfferToUpstream:
+	case landing.ForwardToNext, landing.ReturnToBalancer, landing.ResetFlow, landing.DropSegment, landing.AbandonHandshake, landing.DeferAdmission, landing.ReturnToDeferrer:
 	}
 	return action
 }
@@ -486,14 +491,14 @@
 }
 
 // expire removes flows without a segment for longer than idleTimeout, and ends incomplete handshakes after
-// handshakeTimeout. Offers that the upstream has not reacted to are removed after the same time.
+// handshakeTimeout. Offers that the upstream has not reacted to are removed after the same time. A flow in the state
+// FlowUnknown may be open, so it stays until the idle timeout.
 func (t *table) expire(idleTimeout time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, f := range t.flows {
-		_, isUnknown := f.state.(landing.FlowUnknown)
 		switch silence := now.Sub(f.lastSegmentAt); {
-		case silence > idleTimeout, isUnknown && silence > handshakeTimeout:
+		case silence > idleTimeout:
 			t.removeLocked(k)
 		case silence > handshakeTimeout:
 			t.endHandshakeLocked(k)
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -373,6 +373,20 @@
 	is.Equal(tb.decide(acknowledgement, lastHop, landing.FlowAbsent{}, admitAll, start), landing.CompleteHandshake{})
 }
 
+// Guards against the reset of a flow that was opened before the first heartbeat of a restarted upstream and sent nothing
+// for more than 3 s. It stays until the idle timeout.
+func TestTableKeepsIdleFlowOfUnknownState(t *testing.T) {
+	is := is.New(t)
+	tb := newTableWithFlow(t)
+	tb.clear(start.Add(-time.Millisecond))
+	tb.expire(15*time.Second, start.Add(15*time.Second))
+	is.Equal(tb.decide(requestSegment(101), lastHop, landing.FlowAbsent{}, admitAll, start.Add(15*time.Second)), landing.OfferToUpstream{})
+	tb.expire(15*time.Second, start.Add(30*time.Second)) // the offered packet counts as activity
+	is.Equal(tb.load(start).flowCount, 1)
+	tb.expire(15*time.Second, start.Add(31*time.Second))
+	is.Equal(tb.load(start).flowCount, 0)
+}
+
 // Guards against the reset of a flow whose handshake took place around a restart of the upstream: the SYN+ACK of the new
 // process replaces that of the previous one.
 func TestTableFollowsSynAckOfRestartedUpstream(t *testing.T) {
