experiment: heartbeats are held back by a plain handler

Cause: the test used the reverse proxy of the standard library, which this project does not need. Change: a handler posts the heartbeat itself.

--- a/experiment/pkg/relayed/openflow_test.go
+++ b/experiment/pkg/relayed/openflow_test.go
@@ -5,9 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httputil"
 	"net/netip"
-	"net/url"
 	"testing"
 	"time"
 
@@ -110,16 +108,21 @@
 	is := is.New(t)
 	f := startFleet(t, 1, 1)
 	n := f.nodes[0]
-	heartbeatURL, err := url.Parse("http://" + f.address(n.ip, portOffsetLocal).String())
-	is.NoErr(err)
-	proxy := httputil.NewSingleHostReverseProxy(heartbeatURL)
+	heartbeatURL := "http://" + f.address(n.ip, portOffsetLocal).String()
 	isOpened := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		<-isOpened
-		proxy.ServeHTTP(w, r)
+		response, err := http.Post(heartbeatURL+r.URL.Path, r.Header.Get("Content-Type"), r.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		w.WriteHeader(response.StatusCode)
 	}))
 	t.Cleanup(server.Close)
 	f.CrashUpstream(0)
+	var err error
 	n.upstream, err = endpoint.NewUpstream("i-0-2", n.service, f.address(n.ip, portOffsetUpstream), f.address(n.ip, portOffsetOutbound), server.Listener.Addr().String())
 	is.NoErr(err)
 	flows := openFlows(t, f, 5, f.RouteThrough(0))
