presence: resets only what heartbeats out of order prove

Cause: the first heartbeat that a restarted sidecar received counted as that of the running upstream process, and any later process as one whose start the sidecar had seen. A late heartbeat that arrived after the start of the next process also moved the time up to which flows were reset past that start.

Change: presence.EndedUntil, moved from the control thread, returns the earlier of the last heartbeat of the ended process and the start time that the next one states, or a time before all flows when its start was not observed. A start is observed when the first heartbeat that arrives has number 0 or 1 and the process started after the sidecar: that heartbeat may be late as well. The event UpstreamHeartbeatReceived has the new field observing_since for this. UpstreamHeartbeat has the new field zone, which the stand-in upstream now fills with the zone of its sidecar.

--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -461,6 +461,7 @@
 	m.Leaving = v.Leaving()
 	m.Slots = v.Slots()
 	m.ColdStartRemaining = durationpb.New(v.ColdStartRemaining())
+	m.Zone = v.Zone()
 	return m
 }
 
@@ -475,6 +476,7 @@
 	v = v.WithLeaving(m.GetLeaving())
 	v = v.WithSlots(m.GetSlots())
 	v = v.WithColdStartRemaining(m.GetColdStartRemaining().AsDuration())
+	v = v.WithZone(m.GetZone())
 	return v
 }
 
@@ -515,6 +517,7 @@
 	m := &landingpb.UpstreamHeartbeatReceived{}
 	m.Heartbeat = EncodeUpstreamHeartbeat(v.Heartbeat())
 	m.ReceivedAt = timestamppb.New(v.ReceivedAt())
+	m.ObservingSince = timestamppb.New(v.ObservingSince())
 	return m
 }
 
@@ -523,6 +526,7 @@
 	v := landing.UpstreamHeartbeatReceived{}
 	v = v.WithHeartbeat(DecodeUpstreamHeartbeat(m.GetHeartbeat()))
 	v = v.WithReceivedAt(m.GetReceivedAt().AsTime())
+	v = v.WithObservingSince(m.GetObservingSince().AsTime())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -1435,6 +1435,7 @@
 	leaving            bool
 	slots              uint32
 	coldStartRemaining time.Duration
+	zone               string
 }
 
 // Incarnation returns the field of the same name.
@@ -1541,6 +1542,19 @@
 	return v
 }
 
+// Zone returns the field of the same name.
+//
+// Availability zone.
+func (v UpstreamHeartbeat) Zone() string {
+	return v.zone
+}
+
+// WithZone returns a copy of v with the given zone.
+func (v UpstreamHeartbeat) WithZone(zone string) UpstreamHeartbeat {
+	v.zone = zone
+	return v
+}
+
 // UpstreamEvent is an event that changes the UpstreamState of a sidecar.
 //
 //sumtype:decl
@@ -1550,8 +1564,9 @@
 
 // UpstreamHeartbeatReceived means that a heartbeat of the upstream arrived.
 type UpstreamHeartbeatReceived struct {
-	heartbeat  UpstreamHeartbeat
-	receivedAt time.Time
+	heartbeat      UpstreamHeartbeat
+	receivedAt     time.Time
+	observingSince time.Time
 }
 
 func (UpstreamHeartbeatReceived) isUpstreamEvent() {}
@@ -1582,6 +1597,20 @@
 	return v
 }
 
+// ObservingSince returns the field of the same name.
+//
+// Time since which the sidecar has observed the packets of its upstream, by the clock of the
+// sidecar. Not set when it is not stated.
+func (v UpstreamHeartbeatReceived) ObservingSince() time.Time {
+	return v.observingSince
+}
+
+// WithObservingSince returns a copy of v with the given observingSince.
+func (v UpstreamHeartbeatReceived) WithObservingSince(observingSince time.Time) UpstreamHeartbeatReceived {
+	v.observingSince = observingSince
+	return v
+}
+
 // UpstreamStopAnnounced means that the upstream announced that it shuts down.
 type UpstreamStopAnnounced struct {
 	incarnation string
--- a/core/pkg/presence/presence.go
+++ b/core/pkg/presence/presence.go
@@ -37,7 +37,7 @@
 func Handle(state landing.UpstreamState, event landing.UpstreamEvent) landing.UpstreamState {
 	switch event := event.(type) {
 	case landing.UpstreamHeartbeatReceived:
-		return afterHeartbeat(state, event.Heartbeat(), event.ReceivedAt())
+		return afterHeartbeat(state, event)
 	case landing.UpstreamStopAnnounced:
 		return afterStopAnnounced(state, event.Incarnation())
 	case landing.UpstreamSocketClosed:
@@ -68,6 +68,24 @@
 	return before.Incarnation() != "" && !isSameIncarnation(before, after.Incarnation(), after.StartedAt())
 }
 
+// EndedUntil reports whether the event, which changed the state from before to after, shows that an
+// incarnation has ended. It then returns the time up to which opened flows belonged to that
+// incarnation. When the start of the next incarnation was not observed, the heartbeats do not show
+// which flows belonged to which one: the heartbeat of the ended incarnation may have arrived long
+// after its end. The time is then the zero time, which is before all flows.
+func EndedUntil(before, after landing.UpstreamState, event landing.UpstreamEvent) (time.Time, bool) {
+	if closed, isClosed := event.(landing.UpstreamSocketClosed); isClosed && before.Phase() != landing.PhaseLeft {
+		return closed.DetectedAt(), true
+	}
+	if !IsNewIncarnation(before, after) {
+		return time.Time{}, false
+	}
+	if !after.AllFlowsSeen() {
+		return time.Time{}, true
+	}
+	return earlierOf(before.LastHeartbeat(), after.StartedAt()), true
+}
+
 // OwnsFlow reports whether a flow that was opened at this time certainly belongs to the current
 // incarnation, because heartbeats of that incarnation arrived both before and after. False means
 // that it is not certain: a flow that was opened after the last heartbeat may belong to a new
@@ -92,7 +110,8 @@
 
 // afterHeartbeat returns the state after a heartbeat of the current incarnation, of a rival or of a
 // new incarnation. Heartbeats that arrive out of order are ignored.
-func afterHeartbeat(state landing.UpstreamState, heartbeat landing.UpstreamHeartbeat, receivedAt time.Time) landing.UpstreamState {
+func afterHeartbeat(state landing.UpstreamState, event landing.UpstreamHeartbeatReceived) landing.UpstreamState {
+	heartbeat, receivedAt := event.Heartbeat(), event.ReceivedAt()
 	if isSameIncarnation(state, heartbeat.Incarnation(), heartbeat.StartedAt()) {
 		if heartbeat.SequenceNumber() <= state.LastHeartbeatNumber() {
 			return state
@@ -107,10 +126,18 @@
 		WithIncarnation(heartbeat.Incarnation()).
 		WithStartedAt(heartbeat.StartedAt()).
 		WithFirstHeartbeat(receivedAt).
-		WithAllFlowsSeen(state.Incarnation() != "" || heartbeat.SequenceNumber() <= maxFirstSequenceNumber)
+		WithAllFlowsSeen(isStartObserved(heartbeat, event.ObservingSince()))
 	return withHeartbeat(next, heartbeat, receivedAt)
 }
 
+// isStartObserved reports whether the sidecar was running when the incarnation started, if this is
+// the first heartbeat of the incarnation that arrives. The first heartbeat that the incarnation sent
+// may itself be late and arrive at a sidecar that started after the incarnation. The time
+// observingSince is the zero time when it is not stated.
+func isStartObserved(heartbeat landing.UpstreamHeartbeat, observingSince time.Time) bool {
+	return heartbeat.SequenceNumber() <= maxFirstSequenceNumber && !heartbeat.StartedAt().Before(observingSince)
+}
+
 // withRival returns the state with a rival. It keeps the sequence number of the first heartbeat
 // that arrived from the rival; later heartbeats of the same rival change nothing.
 func withRival(state landing.UpstreamState, heartbeat landing.UpstreamHeartbeat) landing.UpstreamState {
@@ -151,6 +178,13 @@
 	return state.WithPhase(landing.PhaseDraining)
 }
 
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/experiment/pkg/relayed/fleet.go
+++ b/experiment/pkg/relayed/fleet.go
@@ -262,7 +262,7 @@
 	n := f.nodes[i]
 	n.incarnations++
 	upstreamID := fmt.Sprintf("i-%d-%d", i, n.incarnations)
-	u, err := endpoint.NewUpstream(upstreamID, n.service, f.address(n.ip, portOffsetUpstream), f.address(n.ip, portOffsetOutbound), f.address(n.ip, portOffsetLocal).String())
+	u, err := endpoint.NewUpstream(upstreamID, n.service, n.zone, f.address(n.ip, portOffsetUpstream), f.address(n.ip, portOffsetOutbound), f.address(n.ip, portOffsetLocal).String())
 	n.upstream = u
 	return err
 }
@@ -278,6 +278,14 @@
 	return f.nodes[i].upstream
 }
 
+// PostHeartbeat sends a heartbeat of the upstream incarnation id to sidecar number i. It returns the status of the response,
+// or an error if there is none.
+func (f *Fleet) PostHeartbeat(i int, id string, body []byte) (int, error) {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	return endpoint.PostHeartbeat(client, f.address(f.nodes[i].ip, portOffsetLocal).String(), id, body)
+}
+
 // IsReady reports whether balancer number i responds to a readiness check of the platform with status 200.
 func (f *Fleet) IsReady(i int) bool {
 	resp, err := http.Get("http://" + f.address(f.ip(0, i+1), portOffsetReadiness).String() + "/v1/readiness")
--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -174,6 +175,38 @@
 	is.True(resets <= openedBefore)
 }
 
+// Guards against resets of all open flows of an upstream when its sidecar is restarted as planned and the first heartbeat
+// that reaches the new sidecar process is a late one of the crashed predecessor of the upstream (review/4).
+func TestOpenFlowsSurviveLateHeartbeatAtRestartedSidecar(t *testing.T) {
+	for _, number := range []int{1, 5} {
+		t.Run(fmt.Sprintf("late heartbeat %d", number), func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, 1, 2)
+			crashed := f.Upstream(0)
+			f.CrashUpstream(0)
+			is.NoErr(f.StartUpstream(0))
+			var flows []*endpoint.Flow
+			await(t, "upstream 0 holds flows", func() bool {
+				flows = append(flows, openFlows(t, f, 10, f.RouteThrough(0))...)
+				return f.Upstream(0).OpenedFlows() > 0
+			})
+			f.Upstream(0).SetSilent(true)
+			f.StopSidecar(0)
+			is.NoErr(f.StartSidecar(0))
+			await(t, "the late heartbeat is acknowledged", func() bool {
+				status, err := f.PostHeartbeat(0, "i-0-1", crashed.Heartbeat(number))
+				return err == nil && status == http.StatusOK
+			})
+			f.Upstream(0).SetSilent(false)
+			time.Sleep(5 * time.Second) // the flows are idle until every other process knows the upstream's new state
+			for _, flow := range flows {
+				_, err := flow.SendRequest("after the late heartbeat", 2*requestTimeout)
+				is.NoErr(err)
+			}
+		})
+	}
+}
+
 // After all processes have lost power, the flows that were recorded in the store are reset without a further request of
 // their callers, since such a request would be lost.
 func TestPowerLossResetsRecordedFlows(t *testing.T) {
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -109,12 +109,14 @@
 	servers       []*serve.Server
 	scrape        *scrape.Server
 	telemetry     common.Telemetry
+	// startedAt is a time before the sidecar has observed any packet of its upstream.
+	startedAt time.Time
 }
 
 // New returns a sidecar whose sockets are open. Start must be called. New returns an error when an address
 // in the settings cannot be used.
 func New(c common.Telemetry, s landing.RelaySidecarSettings) (*Sidecar, error) {
-	sc := &Sidecar{telemetry: c}
+	sc := &Sidecar{telemetry: c, startedAt: clock.Now()}
 	sc.controlThread = NewControlThread(c, s,
 		func(until time.Time) { sc.forwarder.resetLostFlows(until) },
 		func(upstream landing.UpstreamState) { sc.forwarder.claimPendingFlows(upstream) })
@@ -178,7 +180,10 @@
 		sc.telemetry.Log().Info("heartbeat of another upstream", "upstream", heartbeat.Incarnation(), "address", heartbeat.Address())
 		return
 	}
-	sc.postUpstreamEvent(landing.UpstreamHeartbeatReceived{}.WithHeartbeat(heartbeat).WithReceivedAt(clock.Now()))
+	sc.postUpstreamEvent(landing.UpstreamHeartbeatReceived{}.
+		WithHeartbeat(heartbeat).
+		WithReceivedAt(clock.Now()).
+		WithObservingSince(sc.startedAt))
 }
 
 func (sc *Sidecar) postUpstreamEvent(e landing.UpstreamEvent) {
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -153,7 +153,7 @@
 func (t *ControlThread) applyUpstreamEvent(s Snapshot, e landing.UpstreamEvent) Snapshot {
 	next := s.WithUpstream(presence.Handle(s.upstream, e))
 	before, after := s.upstream, next.upstream
-	if until, hasEnded := upstreamEnd(before, after, e); hasEnded {
+	if until, hasEnded := presence.EndedUntil(before, after, e); hasEnded {
 		t.onUpstreamEnded(until)
 	}
 	if after.LastHeartbeat().After(before.LastHeartbeat()) {
@@ -169,18 +169,6 @@
 	return next
 }
 
-// upstreamEnd reports whether event e shows that a process of the upstream has ended. It then returns the
-// time up to which opened flows belonged to that process.
-func upstreamEnd(before, after landing.UpstreamState, e landing.UpstreamEvent) (time.Time, bool) {
-	if closed, isClosed := e.(landing.UpstreamSocketClosed); isClosed && before.Phase() != landing.PhaseLeft {
-		return closed.DetectedAt(), true
-	}
-	if presence.IsNewIncarnation(before, after) {
-		return before.LastHeartbeat(), true
-	}
-	return time.Time{}, false
-}
-
 // recordRevisions records the revisions that another process has advertised, and signals PolicyOutdated when
 // they are newer than those in force.
 func (t *ControlThread) recordRevisions(s Snapshot, seen landing.PolicyRevisions) Snapshot {
