platform: strict validation of heartbeats and stored objects

Errors are FieldErrors, which name the field. All fields of a heartbeat are required; the sidecar refuses one of another zone as foreign.

--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -1,6 +1,7 @@
 package relayed
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -207,6 +208,42 @@
 	}
 }
 
+// Guards against resets of all open flows of a running upstream after a heartbeat of another writer with a later start time:
+// one in which fields are missing (review/5), or one from another zone.
+func TestOpenFlowsSurviveHeartbeatOfAnotherWriter(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(map[string]any)
+		status int
+	}{
+		"missing fields": {func(h map[string]any) {
+			delete(h, "zone")
+			delete(h, "version")
+			delete(h, "cold_remain_ms")
+		}, http.StatusBadRequest},
+		"another zone": {func(h map[string]any) { h["zone"] = "elsewhere" }, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, 1, 1)
+			flows := openFlows(t, f, 5, f.RouteThrough(0))
+			time.Sleep(3 * endpoint.HeartbeatInterval) // a heartbeat has arrived since the flows were opened
+			heartbeat := map[string]any{}
+			is.NoErr(json.Unmarshal(f.Upstream(0).Heartbeat(1), &heartbeat))
+			heartbeat["born"] = time.Now().UnixMilli()
+			c.change(heartbeat)
+			body, err := json.Marshal(heartbeat)
+			is.NoErr(err)
+			status, err := f.PostHeartbeat(0, "i-x", body)
+			is.NoErr(err)
+			is.Equal(status, c.status)
+			for _, flow := range flows {
+				_, err := flow.SendRequest("after the heartbeat", requestTimeout)
+				is.NoErr(err)
+			}
+		})
+	}
+}
+
 // After all processes have lost power, the flows that were recorded in the store are reset without a further request of
 // their callers, since such a request would be lost.
 func TestPowerLossResetsRecordedFlows(t *testing.T) {
--- a/sidecar/pkg/relay/app.go
+++ b/sidecar/pkg/relay/app.go
@@ -130,7 +130,9 @@
 		return nil, err
 	}
 	countCall := func(call, outcome string) { c.Counters().Counter("store." + call + "." + outcome).Inc(1) }
-	logMalformed := func(err error) { c.Log().Info("object cannot be read", "error", err.Error()) }
+	logMalformed := func(err error) {
+		c.Log().Info("object cannot be read", "field", platform.InvalidField(err), "error", err.Error())
+	}
 	sc.store = platform.NewStoreClient(s.Platform(), countCall, logMalformed)
 	sc.platformSync = NewPlatformSync(c, s, sc.controlThread, sc.store)
 	sc.recorder = NewRecorder(c, s, sc.controlThread, sc.store, forwarder)
@@ -147,7 +149,9 @@
 		},
 		OnMalformedHeartbeat: func(err error) {
 			sc.telemetry.Counters().CountRefusal(landing.RefusalMalformed)
-			sc.telemetry.Log().Info("heartbeat cannot be read", "error", err.Error())
+			field := platform.InvalidField(err)
+			sc.telemetry.Counters().Counter("heartbeat_malformed." + field).Inc(1)
+			sc.telemetry.Log().Info("heartbeat cannot be read", "field", field, "error", err.Error())
 		},
 	})
 	readinessHandler := platform.NewReadinessHandler(func() bool { return true })
@@ -172,12 +176,12 @@
 	return err
 }
 
-// handleHeartbeat handles a heartbeat of the upstream. A heartbeat with another service or host comes from
-// another upstream and is refused.
+// handleHeartbeat handles a heartbeat of the upstream. A heartbeat with another service, zone or host comes
+// from another upstream and is refused.
 func (sc *Sidecar) handleHeartbeat(s landing.RelaySidecarSettings, heartbeat landing.UpstreamHeartbeat) {
-	if heartbeat.Service() != s.Service() || !haveSameHost(heartbeat.Address(), s.Upstream()) {
+	if heartbeat.Service() != s.Service() || heartbeat.Zone() != s.Zone() || !haveSameHost(heartbeat.Address(), s.Upstream()) {
 		sc.telemetry.Counters().CountRefusal(landing.RefusalForeign)
-		sc.telemetry.Log().Info("heartbeat of another upstream", "upstream", heartbeat.Incarnation(), "address", heartbeat.Address())
+		sc.telemetry.Log().Info("heartbeat of another upstream", "upstream", heartbeat.Incarnation(), "address", heartbeat.Address(), "zone", heartbeat.Zone())
 		return
 	}
 	sc.postUpstreamEvent(landing.UpstreamHeartbeatReceived{}.
