--- a/experiment/pkg/relayed/openflow_test.go
+++ b/experiment/pkg/relayed/openflow_test.go
@@ -123,7 +123,7 @@
 	t.Cleanup(server.Close)
 	f.CrashUpstream(0)
 	var err error
-	n.upstream, err = endpoint.NewUpstream("i-0-2", n.service, f.address(n.ip, portOffsetUpstream), f.address(n.ip, portOffsetOutbound), server.Listener.Addr().String())
+	n.upstream, err = endpoint.NewUpstream("i-0-2", n.service, n.zone, f.address(n.ip, portOffsetUpstream), f.address(n.ip, portOffsetOutbound), server.Listener.Addr().String())
 	is.NoErr(err)
 	flows := openFlows(t, f, 5, f.RouteThrough(0))
 	close(isOpened)
