Selection along the chain and waiting by expected response

Cause: balancers put upstreams whose slots were in use in the last status last, so all flows of 250 ms went to the few others; a flow that no sidecar of the chain admitted waited at the first of them; backlogs served the newest packet first and let packets wait until their responses were late. Change: core/pkg/selection compares the expected response along the chain; backlog.DecideWait lets a packet wait where its response is expected in time, or late in slots that timely requests leave free, and refuses the rest at once; upstreams with all slots in use are as eligible as others.

--- a/core/gen/codec/flow.go
+++ b/core/gen/codec/flow.go
@@ -483,6 +483,7 @@
 	m.UpstreamBusy = v.UpstreamBusy()
 	m.DeferredEarlier = v.DeferredEarlier()
 	m.ReturnedToDeferrer = v.ReturnedToDeferrer()
+	m.ShortestWait = v.ShortestWait()
 	return m
 }
 
@@ -495,5 +496,6 @@
 	v = v.WithUpstreamBusy(m.GetUpstreamBusy())
 	v = v.WithDeferredEarlier(m.GetDeferredEarlier())
 	v = v.WithReturnedToDeferrer(m.GetReturnedToDeferrer())
+	v = v.WithShortestWait(m.GetShortestWait())
 	return v
 }
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -55,6 +55,7 @@
 	}
 	m.Priority = v.Priority()
 	m.RequestTimeout = durationpb.New(v.RequestTimeout())
+	m.ResponseAim = durationpb.New(v.ResponseAim())
 	return m
 }
 
@@ -71,6 +72,7 @@
 	v = v.WithShares(shares...)
 	v = v.WithPriority(m.GetPriority())
 	v = v.WithRequestTimeout(m.GetRequestTimeout().AsDuration())
+	v = v.WithResponseAim(m.GetResponseAim().AsDuration())
 	return v
 }
 
@@ -296,6 +298,7 @@
 	m.EnrollmentsChangedRevision = v.EnrollmentsChangedRevision()
 	m.AskedSidecars = v.AskedSidecars()
 	m.SearchNumber = v.SearchNumber()
+	m.ExpectedResponseMicros = v.ExpectedResponseMicros()
 	return m
 }
 
@@ -319,6 +322,7 @@
 	v = v.WithEnrollmentsChangedRevision(m.GetEnrollmentsChangedRevision())
 	v = v.WithAskedSidecars(m.GetAskedSidecars())
 	v = v.WithSearchNumber(m.GetSearchNumber())
+	v = v.WithExpectedResponseMicros(m.GetExpectedResponseMicros())
 	return v
 }
 
@@ -948,6 +952,7 @@
 	m.Priority = v.Priority()
 	m.LastCopyAt = timestamppb.New(v.LastCopyAt())
 	m.WaitLimit = durationpb.New(v.WaitLimit())
+	m.TimelyUntil = timestamppb.New(v.TimelyUntil())
 	return m
 }
 
@@ -959,6 +964,77 @@
 	v = v.WithPriority(m.GetPriority())
 	v = v.WithLastCopyAt(m.GetLastCopyAt().AsTime())
 	v = v.WithWaitLimit(m.GetWaitLimit().AsDuration())
+	v = v.WithTimelyUntil(m.GetTimelyUntil().AsTime())
+	return v
+}
+
+// EncodeWaitDecision converts v to its protobuf message. It returns an empty message when v is nil.
+func EncodeWaitDecision(v landing.WaitDecision) *landingpb.WaitDecision {
+	switch v := v.(type) {
+	case landing.WaitTimely:
+		return &landingpb.WaitDecision{WaitDecision: &landingpb.WaitDecision_WaitTimely{WaitTimely: EncodeWaitTimely(v)}}
+	case landing.WaitLate:
+		return &landingpb.WaitDecision{WaitDecision: &landingpb.WaitDecision_WaitLate{WaitLate: EncodeWaitLate(v)}}
+	case landing.RefuseWait:
+		return &landingpb.WaitDecision{WaitDecision: &landingpb.WaitDecision_RefuseWait{RefuseWait: EncodeRefuseWait(v)}}
+	default:
+		return &landingpb.WaitDecision{}
+	}
+}
+
+// DecodeWaitDecision converts the protobuf message m to its value. It returns nil when no case of m is set.
+func DecodeWaitDecision(m *landingpb.WaitDecision) landing.WaitDecision {
+	switch c := m.GetWaitDecision().(type) {
+	case *landingpb.WaitDecision_WaitTimely:
+		return DecodeWaitTimely(c.WaitTimely)
+	case *landingpb.WaitDecision_WaitLate:
+		return DecodeWaitLate(c.WaitLate)
+	case *landingpb.WaitDecision_RefuseWait:
+		return DecodeRefuseWait(c.RefuseWait)
+	default:
+		return nil
+	}
+}
+
+// EncodeWaitTimely converts v to its protobuf message.
+func EncodeWaitTimely(v landing.WaitTimely) *landingpb.WaitTimely {
+	m := &landingpb.WaitTimely{}
+	m.ExpectedWait = durationpb.New(v.ExpectedWait())
+	return m
+}
+
+// DecodeWaitTimely converts the protobuf message m to its value. Unset fields (all fields of a nil m) become zero, times 1970-01-01 UTC.
+func DecodeWaitTimely(m *landingpb.WaitTimely) landing.WaitTimely {
+	v := landing.WaitTimely{}
+	v = v.WithExpectedWait(m.GetExpectedWait().AsDuration())
+	return v
+}
+
+// EncodeWaitLate converts v to its protobuf message.
+func EncodeWaitLate(v landing.WaitLate) *landingpb.WaitLate {
+	m := &landingpb.WaitLate{}
+	m.ExpectedWait = durationpb.New(v.ExpectedWait())
+	return m
+}
+
+// DecodeWaitLate converts the protobuf message m to its value. Unset fields (all fields of a nil m) become zero, times 1970-01-01 UTC.
+func DecodeWaitLate(m *landingpb.WaitLate) landing.WaitLate {
+	v := landing.WaitLate{}
+	v = v.WithExpectedWait(m.GetExpectedWait().AsDuration())
+	return v
+}
+
+// EncodeRefuseWait converts v to its protobuf message.
+func EncodeRefuseWait(v landing.RefuseWait) *landingpb.RefuseWait {
+	m := &landingpb.RefuseWait{}
+	m.ExpectedWait = durationpb.New(v.ExpectedWait())
+	return m
+}
+
+// DecodeRefuseWait converts the protobuf message m to its value. Unset fields (all fields of a nil m) become zero, times 1970-01-01 UTC.
+func DecodeRefuseWait(m *landingpb.RefuseWait) landing.RefuseWait {
+	v := landing.RefuseWait{}
+	v = v.WithExpectedWait(m.GetExpectedWait().AsDuration())
 	return v
 }
 
--- a/core/gen/landing/flow.go
+++ b/core/gen/landing/flow.go
@@ -705,6 +705,7 @@
 	upstreamBusy       bool
 	deferredEarlier    bool
 	returnedToDeferrer bool
+	shortestWait       bool
 }
 
 // HasNext returns the field of the same name.
@@ -786,3 +787,17 @@
 	v.returnedToDeferrer = returnedToDeferrer
 	return v
 }
+
+// ShortestWait returns the field of the same name.
+//
+// Whether the response is expected earlier from this sidecar than from the one that deferred the
+// new flow.
+func (v ChainPosition) ShortestWait() bool {
+	return v.shortestWait
+}
+
+// WithShortestWait returns a copy of v with the given shortestWait.
+func (v ChainPosition) WithShortestWait(shortestWait bool) ChainPosition {
+	v.shortestWait = shortestWait
+	return v
+}
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -37,10 +37,8 @@
 
 // Values of Eligibility.
 const (
-	// The sidecar's status is recent and its upstream has free slots.
+	// The sidecar's status is recent and its upstream accepts new flows.
 	EligibilityReady Eligibility = 0
-	// All slots of the upstream are in use.
-	EligibilityBusy Eligibility = 1
 	// The upstream accepts no further flow at the moment: it is in cold start or has reached its
 	// limit of flows.
 	EligibilityCold Eligibility = 2
@@ -57,8 +55,6 @@
 	switch v {
 	case EligibilityReady:
 		return "ready"
-	case EligibilityBusy:
-		return "busy"
 	case EligibilityCold:
 		return "cold"
 	case EligibilityEjected:
@@ -176,6 +172,7 @@
 	shares         []ServiceShare
 	priority       uint32
 	requestTimeout time.Duration
+	responseAim    time.Duration
 }
 
 // Name returns the field of the same name.
@@ -266,6 +263,19 @@
 	return v
 }
 
+// ResponseAim returns the field of the same name.
+//
+// Time within which callers of the listener should get the response to a request; 0: not stated.
+func (v Listener) ResponseAim() time.Duration {
+	return v.responseAim
+}
+
+// WithResponseAim returns a copy of v with the given responseAim.
+func (v Listener) WithResponseAim(responseAim time.Duration) Listener {
+	v.responseAim = responseAim
+	return v
+}
+
 // ServiceShare is the share of a listener's new flows that goes to one service.
 type ServiceShare struct {
 	service string
@@ -946,6 +956,7 @@
 	enrollmentsChangedRevision uint64
 	askedSidecars              []byte
 	searchNumber               uint32
+	expectedResponseMicros     uint32
 }
 
 func (ForwardedPacket) isDatagram() {}
@@ -1056,8 +1067,9 @@
 
 // DeferredBy returns the field of the same name.
 //
-// Index in hop_addresses, plus 1, of the first sidecar that would admit the new flow but whose
-// upstream is busy (the deferrer). 0: there is no such sidecar.
+// Index in hop_addresses, plus 1, of the sidecar that would admit the new flow although its
+// upstream is busy (the deferrer): the one that has stated the shortest expected response time.
+// 0: there is no such sidecar.
 func (v ForwardedPacket) DeferredBy() uint32 {
 	return v.deferredBy
 }
@@ -1136,6 +1148,20 @@
 	return v
 }
 
+// ExpectedResponseMicros returns the field of the same name.
+//
+// Time in microseconds that the deferrer expects until the response to the flow's first request. 0:
+// not stated, by a sidecar of the previous version.
+func (v ForwardedPacket) ExpectedResponseMicros() uint32 {
+	return v.expectedResponseMicros
+}
+
+// WithExpectedResponseMicros returns a copy of v with the given expectedResponseMicros.
+func (v ForwardedPacket) WithExpectedResponseMicros(expectedResponseMicros uint32) ForwardedPacket {
+	v.expectedResponseMicros = expectedResponseMicros
+	return v
+}
+
 // Datagram is any message that processes of the fleet send each other over UDP on the relay path.
 //
 //sumtype:decl
@@ -2266,6 +2292,7 @@
 	priority        uint32
 	lastCopyAt      time.Time
 	waitLimit       time.Duration
+	timelyUntil     time.Time
 }
 
 // ForwardedPacket returns the field of the same name.
@@ -2334,6 +2361,88 @@
 	return v
 }
 
+// TimelyUntil returns the field of the same name.
+//
+// Time at which the request must begin for its response to be timely; the zero time when the
+// listener states no aim.
+func (v QueuedPacket) TimelyUntil() time.Time {
+	return v.timelyUntil
+}
+
+// WithTimelyUntil returns a copy of v with the given timelyUntil.
+func (v QueuedPacket) WithTimelyUntil(timelyUntil time.Time) QueuedPacket {
+	v.timelyUntil = timelyUntil
+	return v
+}
+
+// WaitDecision is the decision whether an opening packet waits for a free slot.
+//
+//sumtype:decl
+type WaitDecision interface {
+	isWaitDecision()
+}
+
+// WaitTimely means that the packet waits and that a timely response is expected.
+type WaitTimely struct {
+	expectedWait time.Duration
+}
+
+func (WaitTimely) isWaitDecision() {}
+
+// ExpectedWait returns the field of the same name.
+//
+// Expected time until the request begins.
+func (v WaitTimely) ExpectedWait() time.Duration {
+	return v.expectedWait
+}
+
+// WithExpectedWait returns a copy of v with the given expectedWait.
+func (v WaitTimely) WithExpectedWait(expectedWait time.Duration) WaitTimely {
+	v.expectedWait = expectedWait
+	return v
+}
+
+// WaitLate means that the packet waits for slots that timely requests leave free.
+type WaitLate struct {
+	expectedWait time.Duration
+}
+
+func (WaitLate) isWaitDecision() {}
+
+// ExpectedWait returns the field of the same name.
+//
+// Expected time until the request begins.
+func (v WaitLate) ExpectedWait() time.Duration {
+	return v.expectedWait
+}
+
+// WithExpectedWait returns a copy of v with the given expectedWait.
+func (v WaitLate) WithExpectedWait(expectedWait time.Duration) WaitLate {
+	v.expectedWait = expectedWait
+	return v
+}
+
+// RefuseWait means that the packet is refused at once, because its request would probably not begin
+// before its caller gives up.
+type RefuseWait struct {
+	expectedWait time.Duration
+}
+
+func (RefuseWait) isWaitDecision() {}
+
+// ExpectedWait returns the field of the same name.
+//
+// Expected time until the request would have begun.
+func (v RefuseWait) ExpectedWait() time.Duration {
+	return v.expectedWait
+}
+
+// WithExpectedWait returns a copy of v with the given expectedWait.
+func (v RefuseWait) WithExpectedWait(expectedWait time.Duration) RefuseWait {
+	v.expectedWait = expectedWait
+	return v
+}
+
 // HeldFlowList is the record of an upstream's flows that a sidecar stores in the platform. After a
 // power loss it is used to reset those flows, so that their callers notice the loss at once.
 type HeldFlowList struct {
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -65,6 +65,7 @@
 	}
 	b = field.AppendUint(b, 5, uint64(v.Priority()))
 	b = field.AppendDuration(b, 6, v.RequestTimeout())
+	b = field.AppendDuration(b, 7, v.ResponseAim())
 	return b
 }
 
@@ -91,6 +92,8 @@
 			v = v.WithPriority(uint32(r.Uint()))
 		case 6:
 			v = v.WithRequestTimeout(r.Duration())
+		case 7:
+			v = v.WithResponseAim(r.Duration())
 		}
 	}
 	v = v.WithShares(shares...)
@@ -412,6 +415,7 @@
 	b = field.AppendUint(b, 11, v.EnrollmentsChangedRevision())
 	b = field.AppendBytes(b, 12, v.AskedSidecars())
 	b = field.AppendUint(b, 13, uint64(v.SearchNumber()))
+	b = field.AppendUint(b, 14, uint64(v.ExpectedResponseMicros()))
 	return b
 }
 
@@ -448,6 +452,8 @@
 			v = v.WithAskedSidecars(r.Copy())
 		case 13:
 			v = v.WithSearchNumber(uint32(r.Uint()))
+		case 14:
+			v = v.WithExpectedResponseMicros(uint32(r.Uint()))
 		}
 	}
 	v = v.WithHopAddresses(hopAddresses...)
--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -1,12 +1,19 @@
-// Package backlog orders the opening packets (SYNs of new flows) that wait for a free slot of their
-// upstream. The slots of an upstream are the requests that it can process at once.
+// Package backlog decides which opening packets (SYNs of new flows) wait for a free slot of their
+// upstream, and in which order. The slots of an upstream are the requests that it can process at
+// once.
 //
-// After an outage all callers come back within a second. Most of their requests can no longer be
-// served in time (late requests), while fresh requests, which still can, keep arriving. Served in
-// order of arrival, every fresh request would wait behind late ones and become late as well. So
-// within a priority the newest packet is served first (adaptive LIFO, as in Maurer, "Fail at
-// Scale", 2015), and older packets get the remaining capacity until their caller gives up. Packets
-// that cannot be served by then are refused at once.
+// The load pattern that it answers is more requests than all upstreams can process: for seconds,
+// because many callers come or upstreams are slow, or for a moment, when all callers come back after
+// an outage. When everything waits, each request waits until its response is late, and the upstreams
+// work only for late responses. So a packet waits only where its request will probably begin early
+// enough for a timely response, and the others are refused at once. What can only be answered late
+// waits for slots that timely requests leave free; how many such packets may wait follows from how
+// busy timely requests have kept the upstream lately.
+//
+// Timely packets are served in order of arrival, since each of them has been promised its turn. The
+// others, and all packets of listeners without a response aim, are served newest first: fresh requests
+// can still be answered in time, while older ones have become late (adaptive LIFO, as in Maurer,
+// "Fail at Scale", 2015).
 package backlog
 
 import (
@@ -14,6 +21,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 )
 
 const (
@@ -28,9 +36,6 @@
 	// minCopyInterval is the shortest time after which a caller sends the next copy of its opening
 	// packet.
 	minCopyInterval = secondCopyAfter
-	// assumedRequestTime is the processing time that is assumed for a request until one has been
-	// measured.
-	assumedRequestTime = 50 * time.Millisecond
 )
 
 // Backlog is the set of waiting packets, at most one for each flow. It is immutable.
@@ -43,6 +48,16 @@
 	return len(b.packets)
 }
 
+// TimelyUntil returns the time until which a request must begin so that its response is timely, when
+// the copy with this number of earlier copies arrives now. It is the zero time when responseAim, the
+// time within which the caller should get the response, is 0 (not stated).
+func TimelyUntil(earlierCopies uint32, responseAim, requestTime time.Duration, now time.Time) time.Time {
+	if responseAim <= 0 {
+		return time.Time{}
+	}
+	return now.Add(responseAim - sentAfter(earlierCopies) - requestTime)
+}
+
 // WaitLimit returns the longest time for which a packet with this number of earlier copies waits. A
 // request that begins later takes longer than its caller waits for the response: requestTimeout after
 // the first copy, or not stated if that is 0. RequestTime is the time that the upstream takes for a
@@ -71,10 +86,8 @@
 // upstream processes as many requests at once as it has slots, and each takes requestTime. A
 // requestTime of 0 means that it has not been measured yet.
 func Limit(slots uint32, requestTime, waitLimit time.Duration) int {
-	if requestTime <= 0 {
-		requestTime = assumedRequestTime
-	}
-	return max(int(time.Duration(slots)*waitLimit/requestTime), 1)
+	serviceTime := selection.Upstream{RequestTime: requestTime}.ServiceTime()
+	return max(int(time.Duration(slots)*waitLimit/serviceTime), 1)
 }
 
 // With returns the backlog with one more packet. A copy replaces the earlier packet of the same
@@ -83,15 +96,15 @@
 	return Backlog{packets: append(b.without(packet.Key()), packet)}
 }
 
-// Pop returns the packet to serve next and the backlog without it. It returns false when the
-// backlog is empty.
-func (b Backlog) Pop() (landing.QueuedPacket, Backlog, bool) {
+// Pop returns the packet to serve now and the backlog without it. It returns false when the backlog
+// is empty.
+func (b Backlog) Pop(now time.Time) (landing.QueuedPacket, Backlog, bool) {
 	if len(b.packets) == 0 {
 		return landing.QueuedPacket{}, b, false
 	}
 	best := b.packets[0]
 	for _, packet := range b.packets[1:] {
-		if isServedBefore(packet, best) {
+		if isServedBefore(packet, best, now) {
 			best = packet
 		}
 	}
@@ -113,7 +126,7 @@
 		return Backlog{packets: kept}, nil
 	}
 	slices.SortFunc(kept, func(a, b landing.QueuedPacket) int {
-		if isServedBefore(a, b) {
+		if isServedBefore(a, b, now) {
 			return -1
 		}
 		return 1
@@ -124,12 +137,24 @@
 	return Backlog{packets: kept[:limit:limit]}, refused
 }
 
-// isServedBefore reports whether a is served before b: the higher priority (lower number) first,
-// then the newer packet.
-func isServedBefore(a, b landing.QueuedPacket) bool {
+// IsTimely reports whether the response to the packet's request is timely if the request begins now.
+func IsTimely(packet landing.QueuedPacket, now time.Time) bool {
+	return now.Before(packet.TimelyUntil())
+}
+
+// isServedBefore reports whether a is served before b: the higher priority (lower number) first, then
+// timely packets in order of arrival, then the newer packet.
+func isServedBefore(a, b landing.QueuedPacket, now time.Time) bool {
 	if a.Priority() != b.Priority() {
 		return a.Priority() < b.Priority()
 	}
+	isTimelyA, isTimelyB := IsTimely(a, now), IsTimely(b, now)
+	switch {
+	case isTimelyA != isTimelyB:
+		return isTimelyA
+	case isTimelyA:
+		return a.TimelyUntil().Before(b.TimelyUntil())
+	}
 	return a.LastCopyAt().After(b.LastCopyAt())
 }
 
--- /dev/null
+++ b/core/pkg/backlog/starts.go
@@ -0,0 +1,53 @@
+package backlog
+
+import (
+	"time"
+)
+
+const (
+	// startsWindow is the time over which the utilization by timely requests is measured. After a moment
+	// of overload late packets may wait; during an overload that lasts they soon may not.
+	startsWindow = time.Second
+	// startsBuckets is the number of parts into which the window is divided.
+	startsBuckets = 8
+	bucketTime    = startsWindow / startsBuckets
+)
+
+// Starts counts the timely requests that began within the last second. It is immutable. The zero
+// value has no requests.
+type Starts struct {
+	// counts holds the number of requests for each of the last buckets, by bucket number modulo
+	// startsBuckets. The last bucket has the number current.
+	counts  [startsBuckets]uint32
+	current int64
+}
+
+// With returns the counts with one more request that begins now.
+func (s Starts) With(now time.Time) Starts {
+	s = s.at(now)
+	s.counts[s.current%startsBuckets]++
+	return s
+}
+
+// Utilization returns the part of the slots that the counted requests have used, when each takes
+// requestTime.
+func (s Starts) Utilization(slots uint32, requestTime time.Duration, now time.Time) float64 {
+	if slots == 0 {
+		return 0
+	}
+	total := uint32(0)
+	for _, count := range s.at(now).counts {
+		total += count
+	}
+	return float64(total) * requestTime.Seconds() / (float64(slots) * startsWindow.Seconds())
+}
+
+// at returns the counts with the buckets cleared that have left the window by now.
+func (s Starts) at(now time.Time) Starts {
+	number := now.UnixNano() / int64(bucketTime)
+	for i := max(s.current+1, number-startsBuckets+1); i <= number; i++ {
+		s.counts[i%startsBuckets] = 0
+	}
+	s.current = max(s.current, number)
+	return s
+}
--- /dev/null
+++ b/core/pkg/backlog/wait_test.go
@@ -0,0 +1,144 @@
+package backlog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
+)
+
+// busyUpstream has two slots of 25 ms, both in use.
+var busyUpstream = selection.Upstream{Slots: 2, BusySlots: 2, RequestTime: 25 * time.Millisecond}
+
+// timelyPacket returns a packet that arrived at the start and whose response must come within 250 ms.
+func timelyPacket(port, priority uint32) landing.QueuedPacket {
+	return queuedPacket(port, priority, 0).WithTimelyUntil(TimelyUntil(0, 250*time.Millisecond, 25*time.Millisecond, start))
+}
+
+func ExampleDecideWait() {
+	b := Backlog{}
+	for port := range uint32(3) {
+		b = b.With(timelyPacket(port, 2))
+	}
+	fmt.Println(DecideWait(b, timelyPacket(9, 2), busyUpstream, 0.4, start).(landing.WaitTimely).ExpectedWait())
+	// Output:
+	// 50ms
+}
+
+// Guards against requests that wait until their responses are late: an upstream whose backlog is longer
+// than half of the slack lets no further packet wait as timely, and a saturated one refuses it.
+func TestDecideWait_BacklogOfTimelyPacketsIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(100) {
+		packet := timelyPacket(port, 2)
+		if _, isTimely := DecideWait(b, packet, busyUpstream, 1, start).(landing.WaitTimely); !isTimely {
+			break
+		}
+		b = b.With(packet)
+	}
+	is.Equal(b.Len(), 8) // 100 ms, half of 250 ms less two requests, at 12.5 ms for each packet
+	_, isRefused := DecideWait(b, timelyPacket(200, 2), busyUpstream, 1, start).(landing.RefuseWait)
+	is.True(isRefused)
+	_, isLate := DecideWait(b, timelyPacket(200, 2), busyUpstream, 0.4, start).(landing.WaitLate)
+	is.True(isLate)
+}
+
+// Guards against urgent requests that are refused because others wait.
+func TestDecideWait_HigherPriorityDoesNotWaitBehindLower(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(50) {
+		b = b.With(timelyPacket(port, 2))
+	}
+	_, isTimely := DecideWait(b, timelyPacket(100, 1), busyUpstream, 1, start).(landing.WaitTimely)
+	is.True(isTimely)
+	packet, _, _ := b.With(timelyPacket(100, 1)).Pop(start)
+	is.Equal(packet.Key().SourcePort(), uint32(100))
+}
+
+// Guards against a queue that is cut to the few packets that a caller with little time left could wait
+// for: a third copy whose caller gives up soon made the sidecar refuse 39 others while no request ran
+// (deployment dpt-varna-grown, day trouble-1, after a loss of power).
+func TestDecideWait_CallerWithLittleTimeRemovesNoOther(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(8) {
+		b = b.With(timelyPacket(port, 2))
+	}
+	last := queuedPacket(100, 2, 0).WithWaitLimit(30 * time.Millisecond).
+		WithTimelyUntil(TimelyUntil(2, 250*time.Millisecond, 25*time.Millisecond, start))
+	_, isRefused := DecideWait(b, last, busyUpstream, 0, start).(landing.RefuseWait)
+	is.True(isRefused)
+	kept, refused := b.Prune(b.Len(), start)
+	is.Equal(kept.Len(), 8)
+	is.Equal(len(refused), 0)
+}
+
+// Timely packets are served in order of arrival, the others after them and newest first.
+func TestPop_TimelyPacketsFirst(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}.
+		With(queuedPacket(1, 2, 0)).
+		With(timelyPacket(2, 2)).
+		With(queuedPacket(3, 2, time.Millisecond)).
+		With(timelyPacket(4, 2).WithTimelyUntil(start.Add(time.Second)))
+	var order []uint32
+	for b.Len() > 0 {
+		var packet landing.QueuedPacket
+		packet, b, _ = b.Pop(start)
+		order = append(order, packet.Key().SourcePort())
+	}
+	is.Equal(order, []uint32{2, 4, 3, 1})
+}
+
+// Whatever waits: a packet that is said to be timely has at most half of its slack of others before it,
+// and more utilization never lets a packet wait that waits with less.
+func TestDecideWait_Bounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		upstream := selection.Upstream{
+			Slots:       rapid.IntRange(1, 16).Draw(t, "slots"),
+			BusySlots:   rapid.IntRange(0, 20).Draw(t, "busy"),
+			RequestTime: time.Duration(rapid.IntRange(0, 2000).Draw(t, "millis")) * time.Millisecond,
+		}
+		b := Backlog{}
+		for port := range uint32(rapid.IntRange(0, 40).Draw(t, "waiting")) {
+			b = b.With(timelyPacket(port, uint32(rapid.IntRange(0, 3).Draw(t, "priority"))))
+		}
+		aim := time.Duration(rapid.IntRange(1, 2000).Draw(t, "aim")) * time.Millisecond
+		packet := queuedPacket(1000, 2, 0).WithTimelyUntil(TimelyUntil(0, aim, upstream.RequestTime, start))
+		utilization := rapid.Float64Range(0, 2).Draw(t, "utilization")
+		switch decision := DecideWait(b, packet, upstream, utilization, start).(type) {
+		case landing.WaitTimely:
+			if 2*decision.ExpectedWait()+upstream.RequestTime+upstream.ServiceTime() > aim {
+				t.Fatalf("timely after %s with an aim of %s", decision.ExpectedWait(), aim)
+			}
+		case landing.WaitLate:
+			if decision.ExpectedWait() > packet.WaitLimit() {
+				t.Fatalf("waits %s", decision.ExpectedWait())
+			}
+		case landing.RefuseWait:
+			if _, isRefused := DecideWait(b, packet, upstream, utilization+0.5, start).(landing.RefuseWait); !isRefused {
+				t.Fatal("waits at a higher utilization")
+			}
+		}
+	})
+}
+
+func TestStarts_CountTheLastSecond(t *testing.T) {
+	is := is.New(t)
+	var s Starts
+	for i := range 40 {
+		s = s.With(start.Add(time.Duration(i) * 25 * time.Millisecond))
+	}
+	utilization := s.Utilization(2, 25*time.Millisecond, start.Add(time.Second-time.Millisecond))
+	is.Equal(utilization, 0.5)
+	is.True(s.Utilization(2, 25*time.Millisecond, start.Add(1500*time.Millisecond)) < 0.35)
+	is.Equal(s.Utilization(2, 25*time.Millisecond, start.Add(time.Hour)), 0.0)
+	is.Equal(s.With(start).Utilization(0, time.Second, start), 0.0)
+}
--- a/core/pkg/hold/hold.go
+++ b/core/pkg/hold/hold.go
@@ -65,8 +65,8 @@
 }
 
 // admitOrDefer admits a new flow unless the upstream is busy and a later sidecar may admit it. If
-// no later sidecar does, the flow returns to the first sidecar that deferred it, which then admits
-// it.
+// none does, the flow is admitted by the sidecar that expects to respond first: by this one, or by
+// the one that deferred it, to which it returns.
 func admitOrDefer(position landing.ChainPosition) landing.SegmentAction {
 	if !position.UpstreamBusy() || position.ReturnedToDeferrer() {
 		return landing.AdmitFlow{}
@@ -74,7 +74,7 @@
 	if position.HasNext() {
 		return landing.DeferAdmission{}
 	}
-	if position.DeferredEarlier() {
+	if position.DeferredEarlier() && !position.ShortestWait() {
 		return landing.ReturnToDeferrer{}
 	}
 	return landing.AdmitFlow{}
--- a/core/pkg/placement/placement.go
+++ b/core/pkg/placement/placement.go
@@ -3,9 +3,14 @@
 // When all callers open their long flows in the same second, balancers that choose the upstream
 // with the lowest load in the last statuses would all choose the same one. So each flow has two
 // hashed choices and goes to the less loaded of them (the power of two choices, Mitzenmacher 2001).
-// The remaining sidecars follow, ordered by eligibility and load, in case the upstreams of the
+// The remaining sidecars follow, ordered by eligibility and hash, in case the upstreams of the
 // first ones are full, in cold start (the time after its start in which an upstream can process
 // little) or silent. A flow is refused only when no sidecar admits it.
+//
+// An upstream with all slots in use in its last status is as eligible as one with free slots. The
+// status is up to 250 ms old, and by then other requests use the slots. When such upstreams come
+// last, all balancers send their flows to the few others, whose slots are then all in use: a third of
+// the responses is late at three quarters of the capacity.
 package placement
 
 import (
@@ -58,7 +63,8 @@
 // sidecar since the sidecar's last status; each counts as an open flow with a running request.
 func NewCandidate(sidecar landing.KnownSidecar, meanCapacity float64, isExcluded bool, sentFlows int, now time.Time) landing.Candidate {
 	status := sidecar.LastStatus()
-	load := float64(status.OpenFlows()) + float64(runningRequestWeight*status.RunningRequests()) + float64((1+runningRequestWeight)*sentFlows)
+	// The new flow counts too, so that of two idle upstreams the one with the higher capacity has less load.
+	load := float64(status.OpenFlows()) + float64(runningRequestWeight*status.RunningRequests()) + float64((1+runningRequestWeight)*(sentFlows+1))
 	capacity := float64(status.RequestsPerSecond())
 	if capacity == 0 {
 		capacity = meanCapacity
@@ -84,8 +90,6 @@
 		return landing.EligibilityEjected
 	case int(status.AdmissibleFlows()) <= sentFlows:
 		return landing.EligibilityCold
-	case status.RunningRequests() >= status.Slots():
-		return landing.EligibilityBusy
 	}
 	return landing.EligibilityReady
 }
@@ -103,9 +107,6 @@
 	})
 	choices := min(HashedChoices, countEquallyEligible(order))
 	slices.SortStableFunc(order[:choices], compareLoad)
-	slices.SortStableFunc(order[choices:], func(a, b landing.Candidate) int {
-		return cmp.Or(cmp.Compare(a.Eligibility(), b.Eligibility()), compareLoad(a, b))
-	})
 	return order
 }
 
--- a/core/pkg/reject/reject.go
+++ b/core/pkg/reject/reject.go
@@ -25,6 +25,13 @@
 	return now.Sub(changedAt) > enrollmentSettleTime
 }
 
+// IsFinalEverywhere reports whether the flow is refused without an offer to further sidecars. When the
+// request would wait in vain at the best of three upstreams chosen at random, most others are full as
+// well, and more offers would add work to all of them when they have least time for it.
+func IsFinalEverywhere(reason landing.Refusal) bool {
+	return reason == landing.RefusalQueue
+}
+
 // IsFinal reports whether the refusal of the last sidecar is expected to apply to the next copy of
 // the opening packet as well. The argument isBehind tells whether the sidecars have newer rules or
 // exclusions than the balancer that chose them.
--- a/sidecar/pkg/relay/admission.go
+++ b/sidecar/pkg/relay/admission.go
@@ -8,21 +8,34 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/entry"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 )
 
 // position returns the position of a packet in its chain, and whether the upstream is busy.
 func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket) landing.ChainPosition {
 	now := clock.Now()
-	l := f.table.load(now)
-	isFull := s.upstream.Slots() > 0 && l.runningRequests >= int(s.upstream.Slots())
+	upstream := f.offeredUpstream(s, f.table.load(now))
+	stated := time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
 	return landing.ChainPosition{}.
 		WithHasNext(int(forwarded.HopIndex())+1 < forwarded.HopAddressesLen()).
 		WithHasMore(true).
-		WithUpstreamBusy(isFull || !l.history.AdmitsNewFlow(now)).
+		WithUpstreamBusy(selection.IsBusy(upstream, stated)).
+		WithShortestWait(selection.IsShortest(upstream, stated)).
 		WithDeferredEarlier(forwarded.DeferredBy() > 0).
 		WithReturnedToDeferrer(forwarded.ReturnedToDeferrer())
 }
 
+// offeredUpstream returns the load of the upstream to which a new flow is offered.
+func (f *Forwarder) offeredUpstream(s Snapshot, l upstreamLoad) selection.Upstream {
+	return selection.Upstream{
+		Slots:       int(s.upstream.Slots()),
+		BusySlots:   l.busySlots,
+		Waiting:     f.queue.len(),
+		RequestTime: l.averageLatency,
+		IsEjected:   !l.history.AdmitsNewFlow(clock.Now()),
+	}
+}
+
 // refusalReason returns the reason why a new flow may not be admitted; RefusalUnspecified when it may. This
 // decision is final: the balancer has only proposed this sidecar.
 func (f *Forwarder) refusalReason(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, l upstreamLoad, now time.Time) landing.Refusal {
--- a/sidecar/pkg/relay/execute.go
+++ b/sidecar/pkg/relay/execute.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
 
@@ -26,6 +29,7 @@
 			return
 		}
 		f.table.recordAdmission(segment.Key(), now)
+		f.recordStart(segment, now)
 		f.deliver(forwarded, packet)
 		if forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0 {
 			f.claimFlow(forwarded.BalancerAddress(), segment.Key())
@@ -39,10 +43,7 @@
 	case landing.ForwardToNext:
 		f.forwardToNext(forwarded)
 	case landing.DeferAdmission:
-		if forwarded.DeferredBy() == 0 {
-			forwarded = forwarded.WithDeferredBy(forwarded.HopIndex() + 1)
-		}
-		f.forwardToNext(forwarded)
+		f.forwardToNext(f.withDeferral(forwarded))
 	case landing.ReturnToDeferrer:
 		f.send(forwarded.WithHopIndex(forwarded.DeferredBy() - 1).WithReturnedToDeferrer(true))
 	case landing.ReturnToBalancer:
@@ -56,6 +57,25 @@
 	}
 }
 
+// withDeferral returns the packet with this sidecar as the one that defers it, unless an earlier one expects to
+// respond sooner.
+func (f *Forwarder) withDeferral(forwarded landing.ForwardedPacket) landing.ForwardedPacket {
+	upstream := f.offeredUpstream(f.controlThread.Snapshot(), f.table.load(clock.Now()))
+	stated := time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
+	if forwarded.DeferredBy() > 0 && !selection.IsShortest(upstream, stated) {
+		return forwarded
+	}
+	return forwarded.WithDeferredBy(forwarded.HopIndex() + 1).WithExpectedResponseMicros(uint32(upstream.ExpectedResponse().Microseconds()))
+}
+
+// recordStart records that a new flow is admitted now, if the response to its first request can be timely.
+func (f *Forwarder) recordStart(segment landing.Segment, now time.Time) {
+	listener, _ := f.controlThread.Policy().Rules().FindListener(segment.Key())
+	if listener.ResponseAim() > 0 {
+		f.queue.recordTimelyStart(now)
+	}
+}
+
 // forwardToNext sends a packet to the next sidecar of its chain.
 func (f *Forwarder) forwardToNext(forwarded landing.ForwardedPacket) {
 	f.send(forwarded.WithHopIndex(forwarded.HopIndex() + 1))
--- a/sidecar/pkg/relay/load.go
+++ b/sidecar/pkg/relay/load.go
@@ -15,7 +15,9 @@
 	// runningRequests is the number of requests that the upstream processes or holds in its queue, as estimated
 	// from the packets that passed.
 	runningRequests int
-	averageLatency  time.Duration
+	// busySlots is the number of running requests and of flows whose first request is expected.
+	busySlots      int
+	averageLatency time.Duration
 	// isMeasured reports whether averageLatency is based on enough requests.
 	isMeasured bool
 	// newFlows are the recent admissions.
@@ -34,6 +36,7 @@
 	return upstreamLoad{
 		flowCount:       len(t.flows),
 		runningRequests: t.ledger.RunningRequests(now),
+		busySlots:       t.ledger.BusySlots(now),
 		averageLatency:  t.ledger.AverageLatency(),
 		isMeasured:      t.ledger.IsMeasured(),
 		newFlows:        t.newFlows,
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -9,6 +9,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/backlog"
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 )
 
 // waitQueue holds the SYNs that wait for a free slot of the upstream. Its methods may be called from
@@ -16,6 +17,23 @@
 type waitQueue struct {
 	mu      sync.Mutex
 	backlog backlog.Backlog
+	// timelyStarts counts the requests that were admitted in time for a timely response.
+	timelyStarts backlog.Starts
+}
+
+// decide returns whether a packet waits, when the upstream has this load.
+func (w *waitQueue) decide(packet landing.QueuedPacket, upstream selection.Upstream, now time.Time) landing.WaitDecision {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	utilization := w.timelyStarts.Utilization(uint32(upstream.Slots), upstream.ServiceTime(), now)
+	return backlog.DecideWait(w.backlog, packet, upstream, utilization, now)
+}
+
+// recordTimelyStart records that a request was admitted in time for a timely response.
+func (w *waitQueue) recordTimelyStart(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timelyStarts = w.timelyStarts.With(now)
 }
 
 // add adds a packet and returns the packets that must be refused, because more than limit packets wait.
@@ -36,7 +54,7 @@
 	w.backlog, _ = w.backlog.Prune(w.backlog.Len(), now)
 	var packet landing.QueuedPacket
 	var found bool
-	packet, w.backlog, found = w.backlog.Pop()
+	packet, w.backlog, found = w.backlog.Pop(now)
 	return packet, found
 }
 
@@ -61,36 +79,56 @@
 	return f.table.busySlots(now) >= slots+max(slots/headroomDivisor, 1)
 }
 
-// enqueue lets a SYN wait for a free slot, and refuses the SYNs that no longer fit into the queue.
+// enqueue lets a SYN wait for a free slot, or refuses it when it would wait in vain. It refuses the SYNs that no
+// longer fit into the queue.
 func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, now time.Time) {
 	listener, _ := s.policy.Rules().FindListener(segment.Key())
 	f.table.remove(segment.Key())
 	l := f.table.load(now)
-	waitLimit := backlog.WaitLimit(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency)
 	packet := landing.QueuedPacket{}.
 		WithForwardedPacket(forwarded).
 		WithKey(segment.Key()).
 		WithPriority(listener.Priority()).
 		WithLastCopyAt(now).
-		WithWaitLimit(waitLimit)
-	if waitLimit == 0 {
-		f.refuseWaiting(packet, l)
+		WithWaitLimit(backlog.WaitLimit(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency)).
+		WithTimelyUntil(backlog.TimelyUntil(segment.EarlierCopies(), listener.ResponseAim(), l.averageLatency, now))
+	switch decision := f.queue.decide(packet, f.offeredUpstream(s, l), now).(type) {
+	case landing.RefuseWait:
+		f.refuseWaiting(packet, l, decision.ExpectedWait())
 		return
+	case landing.WaitTimely:
+		f.letWait(packet, l, "timely", decision.ExpectedWait())
+	case landing.WaitLate:
+		f.letWait(packet, l, "late", decision.ExpectedWait())
 	}
-	f.telemetry.Counters().Counter("waited").Inc(1)
-	f.telemetry.Log().Info("flow waits", "flow", address.FormatFlow(segment.Key()), "copies", segment.EarlierCopies(),
-		"priority", listener.Priority(), "running", l.runningRequests, "waiting", f.queue.len())
-	for _, refused := range f.queue.add(packet, backlog.Limit(s.upstream.Slots(), l.averageLatency, waitLimit)) {
-		f.refuseWaiting(refused, l)
+	limit := backlog.Limit(s.upstream.Slots(), l.averageLatency, packet.WaitLimit())
+	if !packet.TimelyUntil().IsZero() {
+		limit = f.queue.len() + 1 // the decision to wait bounds the queue
+	}
+	for _, refused := range f.queue.add(packet, limit) {
+		f.refuseWaiting(refused, l, 0)
+	}
+	if forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0 {
+		// The caller's next copy then comes to this sidecar, and is not offered to others as well.
+		f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 	}
 	common.Notify(f.queueBlocked)
 }
 
-// refuseWaiting refuses a SYN that cannot be served before its caller gives up.
-func (f *Forwarder) refuseWaiting(packet landing.QueuedPacket, l upstreamLoad) {
+// letWait counts and logs a SYN that waits. The outlook is "timely" or "late".
+func (f *Forwarder) letWait(packet landing.QueuedPacket, l upstreamLoad, outlook string, expectedWait time.Duration) {
+	f.telemetry.Counters().Counter("waited").Inc(1)
+	f.telemetry.Counters().Counter("waited_" + outlook).Inc(1)
+	f.telemetry.Log().Info("flow waits", "flow", address.FormatFlow(packet.Key()), "priority", packet.Priority(), "outlook", outlook,
+		"expected", expectedWait.String(), "running", l.runningRequests, "busy", l.busySlots, "waiting", f.queue.len(), "usual", l.averageLatency.String())
+}
+
+// refuseWaiting refuses a SYN that would wait for this time, too long for its caller; 0 if it has been waiting.
+func (f *Forwarder) refuseWaiting(packet landing.QueuedPacket, l upstreamLoad, expectedWait time.Duration) {
 	f.telemetry.Counters().CountRefusal(landing.RefusalQueue)
 	f.telemetry.Log().Info("flow refused", "flow", address.FormatFlow(packet.Key()), "reason", landing.RefusalQueue.String(),
-		"priority", packet.Priority(), "running", l.runningRequests, "usual", l.averageLatency.String())
+		"priority", packet.Priority(), "expected", expectedWait.String(), "running", l.runningRequests, "busy", l.busySlots,
+		"waiting", f.queue.len(), "usual", l.averageLatency.String())
 	f.returnToBalancer(packet.ForwardedPacket(), landing.RefusalQueue)
 }
 
