--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -1,8 +1,10 @@
 package relayed
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -174,6 +176,74 @@
 	is.True(resets <= openedBefore)
 }
 
+// Guards against resets of all open flows of an upstream when its sidecar is restarted as planned and the first heartbeat
+// that reaches the new sidecar process is a late one of the crashed predecessor of the upstream (review/4).
+func TestOpenFlowsSurviveLateHeartbeatAtRestartedSidecar(t *testing.T) {
+	for _, number := range []int{1, 5} {
+		t.Run(fmt.Sprintf("late heartbeat %d", number), func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, 1, 2)
+			crashed := f.Upstream(0)
+			f.CrashUpstream(0)
+			is.NoErr(f.StartUpstream(0))
+			var flows []*endpoint.Flow
+			await(t, "upstream 0 holds flows", func() bool {
+				flows = append(flows, openFlows(t, f, 10, f.RouteThrough(0))...)
+				return f.Upstream(0).OpenedFlows() > 0
+			})
+			f.Upstream(0).SetSilent(true)
+			f.StopSidecar(0)
+			is.NoErr(f.StartSidecar(0))
+			await(t, "the late heartbeat is acknowledged", func() bool {
+				status, err := f.PostHeartbeat(0, "i-0-1", crashed.Heartbeat(number))
+				return err == nil && status == http.StatusOK
+			})
+			f.Upstream(0).SetSilent(false)
+			time.Sleep(5 * time.Second) // the flows are idle until every other process knows the upstream's new state
+			for _, flow := range flows {
+				_, err := flow.SendRequest("after the late heartbeat", 2*requestTimeout)
+				is.NoErr(err)
+			}
+		})
+	}
+}
+
+// Guards against resets of all open flows of a running upstream after a heartbeat of another writer with a later start time:
+// one in which fields are missing (review/5), or one from another zone.
+func TestOpenFlowsSurviveHeartbeatOfAnotherWriter(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(map[string]any)
+		status int
+	}{
+		"missing fields": {func(h map[string]any) {
+			delete(h, "zone")
+			delete(h, "version")
+			delete(h, "cold_remain_ms")
+		}, http.StatusBadRequest},
+		"another zone": {func(h map[string]any) { h["zone"] = "elsewhere" }, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, 1, 1)
+			flows := openFlows(t, f, 5, f.RouteThrough(0))
+			time.Sleep(3 * endpoint.HeartbeatInterval) // a heartbeat has arrived since the flows were opened
+			heartbeat := map[string]any{}
+			is.NoErr(json.Unmarshal(f.Upstream(0).Heartbeat(1), &heartbeat))
+			heartbeat["born"] = time.Now().UnixMilli()
+			c.change(heartbeat)
+			body, err := json.Marshal(heartbeat)
+			is.NoErr(err)
+			status, err := f.PostHeartbeat(0, "i-x", body)
+			is.NoErr(err)
+			is.Equal(status, c.status)
+			for _, flow := range flows {
+				_, err := flow.SendRequest("after the heartbeat", requestTimeout)
+				is.NoErr(err)
+			}
+		})
+	}
+}
+
 // After all processes have lost power, the flows that were recorded in the store are reset without a further request of
 // their callers, since such a request would be lost.
 func TestPowerLossResetsRecordedFlows(t *testing.T) {
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -83,7 +83,7 @@
 // longer fit into the queue.
 func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, now time.Time) {
 	listener, _ := s.policy.Rules().FindListener(segment.Key())
-	f.table.remove(segment.Key())
+	f.table.withdrawAdmission(segment.Key())
 	l := f.table.load(now)
 	packet := landing.QueuedPacket{}.
 		WithForwardedPacket(forwarded).
