--- a/core/pkg/selection/replay_test.go
+++ b/core/pkg/selection/replay_test.go
@@ -230,6 +230,9 @@
 		r.after(hopTime, func() { r.offer(q, chain, i+1, deferrer, stated) })
 	case landing.ReturnToDeferrer:
 		r.after(hopTime, func() { r.admit(q, deferrer) })
+	case landing.AbandonHandshake, landing.CompleteHandshake, landing.Deliver, landing.DeliverAndForward, landing.DropSegment,
+		landing.ForwardToNext, landing.OfferToUpstream, landing.ResetFlow, landing.ReturnToBalancer:
+		panic("an opening packet of a new flow is admitted or deferred")
 	}
 }
 
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -97,10 +97,13 @@
 		f.refuseWaiting(packet, l, decision.ExpectedWait())
 		return
 	case landing.WaitTimely:
-		f.letWait(packet, l, "timely", decision.ExpectedWait())
+		f.telemetry.Counters().Counter("waited_timely").Inc(1)
+		f.logWait(packet, l, "timely", decision.ExpectedWait())
 	case landing.WaitLate:
-		f.letWait(packet, l, "late", decision.ExpectedWait())
+		f.telemetry.Counters().Counter("waited_late").Inc(1)
+		f.logWait(packet, l, "late", decision.ExpectedWait())
 	}
+	f.telemetry.Counters().Counter("waited").Inc(1)
 	limit := backlog.Limit(s.upstream.Slots(), l.averageLatency, packet.WaitLimit())
 	if !packet.TimelyUntil().IsZero() {
 		limit = f.queue.len() + 1 // the decision to wait bounds the queue
@@ -115,10 +118,8 @@
 	common.Notify(f.queueBlocked)
 }
 
-// letWait counts and logs a SYN that waits. The outlook is "timely" or "late".
-func (f *Forwarder) letWait(packet landing.QueuedPacket, l upstreamLoad, outlook string, expectedWait time.Duration) {
-	f.telemetry.Counters().Counter("waited").Inc(1)
-	f.telemetry.Counters().Counter("waited_" + outlook).Inc(1)
+// logWait logs a SYN that waits. The outlook for its response is "timely" or "late".
+func (f *Forwarder) logWait(packet landing.QueuedPacket, l upstreamLoad, outlook string, expectedWait time.Duration) {
 	f.telemetry.Log().Info("flow waits", "flow", address.FormatFlow(packet.Key()), "priority", packet.Priority(), "outlook", outlook,
 		"expected", expectedWait.String(), "running", l.runningRequests, "busy", l.busySlots, "waiting", f.queue.len(), "usual", l.averageLatency.String())
 }
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -25,7 +25,7 @@
 	subscribers []subscriber
 	// confirmation is what is known of the sidecar's enrollment.
 	confirmation enrollment.Confirmation
-	isStopping bool
+	isStopping   bool
 	// sidecarCount is the number of enrolled sidecars, as a balancer reported it last.
 	sidecarCount int
 }
