Late packets may wait until their caller gives the attempt up

Cause: after an outage all callers come back at once; refused ones use up their three attempts within milliseconds, and the bound of 800 ms since the last copy is shorter than the 1.4 s of an attempt. Change: the bound of late packets is the end of the attempt or of the request's time; utilization is measured over 0.8 s and reduces the wait from 0.4 on.

--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -957,6 +957,7 @@
 	m.LastCopyAt = timestamppb.New(v.LastCopyAt())
 	m.WaitLimit = durationpb.New(v.WaitLimit())
 	m.TimelyUntil = timestamppb.New(v.TimelyUntil())
+	m.UsefulUntil = timestamppb.New(v.UsefulUntil())
 	return m
 }
 
@@ -969,6 +970,7 @@
 	v = v.WithLastCopyAt(m.GetLastCopyAt().AsTime())
 	v = v.WithWaitLimit(m.GetWaitLimit().AsDuration())
 	v = v.WithTimelyUntil(m.GetTimelyUntil().AsTime())
+	v = v.WithUsefulUntil(m.GetUsefulUntil().AsTime())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -2322,6 +2322,7 @@
 	lastCopyAt      time.Time
 	waitLimit       time.Duration
 	timelyUntil     time.Time
+	usefulUntil     time.Time
 }
 
 // ForwardedPacket returns the field of the same name.
@@ -2404,6 +2405,19 @@
 	return v
 }
 
+// UsefulUntil returns the field of the same name.
+//
+// Time until which the request must begin for its caller to get a response.
+func (v QueuedPacket) UsefulUntil() time.Time {
+	return v.usefulUntil
+}
+
+// WithUsefulUntil returns a copy of v with the given usefulUntil.
+func (v QueuedPacket) WithUsefulUntil(usefulUntil time.Time) QueuedPacket {
+	v.usefulUntil = usefulUntil
+	return v
+}
+
 // WaitDecision is the decision whether an opening packet waits for a free slot.
 //
 //sumtype:decl
--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -33,6 +33,9 @@
 	// sends the copies.
 	secondCopyAfter = 200 * time.Millisecond
 	thirdCopyAfter  = 600 * time.Millisecond
+	// attemptTime is the time after the first transmission at which a caller gives up an attempt to open a
+	// flow, less the time that the SYN+ACK needs to reach it.
+	attemptTime = 1350 * time.Millisecond
 	// minCopyInterval is the shortest time after which a caller sends the next copy of its opening
 	// packet.
 	minCopyInterval = secondCopyAfter
@@ -58,6 +61,17 @@
 	return now.Add(responseAim - sentAfter(earlierCopies) - requestTime)
 }
 
+// UsefulUntil returns the time until which a request must begin so that its caller gets a response, when
+// the copy with this number of earlier copies arrives now. The caller gives its attempt up attemptTime
+// after the first copy, and waits for the response for requestTimeout (not stated if that is 0).
+func UsefulUntil(earlierCopies uint32, requestTimeout, requestTime time.Duration, now time.Time) time.Time {
+	limit := attemptTime
+	if requestTimeout > 0 {
+		limit = min(limit, requestTimeout-requestTime)
+	}
+	return now.Add(limit - sentAfter(earlierCopies))
+}
+
 // WaitLimit returns the longest time for which a packet with this number of earlier copies waits. A
 // request that begins later takes longer than its caller waits for the response: requestTimeout after
 // the first copy, or not stated if that is 0. RequestTime is the time that the upstream takes for a
--- a/core/pkg/backlog/starts.go
+++ b/core/pkg/backlog/starts.go
@@ -7,13 +7,13 @@
 const (
 	// startsWindow is the time over which the utilization by timely requests is measured. After a moment
 	// of overload late packets may wait; during an overload that lasts they soon may not.
-	startsWindow = time.Second
+	startsWindow = 800 * time.Millisecond
 	// startsBuckets is the number of parts into which the window is divided.
 	startsBuckets = 8
 	bucketTime    = startsWindow / startsBuckets
 )
 
-// Starts counts the timely requests that began within the last second. It is immutable. The zero
+// Starts counts the timely requests that began within startsWindow. It is immutable. The zero
 // value has no requests.
 type Starts struct {
 	// counts holds the number of requests for each of the last buckets, by bucket number modulo
--- a/core/pkg/backlog/wait.go
+++ b/core/pkg/backlog/wait.go
@@ -14,7 +14,7 @@
 	slackDivisor = 2
 	// spareFrom is the utilization by timely requests up to which late packets may wait as long as their
 	// callers do. From there the time falls to 0 at full utilization.
-	spareFrom = 0.5
+	spareFrom = 0.4
 )
 
 // DecideWait returns whether the packet waits in the backlog of an upstream with this load, whose
@@ -31,7 +31,7 @@
 	}
 	upstream.Waiting = b.countBefore(packet, false, now)
 	wait = upstream.ExpectedWait()
-	left := packet.LastCopyAt().Add(packet.WaitLimit()).Sub(now)
+	left := packet.UsefulUntil().Sub(now)
 	if wait < time.Duration(float64(left)*spareShare(utilization)) {
 		return landing.WaitLate{}.WithExpectedWait(wait)
 	}
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -91,6 +91,7 @@
 		WithPriority(listener.Priority()).
 		WithLastCopyAt(now).
 		WithWaitLimit(backlog.WaitLimit(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency)).
+		WithUsefulUntil(backlog.UsefulUntil(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency, now)).
 		WithTimelyUntil(backlog.TimelyUntil(segment.EarlierCopies(), listener.ResponseAim(), l.averageLatency, now))
 	switch decision := f.queue.decide(packet, f.offeredUpstream(s, l), now).(type) {
 	case landing.RefuseWait:
