--- a/core/pkg/selection/replay_test.go
+++ b/core/pkg/selection/replay_test.go
@@ -24,10 +24,10 @@
 	// caller.
 	hopTime, replyTime = time.Millisecond, time.Millisecond
 	// handshakeTime is the time from the admission of a flow to its first request.
-	handshakeTime  = 4500 * time.Microsecond
-	maxRetries     = 2
+	handshakeTime = 4500 * time.Microsecond
+	maxRetries    = 2
 	// attemptTime is the time after which a caller gives an attempt up. Until then it sends copies.
-	attemptTime = 1400 * time.Millisecond
+	attemptTime    = 1400 * time.Millisecond
 	statusInterval = 250 * time.Millisecond
 	loadTime       = 4 * time.Second
 	// burstTime is the time within which all callers come back after an outage.
