Gauges of the slots, the queue and the enrollment of a sidecar

The metrics of a sidecar on the relay path had its running requests and the number of waiting packets, but not what admission decides by: the slots, those in use, which waiting packets are still timely, the utilization by timely requests and the average latency. Whether the enrollment is confirmed could not be seen at all.

Add the gauges slots, busy, waiting_timely, waiting_late, utilization_permille, latency_us, is_ejected and enrollment_age_ms, and the instance name, service and zone as labels. The gauge of the ejection is not named "ejected", because a counter has that name: with the gauge registered under it, the test of the gauges panics at the next count of an ejection ("*metrics.FunctionalGauge is not metrics.Counter"), as the process would.

Package enrollment tells only whether a confirmation is valid at a time, so its age is found by a search over that. The waiting packets are read through Prune, which returns them without a change of the queue.

Tests of sidecar/... and experiment/pkg/docs pass; lint reports no issues.

--- a/sidecar/pkg/relay/forwarder.go
+++ b/sidecar/pkg/relay/forwarder.go
@@ -104,13 +104,15 @@
 	return listener.RequestTimeout()
 }
 
-// registerGauges registers the gauges for the current load, the revisions in force and the age of the
-// upstream's last heartbeat, which is -1 when there was none.
+// registerGauges registers the gauges for the identity of the sidecar, its current load, the revisions in force, and
+// the ages of the upstream's last heartbeat and of the enrollment's last confirmation, which are -1 when there was none.
 func (f *Forwarder) registerGauges() {
 	c := f.telemetry.Counters()
-	c.RegisterGauge("flows", func() int64 { return int64(f.table.load(clock.Now()).flowCount) })
-	c.RegisterGauge("running", func() int64 { return int64(f.table.load(clock.Now()).runningRequests) })
-	c.RegisterGauge("waiting", func() int64 { return int64(f.queue.len()) })
+	// The value of these three is the label, so that readers need no other source for the sidecar's place in the fleet.
+	c.RegisterGauge("instance."+f.settings.Instance(), func() int64 { return 1 })
+	c.RegisterGauge("service."+f.settings.Service(), func() int64 { return 1 })
+	c.RegisterGauge("zone."+f.settings.Zone(), func() int64 { return 1 })
+	f.registerLoadGauges()
 	c.RegisterGauge("revision.rules", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Rules()) })
 	c.RegisterGauge("revision.exclusions", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Exclusions()) })
 	c.RegisterGauge("heartbeat_age_ms", func() int64 {
@@ -120,6 +122,44 @@
 		}
 		return clock.Since(lastHeartbeat).Milliseconds()
 	})
+	c.RegisterGauge("enrollment_age_ms", func() int64 {
+		age, isConfirmed := f.controlThread.Snapshot().EnrollmentAge(clock.Now())
+		if !isConfirmed {
+			return -1
+		}
+		return age.Milliseconds()
+	})
+}
+
+// registerLoadGauges registers the gauges for the load of the upstream and the packets that wait.
+func (f *Forwarder) registerLoadGauges() {
+	c := f.telemetry.Counters()
+	load := func() upstreamLoad { return f.table.load(clock.Now()) }
+	c.RegisterGauge("flows", func() int64 { return int64(load().flowCount) })
+	c.RegisterGauge("running", func() int64 { return int64(load().runningRequests) })
+	c.RegisterGauge("busy", func() int64 { return int64(load().busySlots) })
+	c.RegisterGauge("latency_us", func() int64 { return load().averageLatency.Microseconds() })
+	// The name "ejected" belongs to the counter of ejections, and a metric of the same name would replace it.
+	c.RegisterGauge("is_ejected", func() int64 {
+		if load().history.IsHealthy(clock.Now()) {
+			return 0
+		}
+		return 1
+	})
+	c.RegisterGauge("utilization_permille", func() int64 {
+		upstream := f.offeredUpstream(f.controlThread.Snapshot(), load())
+		return int64(f.queue.utilization(upstream, clock.Now()) * 1000)
+	})
+	c.RegisterGauge("slots", func() int64 { return int64(f.controlThread.Snapshot().upstream.Slots()) })
+	c.RegisterGauge("waiting", func() int64 { return int64(f.queue.len()) })
+	c.RegisterGauge("waiting_timely", func() int64 {
+		timely, _ := f.queue.countWaiting(clock.Now())
+		return int64(timely)
+	})
+	c.RegisterGauge("waiting_late", func() int64 {
+		_, late := f.queue.countWaiting(clock.Now())
+		return int64(late)
+	})
 }
 
 // Start starts the workers that receive packets and the one that sends statuses.
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -64,6 +64,32 @@
 	return w.backlog.Len()
 }
 
+// countWaiting returns the number of waiting packets whose requests would be timely if they began now, and the number
+// of the others. Packets of listeners without a response aim are among the others.
+func (w *waitQueue) countWaiting(now time.Time) (timely, late int) {
+	w.mu.Lock()
+	waiting := w.backlog
+	w.mu.Unlock()
+	// The zero time is before the arrival of each packet, so that none counts as expired and all are returned.
+	_, packets := waiting.Prune(0, time.Time{})
+	for _, packet := range packets {
+		if backlog.IsTimely(packet, now) {
+			timely++
+		} else {
+			late++
+		}
+	}
+	return timely, late
+}
+
+// utilization returns the part of the upstream's slots that timely requests have used in the last second, as decide
+// takes it into account.
+func (w *waitQueue) utilization(upstream selection.Upstream, now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.timelyStarts.Utilization(uint32(upstream.Slots), upstream.ServiceTime(), now)
+}
+
 // headroomDivisor sets how many flows are admitted beyond the number of slots: slots/headroomDivisor, but at
 // least 1. Between a response and the next request there are a handshake and two network transits, during
 // which a slot would be idle.
