landingctl load: the load of the fleet on one screen

An operator could not see whether placement and admission work under load: `landingctl metrics` shows running and waiting requests of each process, but no slots, no refusals and no sums, and counters only since the start.

`landingctl load ADDRESS...` reads the metrics of sidecars and balancers twice and prints the sums of each service, a line for each sidecar, the most loaded one first, and the balancers. Waits and refusals are those between the two reads (-interval, one second by default; 0 reads once).

The metrics of a process are now read by one function for both commands, which reads at most 1 MiB.

--- a/landingctl/pkg/app/app.go
+++ b/landingctl/pkg/app/app.go
@@ -44,6 +44,8 @@
 		return command.Trace(e, args[1:])
 	case "metrics":
 		return command.Metrics(e, args[1:])
+	case "load":
+		return command.Load(e, args[1:])
 	case "rotate":
 		return command.Rotate(e, args[1:])
 	case "history":
--- a/landingctl/pkg/command/metrics.go
+++ b/landingctl/pkg/command/metrics.go
@@ -15,8 +15,12 @@
 	"github.com/crocuslanding/crocuslanding/landingctl/pkg/text"
 )
 
-// scrapeTimeout limits the time to read the metrics of one process.
-const scrapeTimeout = 2 * time.Second
+const (
+	// scrapeTimeout limits the time to read the metrics of one process.
+	scrapeTimeout = 2 * time.Second
+	// maxMetricsBytes limits the metrics that are read of one process. A process of the relay path has a few kilobytes.
+	maxMetricsBytes = 1 << 20
+)
 
 // Names in the metrics of a process of the relay path.
 const (
@@ -107,9 +111,33 @@
 }
 
 // scrapeColumns reads the metrics of the process at a metrics address and returns the values of the columns. It returns
-// trace.ConnectionProblem if the process does not respond with the status 200, and trace.BadParameter if the response is
-// not the metrics of a process of the relay path.
+// the errors of scrapeMetrics, and trace.BadParameter if the response is not the metrics of a process of the relay path.
 func scrapeColumns(ctx context.Context, address string) (columnValues, error) {
+	metrics, err := scrapeMetrics(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	values := columnValues{}
+	for _, c := range columns {
+		if value, found := metrics[metricID{c.metric, c.reason}]; found {
+			values[c] = value
+		}
+	}
+	if _, found := values[columns[0]]; !found {
+		return nil, trace.BadParameter("not a process of the relay path: the metrics have no revision of the rules")
+	}
+	return values, nil
+}
+
+// metricID identifies a metric of a process: its name and the value of its label reason, which is empty for a metric
+// without the label.
+type metricID struct {
+	name, reason string
+}
+
+// scrapeMetrics reads the metrics of the process at a metrics address. It returns trace.ConnectionProblem if the process
+// does not respond with the status 200, and trace.BadParameter if the response cannot be read as metrics.
+func scrapeMetrics(ctx context.Context, address string) (map[metricID]float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", http.NoBody)
@@ -125,26 +153,21 @@
 		return nil, trace.ConnectionProblem(nil, "response to the request for metrics has the status %s", response.Status)
 	}
 	parser := expfmt.NewTextParser(model.LegacyValidation)
-	families, err := parser.TextToMetricFamilies(response.Body)
+	families, err := parser.TextToMetricFamilies(http.MaxBytesReader(nil, response.Body, maxMetricsBytes))
 	if err != nil {
 		return nil, trace.BadParameter("metrics cannot be read: %v", err)
 	}
-	values := columnValues{}
-	for _, c := range columns {
-		for _, m := range families[c.metric].GetMetric() {
-			reason := ""
+	values := map[metricID]float64{}
+	for name, family := range families {
+		for _, m := range family.GetMetric() {
+			id := metricID{name: name}
 			for _, l := range m.GetLabel() {
 				if l.GetName() == labelReason {
-					reason = l.GetValue()
+					id.reason = l.GetValue()
 				}
 			}
-			if reason == c.reason {
-				values[c] = m.GetUntyped().GetValue()
-			}
+			values[id] = m.GetUntyped().GetValue()
 		}
 	}
-	if _, found := values[columns[0]]; !found {
-		return nil, trace.BadParameter("not a process of the relay path: the metrics have no revision of the rules")
-	}
 	return values, nil
 }
--- a/landingctl/pkg/command/options.go
+++ b/landingctl/pkg/command/options.go
@@ -56,8 +56,8 @@
 	return Env{ctx: ctx, out: out, errOut: errOut}
 }
 
-// options holds the flags and arguments of a command. All commands except trace and metrics, which have no flags, have
-// the same flags.
+// options holds the flags and arguments of a command. All commands have the same flags, except trace and metrics, which
+// have none, and load, which has its own.
 type options struct {
 	platformAddress   string
 	balancerAddresses string
--- a/landingctl/pkg/text/text.go
+++ b/landingctl/pkg/text/text.go
@@ -13,6 +13,8 @@
   explain CALLER SERVICE        show where a flow goes, or why it is refused
   trace ID FILE...              show the lines about a request or flow in the logs in FILEs
   metrics ADDRESS...            show the state of the processes at these metrics addresses (relay path)
+  load ADDRESS...               show the load of the sidecars at these metrics addresses, the most loaded one first (relay
+                                path); -interval for the time over which events are counted, -json for JSON
   rotate                        replace the key for the tags of datagrams
   history                       show the changes of the lists, newest first
 
@@ -33,8 +35,23 @@
 // MetricsUnavailable is printed for a process whose metrics cannot be read. It takes the metrics address and the error.
 const MetricsUnavailable = "%s: %v\n"
 
+// Messages of the load command.
+const (
+	// LoadInterval takes the number of processes that were read, the number of addresses and the interval.
+	LoadInterval = "%d of %d processes read; waits and refusals of %s\n"
+	// LoadSinceStart takes the number of processes that were read and the number of addresses.
+	LoadSinceStart = "%d of %d processes read; waits and refusals since the start of each process\n"
+	// LoadPartial takes the number of processes that were not read.
+	LoadPartial = "PARTIAL: sums and lists are without the processes that could not be read (%d):\n"
+	// LoadNotAsked takes the metrics address of a balancer, the number of sidecars that are enrolled there and the number
+	// of sidecars that were read.
+	LoadNotAsked = "PARTIAL: %s has %d sidecars enrolled, and %d were read\n"
+)
+
 // Descriptions of the flags.
 const (
+	Interval = "time between two reads, over which waits and refusals are counted; 0 for one read, with those since the start"
+
 	Platform  = "TCP address of the platform's object API"
 	Balancers = "control addresses of balancers, separated by commas"
 	Wait      = "how long to wait until the change is in force everywhere"
