Age of a confirmation and count of timely packets come from their packages

Cause: the gauges found both by way of other methods, one of them by a search. Change: Confirmation.Age and Backlog.CountTimely.

--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -61,6 +61,17 @@
 	return now.Add(responseAim - sentAfter(earlierCopies) - requestTime)
 }
 
+// CountTimely returns the number of waiting packets whose responses are timely if their requests begin now.
+func (b Backlog) CountTimely(now time.Time) int {
+	count := 0
+	for _, packet := range b.packets {
+		if IsTimely(packet, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // UsefulUntil returns the time until which a request must begin so that its caller gets a response, when
 // the copy with this number of earlier copies arrives now. The caller gives its attempt up attemptTime
 // after the first copy, and waits for the response for requestTimeout (not stated if that is 0).
--- a/core/pkg/enrollment/enrollment.go
+++ b/core/pkg/enrollment/enrollment.go
@@ -67,6 +67,12 @@
 	return !c.isPlatformAnswering || now.Sub(c.confirmedAt) > renewAfter
 }
 
+// Age returns the time since the enrollment was last known to exist; false when it was not confirmed since the
+// sidecar started.
+func (c Confirmation) Age(now time.Time) (time.Duration, bool) {
+	return now.Sub(c.confirmedAt), c.HasBeenConfirmed()
+}
+
 // HasBeenConfirmed reports whether the enrollment was confirmed since the sidecar started.
 func (c Confirmation) HasBeenConfirmed() bool {
 	return !c.confirmedAt.IsZero()
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -68,18 +68,9 @@
 // of the others. Packets of listeners without a response aim are among the others.
 func (w *waitQueue) countWaiting(now time.Time) (timely, late int) {
 	w.mu.Lock()
-	waiting := w.backlog
-	w.mu.Unlock()
-	// The zero time is before the arrival of each packet, so that none counts as expired and all are returned.
-	_, packets := waiting.Prune(0, time.Time{})
-	for _, packet := range packets {
-		if backlog.IsTimely(packet, now) {
-			timely++
-		} else {
-			late++
-		}
-	}
-	return timely, late
+	defer w.mu.Unlock()
+	timely = w.backlog.CountTimely(now)
+	return timely, w.backlog.Len() - timely
 }
 
 // utilization returns the part of the upstream's slots that timely requests have used in the last second, as decide
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
@@ -19,10 +18,6 @@
 // enrollment is not confirmed sends it statuses all the same.
 const subscriberRetention = 30 * time.Second
 
-// maxEnrollmentAge is the largest age of the enrollment's confirmation that is reported. Any age over
-// enrollment.Validity means the same: no flow is admitted.
-const maxEnrollmentAge = 24 * time.Hour
-
 // Snapshot is the control state that the workers read. It is immutable.
 type Snapshot struct {
 	policy      policy.Policy
@@ -79,20 +74,10 @@
 	return s.confirmation.IsValid(now)
 }
 
-// EnrollmentAge returns the time since the enrollment was last confirmed, rounded up to milliseconds and at most
-// maxEnrollmentAge. It returns false when the enrollment has not been confirmed since the start.
+// EnrollmentAge returns the time since the enrollment was last confirmed. It returns false when it has not been
+// confirmed since the start.
 func (s Snapshot) EnrollmentAge(now time.Time) (time.Duration, bool) {
-	if !s.confirmation.HasBeenConfirmed() {
-		return 0, false
-	}
-	// A confirmation states only whether it is valid at a time, which it is for enrollment.Validity. The age is the
-	// smallest one that agrees with this.
-	isAtMost := func(milliseconds int) bool {
-		age := time.Duration(milliseconds) * time.Millisecond
-		return s.confirmation.IsValid(now.Add(enrollment.Validity - age))
-	}
-	milliseconds := sort.Search(int(maxEnrollmentAge.Milliseconds()), isAtMost)
-	return time.Duration(milliseconds) * time.Millisecond, true
+	return s.confirmation.Age(now)
 }
 
 // WithStopping returns a copy for a sidecar that is stopping, which admits no new flows.
