--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -73,7 +73,7 @@
 	return timely, w.backlog.Len() - timely
 }
 
-// utilization returns the part of the upstream's slots that timely requests have used in the last second, as decide
+// utilization returns the part of the upstream's slots that timely requests have used lately, as decide
 // takes it into account.
 func (w *waitQueue) utilization(upstream selection.Upstream, now time.Time) float64 {
 	w.mu.Lock()
