Minimum share of starts for lower priorities in the backlog

Cause: a backlog serves the highest priority first, without exception. While it alone needs more than the slots, all other priorities are refused or expire. Change: the backlog keeps an account (Shares) of the starts that each priority is owed: at most ten levels, whatever priorities are stated. A level whose packets were refused or waited in vain is served after nine starts of others, until one of its packets is served without its share. Prune cuts by the same order. Signatures stay.

--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -14,6 +14,9 @@
 // others, and all packets of listeners without a response aim, are served newest first: fresh requests
 // can still be answered in time, while older ones have become late (adaptive LIFO, as in Maurer,
 // "Fail at Scale", 2015).
+//
+// Higher priorities go first. When they alone need more than the slots, each lower priority whose packets
+// wait gets at least one start in ten (docs/design/priorities.md).
 package backlog
 
 import (
@@ -41,6 +44,8 @@
 // Backlog is the set of waiting packets, at most one for each flow. It is immutable.
 type Backlog struct {
 	packets []landing.QueuedPacket
+	// shares is the account of starts by which lower priorities get their minimum share.
+	shares Shares
 }
 
 // Len returns the number of waiting packets.
@@ -93,48 +98,146 @@
 // With returns the backlog with one more packet. A copy replaces the earlier packet of the same
 // flow.
 func (b Backlog) With(packet landing.QueuedPacket) Backlog {
-	return Backlog{packets: append(b.without(packet.Key()), packet)}
+	return Backlog{packets: append(b.without(packet.Key()), packet), shares: b.shares}.recorded(packet.LastCopyAt())
 }
 
-// Pop returns the packet to serve now and the backlog without it. It returns false when the backlog
-// is empty.
-func (b Backlog) Pop(now time.Time) (landing.QueuedPacket, Backlog, bool) {
+// WithRefused returns the backlog after a packet of this priority was refused, so that its level is owed
+// starts.
+func (b Backlog) WithRefused(priority uint32, now time.Time) Backlog {
+	b = b.recorded(now)
+	b.shares = b.shares.WithRefused(priority, now)
+	return b
+}
+
+// recorded returns the backlog with the levels of its packets recorded in the account, so that each packet
+// has an entry.
+func (b Backlog) recorded(now time.Time) Backlog {
+	for _, packet := range b.packets {
+		if !b.shares.isRecorded(packet.Priority(), now) {
+			b.shares = b.shares.WithWaiting(packet.Priority(), now)
+		}
+	}
+	return b
+}
+
+// Next returns the packet to serve now, and whether it goes before packets of a higher priority because
+// the share of its own is due. It returns false when the backlog is empty.
+func (b Backlog) Next(now time.Time) (packet landing.QueuedPacket, byShare, found bool) {
 	if len(b.packets) == 0 {
-		return landing.QueuedPacket{}, b, false
+		return landing.QueuedPacket{}, false, false
 	}
-	best := b.packets[0]
-	for _, packet := range b.packets[1:] {
-		if isServedBefore(packet, best, now) {
-			best = packet
+	var best [maxLevels]landing.QueuedPacket
+	var isWaiting [maxLevels]bool
+	for _, packet := range b.packets {
+		i := b.shares.find(packet.Priority())
+		if !isWaiting[i] || isServedBefore(packet, best[i], now) {
+			best[i], isWaiting[i] = packet, true
 		}
 	}
-	return best, Backlog{packets: b.without(best.Key())}, true
+	i := b.shares.next(&isWaiting, now)
+	return best[i], slices.Index(isWaiting[:], true) < i, true
+}
+
+// WithStart returns the backlog without the packet that Next returned with byShare, whose request begins
+// now.
+func (b Backlog) WithStart(packet landing.QueuedPacket, byShare bool, now time.Time) Backlog {
+	b.shares = b.recorded(now).shares.WithWaiting(packet.Priority(), now)
+	var isWaiting [maxLevels]bool
+	for _, waiting := range b.packets {
+		isWaiting[b.shares.find(waiting.Priority())] = true
+	}
+	return Backlog{packets: b.without(packet.Key()), shares: b.shares.WithStart(packet.Priority(), byShare, &isWaiting, now)}
+}
+
+// Pop returns the packet to serve now and the backlog without it. It returns false when the backlog
+// is empty.
+func (b Backlog) Pop(now time.Time) (landing.QueuedPacket, Backlog, bool) {
+	packet, byShare, found := b.Next(now)
+	if !found {
+		return packet, b, false
+	}
+	return packet, b.WithStart(packet, byShare, now), true
 }
 
 // Prune returns the backlog without the packets whose callers have given up, and with at most limit
-// packets. Beyond the limit it removes packets of the lowest priority first, and of these the
-// oldest.
+// packets. Beyond the limit it removes the packets that would be served last: those of the lowest priority,
+// except for its share, and of these the oldest.
 //
 // It also returns the packets that it removed because of the limit and that must be refused.
 // Packets whose caller may already have sent the next copy are removed without being returned,
 // since that copy may have opened the flow at another sidecar.
 func (b Backlog) Prune(limit int, now time.Time) (Backlog, []landing.QueuedPacket) {
-	kept := slices.DeleteFunc(slices.Clone(b.packets), func(packet landing.QueuedPacket) bool {
-		return now.Sub(packet.LastCopyAt()) > packet.WaitLimit()
-	})
+	hasExpired := func(packet landing.QueuedPacket) bool { return now.Sub(packet.LastCopyAt()) > packet.WaitLimit() }
+	if len(b.packets) <= limit && !slices.ContainsFunc(b.packets, hasExpired) {
+		return b, nil
+	}
+	shares := b.recorded(now).shares
+	for _, packet := range b.packets {
+		if hasExpired(packet) {
+			shares = shares.WithRefused(packet.Priority(), now)
+		}
+	}
+	kept := slices.DeleteFunc(slices.Clone(b.packets), hasExpired)
+	b = Backlog{packets: kept, shares: shares}
 	if len(kept) <= limit {
-		return Backlog{packets: kept}, nil
+		return b, nil
 	}
-	slices.SortFunc(kept, func(a, b landing.QueuedPacket) int {
-		if isServedBefore(a, b, now) {
+	kept = b.inOrder(now)
+	for _, packet := range kept[limit:] {
+		shares = shares.WithRefused(packet.Priority(), now)
+	}
+	refused := slices.DeleteFunc(slices.Clone(kept[limit:]), func(packet landing.QueuedPacket) bool {
+		return now.Sub(packet.LastCopyAt()) >= minCopyInterval
+	})
+	return Backlog{packets: kept[:limit:limit], shares: shares}, refused
+}
+
+// inOrder returns the packets in the order in which they are served if no other arrives.
+func (b Backlog) inOrder(now time.Time) []landing.QueuedPacket {
+	sorted := slices.Clone(b.packets)
+	slices.SortStableFunc(sorted, func(a, b landing.QueuedPacket) int {
+		switch {
+		case isServedBefore(a, b, now):
 			return -1
+		case isServedBefore(b, a, now):
+			return 1
 		}
-		return 1
+		return 0
 	})
-	refused := slices.DeleteFunc(slices.Clone(kept[limit:]), func(packet landing.QueuedPacket) bool {
-		return now.Sub(packet.LastCopyAt()) >= minCopyInterval
+	var queues [maxLevels][]landing.QueuedPacket
+	for _, packet := range sorted {
+		i := b.shares.find(packet.Priority())
+		queues[i] = append(queues[i], packet)
+	}
+	var counts [maxLevels]int
+	for i, queue := range queues {
+		counts[i] = len(queue)
+	}
+	order := sorted[:0:0]
+	b.simulate(counts, now, func(i int) bool {
+		order = append(order, queues[i][0])
+		queues[i] = queues[i][1:]
+		return true
 	})
-	return Backlog{packets: kept[:limit:limit]}, refused
+	return order
+}
+
+// simulate calls visit for each start until all packets have been served, with the entry of the account whose
+// packet is served. Counts holds the number of packets for each entry. It stops when visit returns false.
+func (b Backlog) simulate(counts [maxLevels]int, now time.Time, visit func(entry int) bool) {
+	shares := b.shares
+	for {
+		var isWaiting [maxLevels]bool
+		for i, count := range counts {
+			isWaiting[i] = count > 0
+		}
+		i := shares.next(&isWaiting, now)
+		if i < 0 || !visit(i) {
+			return
+		}
+		shares = shares.WithStart(shares.levels[i].priority, slices.Index(isWaiting[:], true) < i, &isWaiting, now)
+		counts[i]--
+	}
 }
 
 // IsTimely reports whether the response to the packet's request is timely if the request begins now.
