--- a/core/pkg/backlog/wait.go
+++ b/core/pkg/backlog/wait.go
@@ -22,7 +22,7 @@
 // requests have used lately.
 func DecideWait(b Backlog, packet landing.QueuedPacket, upstream selection.Upstream, utilization float64, now time.Time) landing.WaitDecision {
 	if packet.TimelyUntil().IsZero() {
-		return decideWithoutAim(b, packet, upstream)
+		return decideWithoutAim(b, packet, upstream, now)
 	}
 	upstream.Waiting = b.countBefore(packet, true, now)
 	wait := upstream.ExpectedWait()
@@ -40,8 +40,8 @@
 
 // decideWithoutAim lets a packet of a listener without a response aim wait. What does not fit into the
 // backlog is pruned, the oldest packet first.
-func decideWithoutAim(b Backlog, packet landing.QueuedPacket, upstream selection.Upstream) landing.WaitDecision {
-	upstream.Waiting = b.Len()
+func decideWithoutAim(b Backlog, packet landing.QueuedPacket, upstream selection.Upstream, now time.Time) landing.WaitDecision {
+	upstream.Waiting = b.countBefore(packet, false, now)
 	if packet.WaitLimit() <= 0 {
 		return landing.RefuseWait{}.WithExpectedWait(upstream.ExpectedWait())
 	}
@@ -53,14 +53,32 @@
 	return min(max((1-utilization)/(1-spareFrom), 0), 1)
 }
 
-// countBefore returns the number of packets that are served before this one, which has just arrived:
-// those with its priority or a higher one, and of these all or only the timely ones.
+// countBefore returns the number of packets that are served before this one, which has just arrived, if no
+// other arrives: those of higher priorities except for the starts that its own is owed, those of lower
+// priorities whose share is due earlier, and of its own priority all or only the timely ones.
 func (b Backlog) countBefore(packet landing.QueuedPacket, onlyTimely bool, now time.Time) int {
-	count := 0
+	b.packets = b.without(packet.Key())
+	b.shares = b.recorded(now).shares.WithWaiting(packet.Priority(), now)
+	own := b.shares.find(packet.Priority())
+	var counts [maxLevels]int
 	for _, other := range b.packets {
-		if other.Key() != packet.Key() && other.Priority() <= packet.Priority() && (!onlyTimely || IsTimely(other, now)) {
-			count++
+		i := b.shares.find(other.Priority())
+		isAfter := other.Priority() > packet.Priority() || other.Priority() == packet.Priority() && onlyTimely && !IsTimely(other, now)
+		if i != own || !isAfter {
+			counts[i]++
 		}
 	}
-	return count
+	counts[own]++
+	ahead := 0
+	b.simulate(counts, now, func(i int) bool {
+		if i == own {
+			counts[own]--
+			if counts[own] == 0 {
+				return false
+			}
+		}
+		ahead++
+		return true
+	})
+	return ahead
 }
--- a/core/pkg/backlog/wait_test.go
+++ b/core/pkg/backlog/wait_test.go
@@ -130,6 +130,40 @@
 	})
 }
 
+// Whatever waits: the expected wait is that of the packets which are served before.
+func TestDecideWait_AgreesWithOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Backlog
+		for port := range uint32(rapid.IntRange(0, 60).Draw(t, "waiting")) {
+			b = b.With(drawPacket(t, port))
+			if rapid.Bool().Draw(t, "refused") {
+				b = b.WithRefused(rapid.Uint32Range(0, 3).Draw(t, "priority"), start)
+			}
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "starts") {
+			_, b, _ = b.Pop(start)
+		}
+		arriving := drawPacket(t, 1000).WithTimelyUntil(start.Add(time.Hour))
+		decision, isTimely := DecideWait(b, arriving, busyUpstream, 1, start).(landing.WaitTimely)
+		if !isTimely {
+			t.Fatal("an hour is not enough")
+		}
+		before := 0
+		for b = b.With(arriving); ; before++ {
+			var packet landing.QueuedPacket
+			packet, b, _ = b.Pop(start)
+			if packet.Key() == arriving.Key() {
+				break
+			}
+		}
+		upstream := busyUpstream
+		upstream.Waiting = before
+		if decision.ExpectedWait() != upstream.ExpectedWait() {
+			t.Fatalf("expects %s, but %d are served before", decision.ExpectedWait(), before)
+		}
+	})
+}
+
 func TestStarts_CountTheLastSecond(t *testing.T) {
 	is := is.New(t)
 	var s Starts
