The sidecar's queue serves lower priorities by their share

Cause: the queue of the sidecar must record refusals, by which the backlog knows that a priority competes in vain. Change: waitQueue records them and starts packets by Next and WithStart; the counter served_by_share and the log event "flow served by share" (flow, priority, waited, waiting) show each start that goes before a higher priority. Not run with processes.

--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -26,7 +26,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	utilization := w.timelyStarts.Utilization(uint32(upstream.Slots), upstream.ServiceTime(), now)
-	return backlog.DecideWait(w.backlog, packet, upstream, utilization, now)
+	decision := backlog.DecideWait(w.backlog, packet, upstream, utilization, now)
+	if _, isRefused := decision.(landing.RefuseWait); isRefused {
+		w.backlog = w.backlog.WithRefused(packet.Priority(), now)
+	}
+	return decision
 }
 
 // recordTimelyStart records that a request was admitted in time for a timely response.
@@ -46,16 +50,18 @@
 	return refused
 }
 
-// next removes and returns the packet that is served next; false when none waits. Packets whose callers
-// have given up by now are removed as well.
-func (w *waitQueue) next(now time.Time) (landing.QueuedPacket, bool) {
+// next removes and returns the packet that is served next, and whether it goes before packets of a higher
+// priority by the share of its own; false when none waits. Packets whose callers have given up by now are
+// removed as well.
+func (w *waitQueue) next(now time.Time) (packet landing.QueuedPacket, byShare, found bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.backlog, _ = w.backlog.Prune(w.backlog.Len(), now)
-	var packet landing.QueuedPacket
-	var found bool
-	packet, w.backlog, found = w.backlog.Pop(now)
-	return packet, found
+	packet, byShare, found = w.backlog.Next(now)
+	if found {
+		w.backlog = w.backlog.WithStart(packet, byShare, now)
+	}
+	return packet, byShare, found
 }
 
 func (w *waitQueue) len() int {
@@ -161,10 +167,15 @@
 			common.Notify(f.queueBlocked)
 			return
 		}
-		packet, found := f.queue.next(now)
+		packet, byShare, found := f.queue.next(now)
 		if !found {
 			return
 		}
+		if byShare {
+			f.telemetry.Counters().Counter("served_by_share").Inc(1)
+			f.telemetry.Log().Info("flow served by share", "flow", address.FormatFlow(packet.Key()), "priority", packet.Priority(),
+				"waited", now.Sub(packet.LastCopyAt()).String(), "waiting", f.queue.len())
+		}
 		f.waitTimes.Update(int64(now.Sub(packet.LastCopyAt())))
 		f.handlePacket(packet.ForwardedPacket().WithReturnedToDeferrer(true))
 	}
