clock: a suspension is measured before it counts as known

Cause: Now stored the changed offset of the time of day before it measured the suspension. Until the measurement ended, other goroutines took the suspension for known and got a time without it, by which a lapsed enrollment was valid. Change: the offset is stored after the measurement. Result: the new test fails before (0 s in place of 3 s) and passes after.

--- a/core/pkg/clock/clock.go
+++ b/core/pkg/clock/clock.go
@@ -55,8 +55,9 @@
 	passed := monotonic - c.monotonicStart
 	offset := timeOfDay.Sub(c.startedAt) - passed
 	if (offset - time.Duration(c.offset.Load())).Abs() > suspicionThreshold {
-		c.offset.Store(int64(offset))
+		// The offset is stored last: until then other goroutines measure the suspension too.
 		c.measureSuspension()
+		c.offset.Store(int64(offset))
 	}
 	return c.startedAt.Add(passed + time.Duration(c.suspended.Load()))
 }
--- a/core/pkg/clock/clock_test.go
+++ b/core/pkg/clock/clock_test.go
@@ -124,3 +124,27 @@
 	is.True(Since(start) >= 2*time.Millisecond)
 	is.True(Since(start) < time.Minute)
 }
+
+// Guards against a packet that is admitted by an enrollment that lapsed during a suspension: while one
+// goroutine measured the suspension, the others took the change of the time of day for measured.
+func TestNow_IncludesSuspensionWhileItIsMeasured(t *testing.T) {
+	is := is.New(t)
+	m := newMachine()
+	readings := m.readings()
+	readBoot, isNested := readings.Boot, true
+	var c *Clock
+	var measuredBeside time.Time
+	readings.Boot = func() time.Duration {
+		if !isNested {
+			isNested = true
+			measuredBeside = c.Now() // as another goroutine would
+		}
+		return readBoot()
+	}
+	c = New(readings)
+	start := c.Now()
+	m.suspend(3 * time.Second)
+	isNested = false
+	is.Equal(c.Now().Sub(start), 3*time.Second)
+	is.Equal(measuredBeside.Sub(start), 3*time.Second)
+}
