enrollment: renewals begin early enough for a slow platform

Cause: a renewal was due at an age of 1.5 s and checked every 0.5 s, so a call could begin at the age of 2 s, at which the confirmation lapses. This happens when subscriptions confirm nothing, as those of balancers of the previous version. One failed call then also led to a pause of 2 s, since the confirmation was still valid at that time. Change: checks every 100 ms; the pause of 2 s only while balancers renew the confirmation. Result: with calls of 300 ms the confirmation lapsed in the new test before, and does not after. Both new tests fail before and pass after.

--- a/core/pkg/enrollment/enrollment.go
+++ b/core/pkg/enrollment/enrollment.go
@@ -23,6 +23,9 @@
 	// enrollment. Balancers renew their subscriptions every second, and acknowledge a status that is
 	// 250 ms old.
 	renewAfter = 1500 * time.Millisecond
+	// CheckInterval is the interval between two checks whether the platform must confirm the
+	// enrollment. It leaves 400 ms of the validity for the call to the platform.
+	CheckInterval = 100 * time.Millisecond
 )
 
 // Confirmation is what a sidecar knows of its enrollment. It is immutable. The zero value is that of
@@ -67,6 +70,12 @@
 	return !c.isPlatformAnswering || now.Sub(c.confirmedAt) > renewAfter
 }
 
+// IsRenewedByBalancers reports whether balancers renew the confirmation while the platform fails. One
+// that is older than renewAfter is not being renewed, and lapses soon unless the platform answers.
+func (c Confirmation) IsRenewedByBalancers(now time.Time) bool {
+	return !c.isPlatformAnswering && now.Sub(c.confirmedAt) <= renewAfter
+}
+
 // HasBeenConfirmed reports whether the enrollment was confirmed since the sidecar started.
 func (c Confirmation) HasBeenConfirmed() bool {
 	return !c.confirmedAt.IsZero()
--- a/core/pkg/enrollment/enrollment_test.go
+++ b/core/pkg/enrollment/enrollment_test.go
@@ -54,6 +54,39 @@
 	}
 }
 
+// Guards against a sidecar that refuses new flows at each renewal because the confirmation lapses while the
+// platform is being asked. Balancers of the previous version confirm nothing, so only the platform does.
+func TestIsRenewalDue_EarlyEnoughForSlowPlatform(t *testing.T) {
+	is := is.New(t)
+	const callTime = 300 * time.Millisecond
+	for offset := time.Duration(0); offset < CheckInterval; offset += 10 * time.Millisecond {
+		now := start.Add(offset)
+		c := Confirmation{}.WithPlatformAnswer(start)
+		for range 100 {
+			if c.IsRenewalDue(now) {
+				calledAt := now
+				now = now.Add(callTime)
+				is.True(c.IsValid(now))
+				c = c.WithPlatformAnswer(calledAt)
+			}
+			now = now.Add(CheckInterval)
+		}
+	}
+}
+
+// Guards against a pause of 2 s after one failed call, in which the confirmation lapses because no balancer
+// renews it.
+func TestIsRenewedByBalancers_NotAfterSingleFailure(t *testing.T) {
+	is := is.New(t)
+	failedAt := start.Add(1600 * time.Millisecond)
+	c := Confirmation{}.WithPlatformAnswer(start).WithPlatformFailure()
+	is.True(c.IsValid(failedAt))
+	is.True(!c.IsRenewedByBalancers(failedAt))
+	is.True(c.WithSubscription(start.Add(time.Second), failedAt).IsRenewedByBalancers(failedAt))
+	is.True(!Confirmation{}.IsRenewedByBalancers(failedAt))
+	is.True(!c.WithPlatformAnswer(start).IsRenewedByBalancers(start))
+}
+
 // Balancers remove the enrollment 2.5 s after the last sign of life, which is at the earliest the last
 // status that one of them has acknowledged. Whatever the order and delay of messages, the sidecar does
 // not rely on its enrollment at that time.
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -10,6 +10,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/catchup"
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/enrollment"
 	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
 	"github.com/crocuslanding/crocuslanding/platform"
 )
@@ -24,8 +25,6 @@
 	// reports changes, or while rules or exclusions are missing. It is also the pause between two calls for the
 	// enrollment while the platform fails and balancers confirm the enrollment.
 	pollInterval = 2 * time.Second
-	// renewalCheckInterval is the interval between two checks whether the platform must confirm the enrollment.
-	renewalCheckInterval = 500 * time.Millisecond
 	// enrollRetryPause is the pause between two attempts to write or remove the enrollment.
 	enrollRetryPause = 300 * time.Millisecond
 	// shutdownReserve is the part of the grace period of a planned stop that is kept for all work other than
@@ -115,7 +114,7 @@
 	case <-s.controlThread.UpstreamServing():
 	}
 	for {
-		pause := renewalCheckInterval
+		pause := enrollment.CheckInterval
 		if s.controlThread.Snapshot().confirmation.IsRenewalDue(clock.Now()) {
 			pause = s.renewEnrollment()
 		}
@@ -134,7 +133,7 @@
 		s.controlThread.Update(func(current Snapshot) Snapshot {
 			return current.WithConfirmation(current.confirmation.WithPlatformFailure())
 		})
-		if s.controlThread.Snapshot().IsEnrolled(clock.Now()) {
+		if confirmation := s.controlThread.Snapshot().confirmation.WithPlatformFailure(); confirmation.IsRenewedByBalancers(clock.Now()) {
 			return pollInterval
 		}
 		return enrollRetryPause
@@ -146,7 +145,7 @@
 	if s.storedEnrollment.Revision() != before {
 		s.telemetry.Log().Info("sidecar enrolled", "revision", s.storedEnrollment.Revision())
 	}
-	return renewalCheckInterval
+	return enrollment.CheckInterval
 }
 
 // tryRemoveEnrollment removes the enrollment and the record of flows. The removal needs the revision of the
