directory: a sidecar whose upstream has left no longer counts as running

Cause: statuses of a stopping sidecar that arrive after the enrollment list without it marked it as running without enrollment for 3 s, although its last status said that the upstream had left. No orphaned flow was reset meanwhile. Change: that last status removes the mark. Result: the new test fails before and passes after.

--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -178,10 +178,12 @@
 // noteUnlisted records the status of a sidecar that is not enrolled in a directory that is being made. A
 // sidecar whose upstream has left holds no flows.
 func (d *Directory) noteUnlisted(r landing.ReceivedStatus) {
+	unlisted := maps.Clone(d.unlisted)
 	if r.Status().UpstreamPhase() == landing.PhaseLeft {
+		delete(unlisted, r.SourceAddress())
+		d.unlisted = unlisted
 		return
 	}
-	unlisted := maps.Clone(d.unlisted)
 	maps.DeleteFunc(unlisted, func(_ uint64, at time.Time) bool { return r.ReceivedAt().Sub(at) > unlistedValidity })
 	if unlisted == nil {
 		unlisted = map[uint64]time.Time{}
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -147,6 +147,16 @@
 	is.True(!d.HasUnlisted(now))
 }
 
+// Guards against a pause of 3 s in the resets after each planned stop, when callers need them most: statuses from
+// before the end of the upstream arrive after the list without the sidecar.
+func TestHasUnlisted_EndsWhenUpstreamLeaves(t *testing.T) {
+	is := is.New(t)
+	d := New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(b), now).WithStatuses(receivedAt(1, 0))
+	is.True(d.HasUnlisted(now))
+	d = d.WithStatuses(received(status(1, 2).WithUpstreamPhase(landing.PhaseLeft)))
+	is.True(!d.HasUnlisted(now))
+}
+
 // Guards against a balancer that was paused for some seconds and then takes the sidecars whose statuses
 // are still in its socket for silent, and their zone for unreachable.
 func TestWithStatuses_SilenceCountsAnewAfterInterruption(t *testing.T) {
