sidecar: a waiting SYN does not use up the new flows of a cold upstream

Cause: a SYN counted as a new flow when it arrived, although it then waited or was refused, and again when it was admitted. It could be refused because of itself. Change: withdrawAdmission takes the count back. Result: without it the new test sees 9 admissible flows in place of 10.

--- a/core/pkg/warmup/warmup.go
+++ b/core/pkg/warmup/warmup.go
@@ -57,6 +57,14 @@
 	return Window{flowTimes: append(w.recent(now), now), startedAt: w.startedAt}
 }
 
+// WithoutLast returns the window without the last new flow, which has not been passed to the upstream.
+func (w Window) WithoutLast() Window {
+	if len(w.flowTimes) > 0 {
+		w.flowTimes = slices.Clip(w.flowTimes[:len(w.flowTimes)-1])
+	}
+	return w
+}
+
 // recent returns the times of the flows within the last windowLength.
 func (w Window) recent(now time.Time) []time.Time {
 	expired := 0
--- a/core/pkg/warmup/warmup_test.go
+++ b/core/pkg/warmup/warmup_test.go
@@ -74,3 +74,13 @@
 	}
 	is.True(float64(flowCount) <= rate*1.5+5)
 }
+
+// Guards against waiting SYNs that use up the new flows of a cold upstream: each counted when it arrived and again
+// when it was admitted, and could then be refused because of itself.
+func TestWithoutLast_RestoresBudget(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	w := New(now.Add(-time.Hour)).WithFlow(now)
+	is.Equal(w.WithFlow(now).WithoutLast().AdmissibleFlows(10, now), w.AdmissibleFlows(10, now))
+	is.Equal(Window{}.WithoutLast().AdmissibleFlows(10, now), 10)
+}
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -248,6 +248,7 @@
 func (t *table) withdrawAdmission(k landing.FlowKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.newFlows = t.newFlows.WithoutLast()
 	t.endHandshakeLocked(k)
 }
 
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -408,3 +408,16 @@
 	tb.recordUpstreamSegment(repeatedSynAck, start)
 	is.Equal(tb.decide(openFlowSegment, lastHop, landing.FlowUnknown{}, admitAll, start), landing.OfferToUpstream{})
 }
+
+// Guards against a SYN that waits in cold start, uses up the new flows of the upstream, and is refused for that reason
+// when its turn comes.
+func TestWithdrawAdmission_RestoresNewFlows(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(start.Add(-time.Hour), func(landing.FlowKey) time.Duration { return 0 })
+	before := tb.load(start).newFlows.AdmissibleFlows(10, start)
+	syn := landing.Segment{}.WithKey(flowKey).WithIsSyn(true).WithSequenceNumber(7)
+	tb.decide(syn, landing.ChainPosition{}, landing.FlowAbsent{}, func(upstreamLoad) landing.Refusal { return landing.RefusalUnspecified }, start)
+	is.Equal(tb.load(start).newFlows.AdmissibleFlows(10, start), before-1)
+	tb.withdrawAdmission(flowKey)
+	is.Equal(tb.load(start).newFlows.AdmissibleFlows(10, start), before)
+}
