balancer: a claim keeps the number of copies; a returned flow leaves the cache

Cause: sidecars claim flows that wait. The claim cleared the number of copies in the cache, so a refusal of the first copy that came after the second one had been sent could reset the flow. And when the waiting flow was refused, the cache still named the sidecar that had claimed it, so the caller got no reset at once. Change: the claim keeps the number; the entry of the returning sidecar is removed. The list of candidates is allocated once. Result: the new test of the number fails before and passes after. The removal has no test: it needs two processes.

--- a/balancer/pkg/relay/cache.go
+++ b/balancer/pkg/relay/cache.go
@@ -124,7 +124,7 @@
 	if !found && len(c.flows) >= maxCachedFlows {
 		return
 	}
-	c.flows[k] = cachedFlow{sidecarAddress: sidecarAddress, lastPacketAt: now, upstreamStartMillis: startMillis, lastAcknowledged: flow.lastAcknowledged}
+	c.flows[k] = cachedFlow{sidecarAddress: sidecarAddress, lastPacketAt: now, earlierCopies: flow.earlierCopies, upstreamStartMillis: startMillis, lastAcknowledged: flow.lastAcknowledged}
 }
 
 // removeFlowsOfEndedProcesses removes and returns the flows that were held by processes of a sidecar's upstream that
--- a/balancer/pkg/relay/cache_test.go
+++ b/balancer/pkg/relay/cache_test.go
@@ -100,3 +100,13 @@
 	c.lookupAndUpdate(segment(1_500_000_000), now)
 	is.True(!c.isClaimedByKnownProcess(key))
 }
+
+// Guards against a reset of a flow that its second copy has opened, because of the first copy: a sidecar claimed the
+// flow that waited there, and the cache then no longer knew that a second copy had been sent.
+func TestFlowCache_ClaimKeepsNumberOfCopies(t *testing.T) {
+	is := is.New(t)
+	c := newFlowCache()
+	c.putOpening(opening.WithEarlierCopies(1), 7, now)
+	c.putClaim(key, 8, 0, now)
+	is.True(c.hasNewerPlacement(opening))
+}
--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -57,8 +57,8 @@
 func (f *Forwarder) rankCandidates(s Snapshot, listener landing.Listener, key landing.FlowKey, now time.Time) (string, []landing.Candidate) {
 	hash := chain.HashKey(key)
 	for _, service := range rules.ServiceOrder(listener, hash) {
-		var candidates []landing.Candidate
 		sidecars := s.directory.OfService(service)
+		candidates := make([]landing.Candidate, 0, len(sidecars))
 		mean := placement.MeanCapacity(sidecars)
 		for _, sidecar := range sidecars {
 			isExcluded := s.policy.IsExcluded(sidecar.Enrollment().Zone())
@@ -129,6 +129,8 @@
 		return
 	}
 	f.flows.remove(segment.Key(), returned.HopAddressesAt(0))
+	// The sidecar that returns the flow may have claimed it while it waited there.
+	f.flows.remove(segment.Key(), returned.HopAddressesAt(int(returned.HopIndex())))
 	tried := returned.HopAddresses()[:returned.HopIndex()+1]
 	service, candidates := f.rankCandidates(s, listener, segment.Key(), clock.Now())
 	hops := slices.DeleteFunc(addressesOf(candidates), func(hop uint64) bool { return slices.Contains(tried, hop) })
