backlog: a packet is timely only if it is served before its caller gives up

Cause: with an aim above the timeout, or a wait above the 800 ms for which a caller waits after a copy, a packet was said to be timely and later dropped without an answer. Change: the expected wait must also be within the wait limit. Result: the new test fails before and passes after.

--- a/core/pkg/backlog/wait.go
+++ b/core/pkg/backlog/wait.go
@@ -12,26 +12,26 @@
 	// Requests differ in the work that they need, so a wait can be twice as long as expected. When the
 	// wait may take all of the slack, three in ten responses are late at 1.3 times the capacity.
 	slackDivisor = 2
-	// spareFrom is the utilization by timely requests up to which late packets may wait as long as their
+	// spareFrom is the utilization up to which late packets may wait as long as their
 	// callers do. From there the time falls to 0 at full utilization.
 	spareFrom = 0.5
 )
 
 // DecideWait returns whether the packet waits in the backlog of an upstream with this load, whose
-// waiting packets are those of the backlog. Utilization is the part of the upstream's slots that timely
-// requests have used lately.
+// waiting packets are those of the backlog. Utilization is the part of the upstream's slots that
+// requests of listeners with a response aim have used lately (Starts).
 func DecideWait(b Backlog, packet landing.QueuedPacket, upstream selection.Upstream, utilization float64, now time.Time) landing.WaitDecision {
 	if packet.TimelyUntil().IsZero() {
 		return decideWithoutAim(b, packet, upstream)
 	}
 	upstream.Waiting = b.countBefore(packet, true, now)
 	wait := upstream.ExpectedWait()
-	if slack := packet.TimelyUntil().Sub(now) - upstream.ServiceTime(); slackDivisor*wait <= slack {
+	left := packet.LastCopyAt().Add(packet.WaitLimit()).Sub(now)
+	if slack := packet.TimelyUntil().Sub(now) - upstream.ServiceTime(); wait < left && slackDivisor*wait <= slack {
 		return landing.WaitTimely{}.WithExpectedWait(wait)
 	}
 	upstream.Waiting = b.countBefore(packet, false, now)
 	wait = upstream.ExpectedWait()
-	left := packet.LastCopyAt().Add(packet.WaitLimit()).Sub(now)
 	if wait < time.Duration(float64(left)*spareShare(utilization)) {
 		return landing.WaitLate{}.WithExpectedWait(wait)
 	}
--- a/core/pkg/backlog/wait_test.go
+++ b/core/pkg/backlog/wait_test.go
@@ -80,6 +80,22 @@
 	is.Equal(len(refused), 0)
 }
 
+// Guards against a packet that is said to be timely, waits longer than its caller and is then dropped without an
+// answer: an aim above the timeout, or a wait above the 800 ms for which a caller waits after a copy.
+func TestDecideWait_TimelyOnlyWithinWaitLimit(t *testing.T) {
+	is := is.New(t)
+	aim := 5 * time.Second
+	packet := queuedPacket(1, 2, 0).WithTimelyUntil(TimelyUntil(0, aim, 25*time.Millisecond, start))
+	_, isRefused := DecideWait(Backlog{}, packet.WithWaitLimit(WaitLimit(2, 600*time.Millisecond, 25*time.Millisecond)), busyUpstream, 0, start).(landing.RefuseWait)
+	is.True(isRefused)
+	b := Backlog{}
+	for port := range uint32(70) {
+		b = b.With(queuedPacket(100+port, 2, 0).WithTimelyUntil(packet.TimelyUntil()))
+	}
+	_, isRefused = DecideWait(b, packet, busyUpstream, 0, start).(landing.RefuseWait) // 71 packets at 12.5 ms
+	is.True(isRefused)
+}
+
 // Timely packets are served in order of arrival, the others after them and newest first.
 func TestPop_TimelyPacketsFirst(t *testing.T) {
 	is := is.New(t)
