backlog: late packets of a higher priority count in the wait of timely ones

Cause: they are served first, but the expected wait of a timely packet of a lower priority left them out, so it was promised a time that it did not get. Change: countBefore counts all packets of a higher priority. Result: the new test fails before and passes after.

--- a/core/pkg/backlog/wait.go
+++ b/core/pkg/backlog/wait.go
@@ -54,11 +54,12 @@
 }
 
 // countBefore returns the number of packets that are served before this one, which has just arrived:
-// those with its priority or a higher one, and of these all or only the timely ones.
+// those with a higher priority, and of those with its own priority all or only the timely ones.
 func (b Backlog) countBefore(packet landing.QueuedPacket, onlyTimely bool, now time.Time) int {
 	count := 0
 	for _, other := range b.packets {
-		if other.Key() != packet.Key() && other.Priority() <= packet.Priority() && (!onlyTimely || IsTimely(other, now)) {
+		isHigher, isEqual := other.Priority() < packet.Priority(), other.Priority() == packet.Priority()
+		if other.Key() != packet.Key() && (isHigher || isEqual && (!onlyTimely || IsTimely(other, now))) {
 			count++
 		}
 	}
--- a/core/pkg/backlog/wait_test.go
+++ b/core/pkg/backlog/wait_test.go
@@ -96,6 +96,20 @@
 	is.True(isRefused)
 }
 
+// Guards against a promise that is not kept: late packets of a higher priority are served before timely ones of a
+// lower priority, so they count in the wait.
+func TestDecideWait_CountsLatePacketsOfHigherPriority(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(40) {
+		b = b.With(queuedPacket(port, 1, 0))
+	}
+	_, isTimely := DecideWait(b, timelyPacket(100, 2), busyUpstream, 0, start).(landing.WaitTimely)
+	is.True(!isTimely)
+	_, isTimely = DecideWait(b, timelyPacket(100, 1), busyUpstream, 0, start).(landing.WaitTimely)
+	is.True(isTimely) // within a priority timely packets are served first
+}
+
 // Timely packets are served in order of arrival, the others after them and newest first.
 func TestPop_TimelyPacketsFirst(t *testing.T) {
 	is := is.New(t)
