backlog: the limit of a packet without an aim removes no packet with one

Cause: a packet of a listener without a response aim cut the backlog to the packets that can be served before its caller gives up. On an upstream with both kinds of listeners it removed timely packets that had been promised their turn. Change: only packets without an aim are removed for the limit. Result: the new test fails before (2 of 8 stay) and passes after.

--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -111,9 +111,9 @@
 	return best, Backlog{packets: b.without(best.Key())}, true
 }
 
-// Prune returns the backlog without the packets whose callers have given up, and with at most limit
-// packets. Beyond the limit it removes packets of the lowest priority first, and of these the
-// oldest.
+// Prune returns the backlog without the packets whose callers have given up. Of the packets of listeners
+// without a response aim it removes those that are not among the first limit packets to be served. The
+// others stay, since DecideWait has decided for each of them that it will be served.
 //
 // It also returns the packets that it removed because of the limit and that must be refused.
 // Packets whose caller may already have sent the next copy are removed without being returned,
@@ -132,9 +132,10 @@
 		return 1
 	})
 	refused := slices.DeleteFunc(slices.Clone(kept[limit:]), func(packet landing.QueuedPacket) bool {
-		return now.Sub(packet.LastCopyAt()) >= minCopyInterval
+		return !packet.TimelyUntil().IsZero() || now.Sub(packet.LastCopyAt()) >= minCopyInterval
 	})
-	return Backlog{packets: kept[:limit:limit]}, refused
+	rest := slices.DeleteFunc(kept[limit:], func(packet landing.QueuedPacket) bool { return packet.TimelyUntil().IsZero() })
+	return Backlog{packets: slices.Clip(kept[:limit+len(rest)])}, refused
 }
 
 // IsTimely reports whether the response to the packet's request is timely if the request begins now.
--- a/core/pkg/backlog/wait_test.go
+++ b/core/pkg/backlog/wait_test.go
@@ -110,6 +110,21 @@
 	is.True(isTimely) // within a priority timely packets are served first
 }
 
+// Guards against timely packets that are refused because of a packet of a listener without a response aim: the
+// limit of such a packet, whose caller gives up soon, cut the whole backlog.
+func TestPrune_LimitOfPacketWithoutAimRemovesNoOther(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(8) {
+		b = b.With(timelyPacket(port, 2))
+	}
+	b = b.With(queuedPacket(100, 2, 0).WithWaitLimit(30 * time.Millisecond))
+	kept, refused := b.Prune(2, start)
+	is.Equal(kept.Len(), 8)
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Key().SourcePort(), uint32(100))
+}
+
 // Timely packets are served in order of arrival, the others after them and newest first.
 func TestPop_TimelyPacketsFirst(t *testing.T) {
 	is := is.New(t)
