sidecar: a waiting SYN keeps its time, and is admitted and refused once

Cause: - The next copy of a SYN that waits was deferred along the chain, since the upstream was busy, and admitted at another sidecar as well. It could also be refused while the earlier copy went on waiting. - A SYN whose slot another one took when its turn came waited anew, as if it had just arrived, or was refused after its caller may have sent the next copy. The balancer then resets a flow that may be open elsewhere. - Packets that lapsed in the queue were not counted. - The decision to wait and the addition were two steps, between which another packet could take the last place or the last slot become free unnoticed. Change: the sidecar keeps a copy of a flow that waits there; a SYN from the queue keeps its time of arrival and returns to its place; it goes back to the balancer only within 200 ms; an admission ends the wait of every copy; the counter wait_lapsed; one step for decision and addition, and a check for free slots when a packet has begun to wait. The load is read only for SYNs.

--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -90,6 +90,11 @@
 	return max(int(time.Duration(slots)*waitLimit/serviceTime), 1)
 }
 
+// Has reports whether a packet of the flow waits.
+func (b Backlog) Has(key landing.FlowKey) bool {
+	return slices.ContainsFunc(b.packets, func(packet landing.QueuedPacket) bool { return packet.Key() == key })
+}
+
 // With returns the backlog with one more packet. A copy replaces the earlier packet of the same
 // flow.
 func (b Backlog) With(packet landing.QueuedPacket) Backlog {
@@ -132,12 +137,19 @@
 		return 1
 	})
 	refused := slices.DeleteFunc(slices.Clone(kept[limit:]), func(packet landing.QueuedPacket) bool {
-		return !packet.TimelyUntil().IsZero() || now.Sub(packet.LastCopyAt()) >= minCopyInterval
+		return !packet.TimelyUntil().IsZero() || !MayReturn(packet.LastCopyAt(), now)
 	})
 	rest := slices.DeleteFunc(kept[limit:], func(packet landing.QueuedPacket) bool { return packet.TimelyUntil().IsZero() })
 	return Backlog{packets: slices.Clip(kept[:limit+len(rest)])}, refused
 }
 
+// MayReturn reports whether a packet whose last copy arrived at this time may be returned to its balancer,
+// which then may reset the flow. After minCopyInterval the caller may have sent the next copy, which may
+// have opened the flow at another sidecar.
+func MayReturn(lastCopyAt, now time.Time) bool {
+	return now.Sub(lastCopyAt) < minCopyInterval
+}
+
 // IsTimely reports whether the response to the packet's request is timely if the request begins now.
 func IsTimely(packet landing.QueuedPacket, now time.Time) bool {
 	return now.Before(packet.TimelyUntil())
@@ -159,6 +171,14 @@
 	return a.LastCopyAt().After(b.LastCopyAt())
 }
 
+// Without returns the backlog without the packet of this flow, if there is one.
+func (b Backlog) Without(key landing.FlowKey) Backlog {
+	if !b.Has(key) {
+		return b
+	}
+	return Backlog{packets: b.without(key)}
+}
+
 func (b Backlog) without(key landing.FlowKey) []landing.QueuedPacket {
 	return slices.DeleteFunc(slices.Clone(b.packets), func(packet landing.QueuedPacket) bool { return packet.Key() == key })
 }
--- a/core/pkg/backlog/wait.go
+++ b/core/pkg/backlog/wait.go
@@ -35,6 +35,10 @@
 	if wait < time.Duration(float64(left)*spareShare(utilization)) {
 		return landing.WaitLate{}.WithExpectedWait(wait)
 	}
+	if left > 0 && b.Has(packet.Key()) {
+		// The earlier copy would wait on after a refusal of this one.
+		return landing.WaitLate{}.WithExpectedWait(wait)
+	}
 	return landing.RefuseWait{}.WithExpectedWait(wait)
 }
 
--- a/core/pkg/backlog/wait_test.go
+++ b/core/pkg/backlog/wait_test.go
@@ -96,6 +96,23 @@
 	is.True(isRefused)
 }
 
+// Guards against a refusal of a copy whose earlier copy waits and will be admitted.
+func TestDecideWait_CopyOfWaitingPacketKeepsWaiting(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(9) {
+		b = b.With(timelyPacket(port, 2))
+	}
+	now := start.Add(200 * time.Millisecond)
+	copied := queuedPacket(8, 2, 200*time.Millisecond).WithTimelyUntil(TimelyUntil(1, 250*time.Millisecond, 25*time.Millisecond, now))
+	_, isLate := DecideWait(b, copied, busyUpstream, 1, now).(landing.WaitLate)
+	is.True(isLate)
+	_, isRefused := DecideWait(b, copied.WithWaitLimit(0), busyUpstream, 1, now).(landing.RefuseWait)
+	is.True(isRefused)
+	is.True(b.Has(copied.Key()))
+	is.True(!b.Has(timelyPacket(10, 2).Key()))
+}
+
 // Guards against a promise that is not kept: late packets of a higher priority are served before timely ones of a
 // lower priority, so they count in the wait.
 func TestDecideWait_CountsLatePacketsOfHigherPriority(t *testing.T) {
@@ -125,6 +142,14 @@
 	is.Equal(refused[0].Key().SourcePort(), uint32(100))
 }
 
+// Guards against a reset of a flow that a later copy has opened at another sidecar, because the earlier copy is
+// refused after it has waited.
+func TestMayReturn_OnlyBeforeNextCopy(t *testing.T) {
+	is := is.New(t)
+	is.True(MayReturn(start, start.Add(199*time.Millisecond)))
+	is.True(!MayReturn(start, start.Add(200*time.Millisecond)))
+}
+
 // Timely packets are served in order of arrival, the others after them and newest first.
 func TestPop_TimelyPacketsFirst(t *testing.T) {
 	is := is.New(t)
--- a/core/pkg/selection/selection.go
+++ b/core/pkg/selection/selection.go
@@ -31,6 +31,9 @@
 	RequestTime time.Duration
 	// IsEjected reports whether the upstream gets no new flows while others admit them.
 	IsEjected bool
+	// HasEarlierCopy reports whether an earlier copy of the flow's opening packet waits for a slot of this
+	// upstream.
+	HasEarlierCopy bool
 }
 
 // HasFreeSlot reports whether a new request would begin at once.
@@ -72,7 +75,11 @@
 }
 
 // IsBusy reports whether the flow is better offered to the next sidecar: no slot is free, or a sidecar
-// that has deferred the flow expects to respond earlier although the flow must wait there.
+// that has deferred the flow expects to respond earlier although the flow must wait there. A flow that waits
+// here already is not offered to others, where it could be admitted as well.
 func IsBusy(u Upstream, stated time.Duration) bool {
+	if u.HasEarlierCopy {
+		return false
+	}
 	return !u.HasFreeSlot() || !IsShortest(u, stated)
 }
--- a/core/pkg/selection/selection_test.go
+++ b/core/pkg/selection/selection_test.go
@@ -44,3 +44,14 @@
 	is.True(Upstream{}.HasFreeSlot()) // no heartbeat has stated the slots yet
 	is.True(Upstream{Slots: 2, IsEjected: true}.ExpectedResponse() > time.Second)
 }
+
+// Guards against a flow that is admitted at two sidecars: the second copy of its SYN came to the sidecar at which
+// the first one waited, and was deferred along the chain because that upstream was busy.
+func TestIsBusy_CopyOfWaitingFlowIsNotDeferred(t *testing.T) {
+	is := is.New(t)
+	u := Upstream{Slots: 2, BusySlots: 2, Waiting: 5, RequestTime: 20 * time.Millisecond}
+	is.True(IsBusy(u, 0))
+	u.HasEarlierCopy = true
+	is.True(!IsBusy(u, 0))
+	is.True(!IsBusy(u, time.Millisecond))
+}
--- a/sidecar/pkg/relay/admission.go
+++ b/sidecar/pkg/relay/admission.go
@@ -11,28 +11,30 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 )
 
-// position returns the position of a packet in its chain, and whether the upstream is busy.
-func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket) landing.ChainPosition {
-	now := clock.Now()
-	upstream := f.offeredUpstream(s, f.table.load(now))
-	stated := time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
-	return landing.ChainPosition{}.
+// position returns the position of a packet in its chain and, for a SYN, whether the upstream is busy.
+func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment) landing.ChainPosition {
+	position := landing.ChainPosition{}.
 		WithHasNext(int(forwarded.HopIndex())+1 < forwarded.HopAddressesLen()).
 		WithHasMore(true).
-		WithUpstreamBusy(selection.IsBusy(upstream, stated)).
-		WithShortestWait(selection.IsShortest(upstream, stated)).
 		WithDeferredEarlier(forwarded.DeferredBy() > 0).
 		WithReturnedToDeferrer(forwarded.ReturnedToDeferrer())
+	if !segment.IsSyn() {
+		return position
+	}
+	upstream := f.offeredUpstream(s, f.table.load(clock.Now()), segment.Key())
+	stated := time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
+	return position.WithUpstreamBusy(selection.IsBusy(upstream, stated)).WithShortestWait(selection.IsShortest(upstream, stated))
 }
 
-// offeredUpstream returns the load of the upstream to which a new flow is offered.
-func (f *Forwarder) offeredUpstream(s Snapshot, l upstreamLoad) selection.Upstream {
+// offeredUpstream returns the load of the upstream to which a new flow with this key is offered.
+func (f *Forwarder) offeredUpstream(s Snapshot, l upstreamLoad, key landing.FlowKey) selection.Upstream {
 	return selection.Upstream{
-		Slots:       int(s.upstream.Slots()),
-		BusySlots:   l.busySlots,
-		Waiting:     f.queue.len(),
-		RequestTime: l.averageLatency,
-		IsEjected:   !l.history.AdmitsNewFlow(clock.Now()),
+		Slots:          int(s.upstream.Slots()),
+		BusySlots:      l.busySlots,
+		Waiting:        f.queue.len(),
+		RequestTime:    l.averageLatency,
+		IsEjected:      !l.history.AdmitsNewFlow(clock.Now()),
+		HasEarlierCopy: f.queue.has(key),
 	}
 }
 
--- a/sidecar/pkg/relay/execute.go
+++ b/sidecar/pkg/relay/execute.go
@@ -11,8 +11,9 @@
 )
 
 // execute carries out the action for a caller's packet. packet and segment are the parsed content of
-// forwarded, and refusal is the reason that goes back to the balancer with a returned packet.
-func (f *Forwarder) execute(action landing.SegmentAction, forwarded landing.ForwardedPacket, packet platform.Packet, segment landing.Segment, refusal landing.Refusal) {
+// forwarded, and refusal is the reason that goes back to the balancer with a returned packet. A SYN from
+// the queue has waited since waitingSince, which is the zero time for other packets.
+func (f *Forwarder) execute(action landing.SegmentAction, forwarded landing.ForwardedPacket, packet platform.Packet, segment landing.Segment, refusal landing.Refusal, waitingSince time.Time) {
 	switch action := action.(type) {
 	case landing.CompleteHandshake:
 		f.deliver(forwarded, packet)
@@ -25,7 +26,7 @@
 	case landing.AdmitFlow:
 		now := clock.Now()
 		if s := f.controlThread.Snapshot(); f.isUpstreamFull(s, now) {
-			f.enqueue(s, forwarded, segment, now)
+			f.enqueue(s, forwarded, segment, waitingSince, now)
 			return
 		}
 		f.table.recordAdmission(segment.Key(), now)
@@ -43,13 +44,13 @@
 	case landing.ForwardToNext:
 		f.forwardToNext(forwarded)
 	case landing.DeferAdmission:
-		f.forwardToNext(f.withDeferral(forwarded))
+		f.forwardToNext(f.withDeferral(forwarded, segment.Key()))
 	case landing.ReturnToDeferrer:
 		f.send(forwarded.WithHopIndex(forwarded.DeferredBy() - 1).WithReturnedToDeferrer(true))
 	case landing.ReturnToBalancer:
-		f.returnToBalancer(forwarded, refusal)
+		f.refuse(forwarded, refusal, waitingSince)
 	case landing.ResetFlow:
-		f.returnToBalancer(forwarded, action.Reason())
+		f.refuse(forwarded, action.Reason(), waitingSince)
 	case landing.AbandonHandshake:
 		f.table.remove(segment.Key())
 	case landing.DropSegment:
@@ -59,8 +60,8 @@
 
 // withDeferral returns the packet with this sidecar as the one that defers it, unless an earlier one expects to
 // respond sooner.
-func (f *Forwarder) withDeferral(forwarded landing.ForwardedPacket) landing.ForwardedPacket {
-	upstream := f.offeredUpstream(f.controlThread.Snapshot(), f.table.load(clock.Now()))
+func (f *Forwarder) withDeferral(forwarded landing.ForwardedPacket, key landing.FlowKey) landing.ForwardedPacket {
+	upstream := f.offeredUpstream(f.controlThread.Snapshot(), f.table.load(clock.Now()), key)
 	stated := time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
 	if forwarded.DeferredBy() > 0 && !selection.IsShortest(upstream, stated) {
 		return forwarded
@@ -68,12 +69,10 @@
 	return forwarded.WithDeferredBy(forwarded.HopIndex() + 1).WithExpectedResponseMicros(uint32(upstream.ExpectedResponse().Microseconds()))
 }
 
-// recordStart records that a new flow is admitted now, if the response to its first request can be timely.
+// recordStart records that a new flow is admitted now.
 func (f *Forwarder) recordStart(segment landing.Segment, now time.Time) {
 	listener, _ := f.controlThread.Policy().Rules().FindListener(segment.Key())
-	if listener.ResponseAim() > 0 {
-		f.queue.recordTimelyStart(now)
-	}
+	f.queue.recordAdmission(segment.Key(), listener.ResponseAim() > 0, now)
 }
 
 // forwardToNext sends a packet to the next sidecar of its chain.
--- a/sidecar/pkg/relay/forwarder.go
+++ b/sidecar/pkg/relay/forwarder.go
@@ -143,7 +143,7 @@
 func (f *Forwarder) handleDatagram(d landing.Datagram, _ uint64) {
 	switch d := d.(type) {
 	case landing.ForwardedPacket:
-		f.handlePacket(d)
+		f.handlePacket(d, time.Time{})
 	case landing.StatusSubscription:
 		f.controlThread.Post(landing.SubscriptionReceived{}.WithSubscription(d).WithReceivedAt(clock.Now()).WithAcknowledgedAt(f.acknowledgedAt(d)))
 	case landing.IndirectProbe:
@@ -167,8 +167,9 @@
 	}
 }
 
-// handlePacket decides about a caller's packet that arrived along its chain, and carries out the action.
-func (f *Forwarder) handlePacket(forwarded landing.ForwardedPacket) {
+// handlePacket decides about a caller's packet that arrived along its chain, and carries out the action. A SYN
+// from the queue has waited since waitingSince, which is the zero time for a packet that has just arrived.
+func (f *Forwarder) handlePacket(forwarded landing.ForwardedPacket, waitingSince time.Time) {
 	packet, err := platform.ParsePacket(forwarded.Packet())
 	if err != nil || int(forwarded.HopIndex()) >= forwarded.HopAddressesLen() {
 		f.telemetry.Counters().CountRefusal(landing.RefusalMalformed)
@@ -185,11 +186,11 @@
 		refusal = f.refusalReason(s, forwarded, segment, l, now)
 		return refusal
 	}
-	position := f.position(s, forwarded)
+	position := f.position(s, forwarded, segment)
 	action := f.table.decide(segment, position, s.UntrackedFlowState(), decideRefusal, now)
 	f.logAction(segment, forwarded, action, refusal)
 	f.logRequest(segment, forwarded, packet, action)
-	f.execute(action, forwarded, packet, segment, refusal)
+	f.execute(action, forwarded, packet, segment, refusal, waitingSince)
 	if segment.IsReset() || segment.HasFin() {
 		f.admitWaiting()
 	}
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -17,33 +18,44 @@
 type waitQueue struct {
 	mu      sync.Mutex
 	backlog backlog.Backlog
-	// timelyStarts counts the requests that were admitted in time for a timely response.
-	timelyStarts backlog.Starts
+	// starts counts the requests of listeners with a response aim.
+	starts backlog.Starts
+	// lapsed is the number of packets that were removed without an answer.
+	lapsed int64
 }
 
-// decide returns whether a packet waits, when the upstream has this load.
-func (w *waitQueue) decide(packet landing.QueuedPacket, upstream selection.Upstream, now time.Time) landing.WaitDecision {
+// offer decides whether a packet waits, when the upstream has this load, and adds it if so. It returns the
+// decision and the packets that must be refused because more than limit packets wait.
+func (w *waitQueue) offer(packet landing.QueuedPacket, upstream selection.Upstream, limit int, now time.Time) (landing.WaitDecision, []landing.QueuedPacket) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	utilization := w.timelyStarts.Utilization(uint32(upstream.Slots), upstream.ServiceTime(), now)
-	return backlog.DecideWait(w.backlog, packet, upstream, utilization, now)
+	utilization := w.starts.Utilization(uint32(upstream.Slots), upstream.ServiceTime(), now)
+	decision := backlog.DecideWait(w.backlog, packet, upstream, utilization, now)
+	if _, isRefused := decision.(landing.RefuseWait); isRefused {
+		return decision, nil
+	}
+	w.backlog = w.backlog.With(packet)
+	return decision, w.prune(limit, now)
 }
 
-// recordTimelyStart records that a request was admitted in time for a timely response.
-func (w *waitQueue) recordTimelyStart(now time.Time) {
+// restore adds a packet that was removed to be served, without a further decision.
+func (w *waitQueue) restore(packet landing.QueuedPacket) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timelyStarts = w.timelyStarts.With(now)
+	if !w.backlog.Has(packet.Key()) {
+		w.backlog = w.backlog.With(packet)
+	}
 }
 
-// add adds a packet and returns the packets that must be refused, because more than limit packets wait.
-// Packets whose callers have given up are removed but not returned.
-func (w *waitQueue) add(packet landing.QueuedPacket, limit int) []landing.QueuedPacket {
+// recordAdmission records that a flow is admitted, of which no packet needs to wait any more, and whether its
+// listener has a response aim.
+func (w *waitQueue) recordAdmission(key landing.FlowKey, hasAim bool, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var refused []landing.QueuedPacket
-	w.backlog, refused = w.backlog.With(packet).Prune(limit, packet.LastCopyAt())
-	return refused
+	w.backlog = w.backlog.Without(key)
+	if hasAim {
+		w.starts = w.starts.With(now)
+	}
 }
 
 // next removes and returns the packet that is served next; false when none waits. Packets whose callers
@@ -51,13 +63,39 @@
 func (w *waitQueue) next(now time.Time) (landing.QueuedPacket, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.backlog, _ = w.backlog.Prune(w.backlog.Len(), now)
+	w.prune(w.backlog.Len(), now)
 	var packet landing.QueuedPacket
 	var found bool
 	packet, w.backlog, found = w.backlog.Pop(now)
 	return packet, found
 }
 
+// prune removes the packets whose callers have given up, and those beyond the limit, which it returns if they
+// must be refused. It counts the others. w must be locked.
+func (w *waitQueue) prune(limit int, now time.Time) []landing.QueuedPacket {
+	before := w.backlog.Len()
+	var refused []landing.QueuedPacket
+	w.backlog, refused = w.backlog.Prune(limit, now)
+	w.lapsed += int64(before - w.backlog.Len() - len(refused))
+	return refused
+}
+
+// takeLapsed returns the number of packets that were removed without an answer since the last call.
+func (w *waitQueue) takeLapsed() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := w.lapsed
+	w.lapsed = 0
+	return count
+}
+
+// has reports whether a packet of the flow waits.
+func (w *waitQueue) has(key landing.FlowKey) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.backlog.Has(key)
+}
+
 func (w *waitQueue) len() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -80,19 +118,33 @@
 }
 
 // enqueue lets a SYN wait for a free slot, or refuses it when it would wait in vain. It refuses the SYNs that no
-// longer fit into the queue.
-func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, now time.Time) {
+// longer fit into the queue. A SYN that has waited since waitingSince, and whose slot another one has taken meanwhile,
+// returns to its place.
+func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, waitingSince, now time.Time) {
 	listener, _ := s.policy.Rules().FindListener(segment.Key())
 	f.table.withdrawAdmission(segment.Key())
-	l := f.table.load(now)
+	l, arrivedAt := f.table.load(now), now
+	if !waitingSince.IsZero() {
+		arrivedAt = waitingSince
+	}
 	packet := landing.QueuedPacket{}.
 		WithForwardedPacket(forwarded).
 		WithKey(segment.Key()).
 		WithPriority(listener.Priority()).
-		WithLastCopyAt(now).
+		WithLastCopyAt(arrivedAt).
 		WithWaitLimit(backlog.WaitLimit(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency)).
-		WithTimelyUntil(backlog.TimelyUntil(segment.EarlierCopies(), listener.ResponseAim(), l.averageLatency, now))
-	switch decision := f.queue.decide(packet, f.offeredUpstream(s, l), now).(type) {
+		WithTimelyUntil(backlog.TimelyUntil(segment.EarlierCopies(), listener.ResponseAim(), l.averageLatency, arrivedAt))
+	if !waitingSince.IsZero() {
+		f.queue.restore(packet)
+		common.Notify(f.queueBlocked)
+		return
+	}
+	limit := math.MaxInt // the decision to wait bounds the queue
+	if packet.TimelyUntil().IsZero() {
+		limit = backlog.Limit(s.upstream.Slots(), l.averageLatency, packet.WaitLimit())
+	}
+	decision, refused := f.queue.offer(packet, f.offeredUpstream(s, l, segment.Key()), limit, now)
+	switch decision := decision.(type) {
 	case landing.RefuseWait:
 		f.refuseWaiting(packet, l, decision.ExpectedWait())
 		return
@@ -104,14 +156,10 @@
 		f.logWait(packet, l, "late", decision.ExpectedWait())
 	}
 	f.telemetry.Counters().Counter("waited").Inc(1)
-	limit := backlog.Limit(s.upstream.Slots(), l.averageLatency, packet.WaitLimit())
-	if !packet.TimelyUntil().IsZero() {
-		limit = f.queue.len() + 1 // the decision to wait bounds the queue
-	}
-	for _, refused := range f.queue.add(packet, limit) {
-		f.refuseWaiting(refused, l, 0)
+	for _, r := range refused {
+		f.refuseWaiting(r, l, 0)
 	}
-	if forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0 {
+	if isWaiting := f.queue.has(segment.Key()); isWaiting && (forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0) {
 		// The caller's next copy then comes to this sidecar, and is not offered to others as well.
 		f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 	}
@@ -133,6 +181,16 @@
 	f.returnToBalancer(packet.ForwardedPacket(), landing.RefusalQueue)
 }
 
+// refuse returns a packet to its balancer. One that has waited since waitingSince, for so long that its caller may have
+// sent the next copy, is only counted, since the balancer would reset the flow.
+func (f *Forwarder) refuse(forwarded landing.ForwardedPacket, reason landing.Refusal, waitingSince time.Time) {
+	if !waitingSince.IsZero() && !backlog.MayReturn(waitingSince, clock.Now()) {
+		f.telemetry.Counters().Counter("wait_lapsed").Inc(1)
+		return
+	}
+	f.returnToBalancer(forwarded, reason)
+}
+
 // admitOnLapse admits waiting SYNs when a slot becomes free without a packet, because a request or the
 // reservation of an admitted flow has lapsed.
 func (f *Forwarder) admitOnLapse() {
@@ -145,6 +203,10 @@
 		case <-timer.C:
 			f.admitWaiting()
 		case <-f.queueBlocked:
+			// A slot may have become free after the decision to wait and before the packet was in the queue.
+			if !f.isUpstreamFull(f.controlThread.Snapshot(), clock.Now()) {
+				f.admitWaiting()
+			}
 		}
 		now := clock.Now()
 		if next, found := f.table.nextLapse(now); found && f.queue.len() > 0 {
@@ -162,10 +224,11 @@
 			return
 		}
 		packet, found := f.queue.next(now)
+		f.telemetry.Counters().Counter("wait_lapsed").Inc(f.queue.takeLapsed())
 		if !found {
 			return
 		}
 		f.waitTimes.Update(int64(now.Sub(packet.LastCopyAt())))
-		f.handlePacket(packet.ForwardedPacket().WithReturnedToDeferrer(true))
+		f.handlePacket(packet.ForwardedPacket().WithReturnedToDeferrer(true), packet.LastCopyAt())
 	}
 }
