--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -120,6 +120,11 @@
 	return max(int(time.Duration(slots)*waitLimit/serviceTime), 1)
 }
 
+// Has reports whether a packet of the flow waits.
+func (b Backlog) Has(key landing.FlowKey) bool {
+	return slices.ContainsFunc(b.packets, func(packet landing.QueuedPacket) bool { return packet.Key() == key })
+}
+
 // With returns the backlog with one more packet. A copy replaces the earlier packet of the same
 // flow.
 func (b Backlog) With(packet landing.QueuedPacket) Backlog {
@@ -184,9 +189,10 @@
 	return packet, b.WithStart(packet, byShare, now), true
 }
 
-// Prune returns the backlog without the packets whose callers have given up, and with at most limit
-// packets. Beyond the limit it removes the packets that would be served last: those of the lowest priority,
-// except for its share, and of these the oldest.
+// Prune returns the backlog without the packets whose callers have given up. Of the packets of listeners
+// without a response aim it removes those that are not among the first limit packets to be served: those of
+// the lowest priority, except for its share, and of these the oldest. The others stay, since DecideWait has
+// decided for each of them that it will be served.
 //
 // It also returns the packets that it removed because of the limit and that must be refused.
 // Packets whose caller may already have sent the next copy are removed without being returned,
@@ -208,13 +214,18 @@
 		return b, nil
 	}
 	kept = b.inOrder(now)
+	rest, refused := kept[:limit:limit], []landing.QueuedPacket(nil)
 	for _, packet := range kept[limit:] {
+		if !packet.TimelyUntil().IsZero() {
+			rest = append(rest, packet)
+			continue
+		}
 		shares = shares.WithRefused(packet.Priority(), now)
+		if MayReturn(packet.LastCopyAt(), now) {
+			refused = append(refused, packet)
+		}
 	}
-	refused := slices.DeleteFunc(slices.Clone(kept[limit:]), func(packet landing.QueuedPacket) bool {
-		return now.Sub(packet.LastCopyAt()) >= minCopyInterval
-	})
-	return Backlog{packets: kept[:limit:limit], shares: shares}, refused
+	return Backlog{packets: rest, shares: shares}, refused
 }
 
 // inOrder returns the packets in the order in which they are served if no other arrives.
@@ -265,6 +276,13 @@
 	}
 }
 
+// MayReturn reports whether a packet whose last copy arrived at this time may be returned to its balancer,
+// which then may reset the flow. After minCopyInterval the caller may have sent the next copy, which may
+// have opened the flow at another sidecar.
+func MayReturn(lastCopyAt, now time.Time) bool {
+	return now.Sub(lastCopyAt) < minCopyInterval
+}
+
 // IsTimely reports whether the response to the packet's request is timely if the request begins now.
 func IsTimely(packet landing.QueuedPacket, now time.Time) bool {
 	return now.Before(packet.TimelyUntil())
@@ -286,6 +304,14 @@
 	return a.LastCopyAt().After(b.LastCopyAt())
 }
 
+// Without returns the backlog without the packet of this flow, if there is one.
+func (b Backlog) Without(key landing.FlowKey) Backlog {
+	if !b.Has(key) {
+		return b
+	}
+	return Backlog{packets: b.without(key)}
+}
+
 func (b Backlog) without(key landing.FlowKey) []landing.QueuedPacket {
 	return slices.DeleteFunc(slices.Clone(b.packets), func(packet landing.QueuedPacket) bool { return packet.Key() == key })
 }
--- a/core/pkg/backlog/wait_test.go
+++ b/core/pkg/backlog/wait_test.go
@@ -80,6 +80,83 @@
 	is.Equal(len(refused), 0)
 }
 
+// Guards against a packet that is said to be timely, waits longer than its caller and is then dropped without an
+// answer: an aim above the timeout, a wait above the 800 ms for which a caller waits after a copy, or one above the
+// 1.4 s of an attempt.
+func TestDecideWait_TimelyOnlyWithinWaitLimit(t *testing.T) {
+	is := is.New(t)
+	aim := 5 * time.Second
+	packet := queuedPacket(1, 2, 0).WithTimelyUntil(TimelyUntil(0, aim, 25*time.Millisecond, start))
+	timeout, requestTime := 600*time.Millisecond, 25*time.Millisecond
+	last := packet.WithWaitLimit(WaitLimit(2, timeout, requestTime)).WithUsefulUntil(UsefulUntil(2, timeout, requestTime, start))
+	_, isRefused := DecideWait(Backlog{}, last, busyUpstream, 0, start).(landing.RefuseWait)
+	is.True(isRefused)
+	b := Backlog{}
+	for port := range uint32(120) {
+		if port == 70 {
+			_, isTimely := DecideWait(b, packet, busyUpstream, 0, start).(landing.WaitTimely) // 71 packets at 12.5 ms
+			is.True(!isTimely)
+		}
+		b = b.With(queuedPacket(100+port, 2, 0).WithTimelyUntil(packet.TimelyUntil()))
+	}
+	_, isRefused = DecideWait(b, packet, busyUpstream, 0, start).(landing.RefuseWait) // 1.5 s, more than an attempt takes
+	is.True(isRefused)
+}
+
+// Guards against a refusal of a copy whose earlier copy waits and will be admitted.
+func TestDecideWait_CopyOfWaitingPacketKeepsWaiting(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(9) {
+		b = b.With(timelyPacket(port, 2))
+	}
+	now := start.Add(200 * time.Millisecond)
+	copied := queuedPacket(8, 2, 200*time.Millisecond).WithTimelyUntil(TimelyUntil(1, 250*time.Millisecond, 25*time.Millisecond, now))
+	_, isLate := DecideWait(b, copied, busyUpstream, 1, now).(landing.WaitLate)
+	is.True(isLate)
+	_, isRefused := DecideWait(b, copied.WithWaitLimit(0).WithUsefulUntil(now), busyUpstream, 1, now).(landing.RefuseWait)
+	is.True(isRefused)
+	is.True(b.Has(copied.Key()))
+	is.True(!b.Has(timelyPacket(10, 2).Key()))
+}
+
+// Guards against a promise that is not kept: late packets of a higher priority are served before timely ones of a
+// lower priority, so they count in the wait.
+func TestDecideWait_CountsLatePacketsOfHigherPriority(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(40) {
+		b = b.With(queuedPacket(port, 1, 0))
+	}
+	_, isTimely := DecideWait(b, timelyPacket(100, 2), busyUpstream, 0, start).(landing.WaitTimely)
+	is.True(!isTimely)
+	_, isTimely = DecideWait(b, timelyPacket(100, 1), busyUpstream, 0, start).(landing.WaitTimely)
+	is.True(isTimely) // within a priority timely packets are served first
+}
+
+// Guards against timely packets that are refused because of a packet of a listener without a response aim: the
+// limit of such a packet, whose caller gives up soon, cut the whole backlog.
+func TestPrune_LimitOfPacketWithoutAimRemovesNoOther(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{}
+	for port := range uint32(8) {
+		b = b.With(timelyPacket(port, 2))
+	}
+	b = b.With(queuedPacket(100, 2, 0).WithWaitLimit(30 * time.Millisecond))
+	kept, refused := b.Prune(2, start)
+	is.Equal(kept.Len(), 8)
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Key().SourcePort(), uint32(100))
+}
+
+// Guards against a reset of a flow that a later copy has opened at another sidecar, because the earlier copy is
+// refused after it has waited.
+func TestMayReturn_OnlyBeforeNextCopy(t *testing.T) {
+	is := is.New(t)
+	is.True(MayReturn(start, start.Add(199*time.Millisecond)))
+	is.True(!MayReturn(start, start.Add(200*time.Millisecond)))
+}
+
 // Timely packets are served in order of arrival, the others after them and newest first.
 func TestPop_TimelyPacketsFirst(t *testing.T) {
 	is := is.New(t)
@@ -164,6 +241,32 @@
 	})
 }
 
+// Guards against a flow that is refused although a sidecar of its chain had a free slot with which the response would
+// have been timely: that sidecar left the flow to one that stated an earlier response, where the wait took more than
+// half of the slack.
+func TestIsBusy_FreeSlotIsLeftOnlyForWaitThatIsAccepted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		millis := func(label string) time.Duration {
+			return time.Duration(rapid.IntRange(5, 400).Draw(t, label)) * time.Millisecond
+		}
+		aim := millis("aim")
+		free := selection.Upstream{Slots: 2, RequestTime: millis("slow")}
+		deferrer := selection.Upstream{Slots: 2, BusySlots: 2, RequestTime: millis("fast")}
+		b := Backlog{}
+		for port := range uint32(rapid.IntRange(0, 30).Draw(t, "waiting")) {
+			b = b.With(queuedPacket(port, 2, 0).WithTimelyUntil(start.Add(time.Hour)))
+		}
+		deferrer.Waiting = b.Len()
+		if free.ExpectedResponse() > aim || !selection.IsBusy(free, deferrer.ExpectedResponse()) {
+			return
+		}
+		packet := queuedPacket(100, 2, 0).WithTimelyUntil(TimelyUntil(0, aim, deferrer.RequestTime, start))
+		if _, isTimely := DecideWait(b, packet, deferrer, 1, start).(landing.WaitTimely); !isTimely {
+			t.Fatalf("refused after %s, with an aim of %s and a free slot", deferrer.ExpectedWait(), aim)
+		}
+	})
+}
+
 func TestStarts_CountTheLastRequests(t *testing.T) {
 	is := is.New(t)
 	var s Starts
@@ -176,3 +279,16 @@
 	is.Equal(s.Utilization(2, 25*time.Millisecond, start.Add(time.Hour)), 0.0)
 	is.Equal(s.With(start).Utilization(0, time.Second, start), 0.0)
 }
+
+// BenchmarkDecideWait decides about a packet at an upstream at which 100 others wait.
+func BenchmarkDecideWait(b *testing.B) {
+	waiting := Backlog{}
+	for port := range uint32(100) {
+		waiting = waiting.With(timelyPacket(port, 1+port%2))
+	}
+	packet := timelyPacket(1000, 2)
+	b.ReportAllocs()
+	for b.Loop() {
+		DecideWait(waiting, packet, busyUpstream, 0.7, start)
+	}
+}
--- a/core/pkg/selection/selection.go
+++ b/core/pkg/selection/selection.go
@@ -17,6 +17,10 @@
 	// ejectionPenalty is added to the expected response time of an upstream that fails requests. It is
 	// longer than any expected wait, so that such an upstream is the last choice.
 	ejectionPenalty = 30 * time.Second
+	// waitDivisor is the part of the response time at a free slot that the response at another sidecar may
+	// take: half. A wait can be twice as long as expected, and a longer one is refused there (package
+	// backlog), so that a free slot would be left for a refusal.
+	waitDivisor = 2
 )
 
 // Upstream is the load of an upstream as its sidecar sees it.
@@ -31,6 +35,9 @@
 	RequestTime time.Duration
 	// IsEjected reports whether the upstream gets no new flows while others admit them.
 	IsEjected bool
+	// HasEarlierCopy reports whether an earlier copy of the flow's opening packet waits for a slot of this
+	// upstream.
+	HasEarlierCopy bool
 }
 
 // HasFreeSlot reports whether a new request would begin at once.
@@ -72,7 +79,11 @@
 }
 
 // IsBusy reports whether the flow is better offered to the next sidecar: no slot is free, or a sidecar
-// that has deferred the flow expects to respond earlier although the flow must wait there.
+// that has deferred the flow expects to respond far earlier although the flow must wait there. A flow that waits
+// here already is not offered to others, where it could be admitted as well.
 func IsBusy(u Upstream, stated time.Duration) bool {
-	return !u.HasFreeSlot() || !IsShortest(u, stated)
+	if u.HasEarlierCopy {
+		return false
+	}
+	return !u.HasFreeSlot() || stated > 0 && waitDivisor*stated <= u.ExpectedResponse()
 }
--- a/sidecar/pkg/relay/gauges_test.go
+++ b/sidecar/pkg/relay/gauges_test.go
@@ -69,9 +69,9 @@
 	control.snapshot.Store(&snapshot)
 	f.table.recordAdmission(flowKey, now)
 	packet := landing.QueuedPacket{}.WithLastCopyAt(now).WithWaitLimit(time.Minute)
-	f.queue.add(packet.WithKey(flowKey.WithSourcePort(10)).WithTimelyUntil(now.Add(time.Minute)), 10)
-	f.queue.add(packet.WithKey(flowKey.WithSourcePort(11)).WithTimelyUntil(now.Add(-time.Millisecond)), 10)
-	f.queue.add(packet.WithKey(flowKey.WithSourcePort(12)), 10) // of a listener without an aim
+	f.queue.restore(packet.WithKey(flowKey.WithSourcePort(10)).WithTimelyUntil(now.Add(time.Minute)))
+	f.queue.restore(packet.WithKey(flowKey.WithSourcePort(11)).WithTimelyUntil(now.Add(-time.Millisecond)))
+	f.queue.restore(packet.WithKey(flowKey.WithSourcePort(12))) // of a listener without an aim
 	values := metricValues(counters)
 	is.Equal(values["slots"], int64(2))
 	is.Equal(values["busy"], int64(1))
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	var w waitQueue
 	packet := landing.QueuedPacket{}.WithKey(flowKey).WithLastCopyAt(start).WithWaitLimit(800 * time.Millisecond)
-	w.add(packet, 10)
+	w.restore(packet)
 	timely, late := w.countWaiting(start.Add(700 * time.Millisecond))
 	is.Equal(timely, 0)
 	is.Equal(late, 1)
@@ -100,7 +100,7 @@
 	var w waitQueue
 	upstream := selection.Upstream{Slots: 2, RequestTime: 50 * time.Millisecond}
 	for i := range 16 {
-		w.recordTimelyStart(start.Add(time.Duration(i) * 10 * time.Millisecond))
+		w.recordAdmission(flowKey, true, start.Add(time.Duration(i)*10*time.Millisecond))
 	}
 	is.Equal(w.utilization(upstream, start.Add(200*time.Millisecond)), 0.5) // 16 requests of 50 ms in 2 slots within 0.8 s
 	is.Equal(w.utilization(upstream, start.Add(3*time.Second)), 0.0)
