--- a/experiment/pkg/relayed/fleet.go
+++ b/experiment/pkg/relayed/fleet.go
@@ -57,19 +57,35 @@
 // Listener is the address and port to which callers open flows. The routing rules assign it to a service.
 var Listener = netip.MustParseAddrPort("198.18.0.1:8080")
 
+// Config describes a deployment.
+type Config struct {
+	// BinaryFolder is the folder of the programs. When it is an empty string, balancers and sidecars run in this process.
+	BinaryFolder string
+	Balancers    int
+	// Sidecars is the number of sidecars, each with an upstream, alternately in the zones a and b.
+	Sidecars int
+	// Slots is the number of requests that an upstream processes at once; 0 for endpoint.DefaultSlots.
+	Slots int
+	// ServiceTime is the time that an upstream takes for a request. When it is 0, requests are answered at once.
+	ServiceTime time.Duration
+	// ResponseAim and RequestTimeout are the fields aim_ms and timeout_ms of the route; 0 when they are not stated.
+	ResponseAim    time.Duration
+	RequestTimeout time.Duration
+}
+
 // Fleet is a running deployment of the relay path, with its store and upstreams.
 type Fleet struct {
 	number uint32
 	// basePort is the first port of every instance. It depends on the process ID.
-	basePort uint16
-	// binaryFolder is the path of the folder that contains the programs, settings and logs of the processes. When it is
-	// an empty string, balancers and sidecars run in this process.
-	binaryFolder string
-	store        *store.Store
-	server       *serve.Server
-	balancers    []*handle
-	nodes        []*node
-	callerCount  atomic.Uint32
+	basePort  uint16
+	cfg       Config
+	store     *store.Store
+	server    *serve.Server
+	balancers []*handle
+	nodes     []*node
+	// platforms holds the addresses at which balancers reach the platform, by number, where it is not that of the store.
+	platforms   map[int]netip.AddrPort
+	callerCount atomic.Uint32
 }
 
 // handle controls a running balancer or sidecar, which runs in this process or in a process of its own.
@@ -98,13 +114,18 @@
 // New starts a deployment in this process with balancerCount balancers and a service with nodeCount sidecars and
 // upstreams, alternately in the zones a and b. It returns an error when an address cannot be used.
 func New(balancerCount, nodeCount int) (*Fleet, error) {
-	return NewFromBinaries("", balancerCount, nodeCount)
+	return NewFromConfig(Config{Balancers: balancerCount, Sidecars: nodeCount})
 }
 
 // NewFromBinaries does the same as New, but starts a process for each balancer and sidecar from the programs in
 // binaryFolder. Upstreams and the store run in this process.
 func NewFromBinaries(binaryFolder string, balancerCount, nodeCount int) (*Fleet, error) {
-	f := &Fleet{number: fleetCount.Add(1), store: store.New(), binaryFolder: binaryFolder}
+	return NewFromConfig(Config{BinaryFolder: binaryFolder, Balancers: balancerCount, Sidecars: nodeCount})
+}
+
+// NewFromConfig starts the deployment that cfg describes. It returns an error when an address cannot be used.
+func NewFromConfig(cfg Config) (*Fleet, error) {
+	f := &Fleet{number: fleetCount.Add(1), store: store.New(), cfg: cfg, platforms: map[int]netip.AddrPort{}}
 	f.basePort = firstPort + uint16(os.Getpid()%100)*portsPerFleet*3
 	server, err := serve.New(f.address(f.ip(250, 1), portOffsetStore).String(), f.store.Handler())
 	if err != nil {
@@ -113,13 +134,13 @@
 	server.Start()
 	f.server = server
 	f.SetRules(1, "desk")
-	for range balancerCount {
+	for range cfg.Balancers {
 		f.balancers = append(f.balancers, nil)
 		if err := f.StartBalancer(len(f.balancers) - 1); err != nil {
 			return nil, err
 		}
 	}
-	for i := range nodeCount {
+	for i := range cfg.Sidecars {
 		zone := string(rune('a' + i%2))
 		n := &node{instance: "side-" + strconv.Itoa(i), service: "desk", zone: zone, ip: f.ip(1, i+1)}
 		f.nodes = append(f.nodes, n)
@@ -156,6 +177,7 @@
 		"version": version,
 		"routes": []any{map[string]any{
 			"name": "r", "host": Listener.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", Listener.Port()), "service": service,
+			"aim_ms": f.cfg.ResponseAim.Milliseconds(), "timeout_ms": f.cfg.RequestTimeout.Milliseconds(),
 		}},
 		"services": []any{map[string]any{"name": "desk", "max_conns": 2000, "cold_start_s": 1}},
 		"limits":   map[string]any{"idle_timeout_ms": 15000},
@@ -166,7 +188,7 @@
 func (f *Fleet) StartBalancer(i int) error {
 	var h *handle
 	var err error
-	if settings := f.balancerSettings(i); f.binaryFolder != "" {
+	if settings := f.balancerSettings(i); f.cfg.BinaryFolder != "" {
 		h, err = f.startProcess("balancer", settings.Instance(), codec.EncodeRelayBalancerSettings(settings))
 	} else {
 		h, err = startBalancer(settings)
@@ -177,13 +199,17 @@
 
 func (f *Fleet) balancerSettings(i int) landing.RelayBalancerSettings {
 	ip := f.ip(0, i+1)
+	platform, isOther := f.platforms[i]
+	if !isOther {
+		platform = f.address(f.ip(250, 1), portOffsetStore)
+	}
 	return landing.RelayBalancerSettings{}.
 		WithInstance("edge-"+strconv.Itoa(i)).
 		WithZone("a").
 		WithFront(f.address(ip, portOffsetFront).String()).
 		WithReadiness(f.address(ip, portOffsetReadiness).String()).
 		WithFleet(f.address(ip, portOffsetFleet).String()).
-		WithPlatform(f.address(f.ip(250, 1), portOffsetStore).String()).
+		WithPlatform(platform.String()).
 		WithSeeds(f.address(f.ip(0, 1), portOffsetFleet).String(), f.address(f.ip(0, 2), portOffsetFleet).String()).
 		WithGrace(stopGrace).
 		WithLeave(serveAfterStop).
@@ -210,7 +236,7 @@
 func (f *Fleet) StartSidecar(i int) error {
 	var h *handle
 	var err error
-	if settings := f.sidecarSettings(f.nodes[i]); f.binaryFolder != "" {
+	if settings := f.sidecarSettings(f.nodes[i]); f.cfg.BinaryFolder != "" {
 		h, err = f.startProcess("sidecar", settings.Instance(), codec.EncodeRelaySidecarSettings(settings))
 	} else {
 		h, err = startSidecar(settings)
@@ -264,7 +290,14 @@
 	upstreamID := fmt.Sprintf("i-%d-%d", i, n.incarnations)
 	u, err := endpoint.NewUpstream(upstreamID, n.service, n.zone, f.address(n.ip, portOffsetUpstream), f.address(n.ip, portOffsetOutbound), f.address(n.ip, portOffsetLocal).String())
 	n.upstream = u
-	return err
+	if err != nil {
+		return err
+	}
+	if f.cfg.Slots > 0 {
+		u.SetSlots(f.cfg.Slots)
+	}
+	u.SetServiceTime(f.cfg.ServiceTime)
+	return nil
 }
 
 // CrashUpstream ends upstream number i abruptly, without announcing it.
@@ -278,6 +311,17 @@
 	return f.nodes[i].upstream
 }
 
+// Runs returns how often the running upstreams have begun to process a request with this text.
+func (f *Fleet) Runs(request string) int {
+	runs := 0
+	for _, n := range f.nodes {
+		if n.upstream != nil {
+			runs += n.upstream.Runs(request)
+		}
+	}
+	return runs
+}
+
 // PostHeartbeat sends a heartbeat of the upstream incarnation id to sidecar number i. It returns the status of the response,
 // or an error if there is none.
 func (f *Fleet) PostHeartbeat(i int, id string, body []byte) (int, error) {
--- a/experiment/pkg/relayed/process.go
+++ b/experiment/pkg/relayed/process.go
@@ -11,18 +11,18 @@
 )
 
 // startProcess starts a program as a separate process with these settings. It writes the settings and the log to files in
-// binaryFolder that are named after the instance. The log is appended to the logs of earlier processes of the instance.
+// the binary folder that are named after the instance. The log is appended to the logs of earlier processes of the instance.
 func (f *Fleet) startProcess(program, instance string, settings proto.Message) (*handle, error) {
 	data, err := protojson.Marshal(settings)
 	if err != nil {
 		return nil, err
 	}
-	path := filepath.Join(f.binaryFolder, instance+".json")
+	path := filepath.Join(f.cfg.BinaryFolder, instance+".json")
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(filepath.Join(f.binaryFolder, program), "-settings", path)
-	logFile, err := os.OpenFile(filepath.Join(f.binaryFolder, instance+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	cmd := exec.Command(filepath.Join(f.cfg.BinaryFolder, program), "-settings", path)
+	logFile, err := os.OpenFile(filepath.Join(f.cfg.BinaryFolder, instance+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
