sidecar: requests across a suspension say nothing about the upstream

After a suspension of more than a second, the sidecar counted the requests that had been running as failed before it read their responses from its socket, and ejected its healthy upstream. When it did not, it took the suspension for the latency of these requests: other sidecars then stated the shorter wait, and the free slots of the upstream were not used.

The sidecar now notices that it was suspended, because two status intervals have passed since it last ran. It does not measure the latency of requests that arrived before, and counts overdue requests again after one status interval.

--- a/experiment/pkg/relayed/suspension_test.go
+++ b/experiment/pkg/relayed/suspension_test.go
@@ -3,6 +3,7 @@
 import (
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -37,3 +38,36 @@
 		s.balancer.Store(0)
 	}
 }
+
+// Guards against requests that are processed twice, callers without an answer or a refusal, and slots that stay reserved
+// when a sidecar is stopped for 1.2 s while SYNs wait at it. This is longer than the 1 s after which a request without a
+// response counts as failed: the sidecar then ejected its healthy upstream, or took it for slow, as the responses had waited
+// in its socket.
+func TestSidecarSuspensionWhileFlowsWait(t *testing.T) {
+	const slots = 4
+	f := startFleetWith(t, Config{BinaryFolder: buildPrograms(t), Balancers: 1, Sidecars: 3, Slots: slots, ServiceTime: 60 * time.Millisecond, RequestTimeout: requestTimeout})
+	c := &callers{fleet: f, timeout: requestTimeout}
+	before := []int{waitingFlows(t, f, f.nodes[0].instance)}
+	c.start(60, through(f, 0))
+	awaitWaitingFlows(t, f, before)
+	f.nodes[0].sidecar.signal(syscall.SIGSTOP)
+	time.Sleep(1200 * time.Millisecond) // the suspension itself
+	f.nodes[0].sidecar.signal(syscall.SIGCONT)
+	checkEnded(t, f, c.wait())
+	awaitAllUpstreamsReachable(t, f, 0)
+	for i := range f.nodes {
+		f.Upstream(i).ResetPeak()
+	}
+	c = &callers{fleet: f, timeout: requestTimeout, started: c.started}
+	c.start(60, through(f, 0))
+	for _, r := range c.wait() {
+		if !r.isAnswered {
+			t.Errorf("%s of the burst after the suspension was not answered: %d refusals, error %v", r.request, len(r.refusals), r.err)
+		}
+	}
+	for i := range f.nodes {
+		if peak := f.Upstream(i).PeakRequests(); peak != slots {
+			t.Errorf("at most %d of %d slots of upstream %d were used at the same time", peak, slots, i)
+		}
+	}
+}
--- a/sidecar/pkg/relay/outcome.go
+++ b/sidecar/pkg/relay/outcome.go
@@ -20,9 +20,13 @@
 }
 
 // recordOverdueRequests counts as failures the requests whose response takes much longer than the average.
+// Shortly after a suspension it counts none, since their responses may have arrived meanwhile.
 func (t *table) recordOverdueRequests(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.suspension.hasJustResumed(now) {
+		return
+	}
 	ledger, failures := t.ledger.WithOverdue(now)
 	t.ledger = ledger
 	for range failures {
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -32,6 +32,7 @@
 			return
 		case <-ticker.C:
 			now := clock.Now()
+			f.table.recordAlive(now)
 			f.admitWaiting()
 			f.table.recordOverdueRequests(now)
 			current := f.table.load(now)
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -138,7 +138,8 @@
 	// history is the history of the outcomes of requests, from which the upstream may be ejected.
 	history outlier.History
 	// offers holds the last packet of each flow of unknown state that was offered to the upstream.
-	offers map[landing.FlowKey]offer
+	offers     map[landing.FlowKey]offer
+	suspension suspension
 }
 
 // offer is a packet that was offered to the upstream to learn whether it holds the flow.
@@ -326,7 +327,7 @@
 	latency := time.Duration(0)
 	if request, found := t.ledger.Find(s.Key()); found && s.PayloadBytes() > 0 {
 		latency = max(now.Sub(request.ArrivedAt()), 1)
-		t.ledger = t.ledger.WithResponse(s.Key(), s.IsServerError(), now)
+		t.ledger = t.ledger.WithResponse(s.Key(), s.IsServerError() || t.suspension.hasInterrupted(request.ArrivedAt()), now)
 	}
 	if s.HasFin() && s.PayloadBytes() == 0 && s.SequenceNumber() == f.responseEnd {
 		t.ledger = t.ledger.Without(s.Key())
--- a/sidecar/pkg/relay/upstream.go
+++ b/sidecar/pkg/relay/upstream.go
@@ -43,7 +43,9 @@
 		return
 	}
 	segment := packet.UpstreamSegment()
-	latency := f.table.recordUpstreamSegment(segment, clock.Now())
+	now := clock.Now()
+	f.table.recordAlive(now)
+	latency := f.table.recordUpstreamSegment(segment, now)
 	f.sendToCaller(segment.Key(), packet)
 	if balancerAddress, isOffered := f.table.takeOffer(segment.Key()); isOffered && !segment.IsReset() {
 		f.claimFlow(balancerAddress, segment.Key())
