--- a/core/pkg/backlog/backlog.go
+++ b/core/pkg/backlog/backlog.go
@@ -1,12 +1,22 @@
-// Package backlog orders the opening packets (SYNs of new flows) that wait for a free slot of their
-// upstream. The slots of an upstream are the requests that it can process at once.
+// Package backlog decides which opening packets (SYNs of new flows) wait for a free slot of their
+// upstream, and in which order. The slots of an upstream are the requests that it can process at
+// once.
 //
-// After an outage all callers come back within a second. Most of their requests can no longer be
-// served in time (late requests), while fresh requests, which still can, keep arriving. Served in
-// order of arrival, every fresh request would wait behind late ones and become late as well. So
-// within a priority the newest packet is served first (adaptive LIFO, as in Maurer, "Fail at
-// Scale", 2015), and older packets get the remaining capacity until their caller gives up. Packets
-// that cannot be served by then are refused at once.
+// The load pattern that it answers is more requests than all upstreams can process: for seconds,
+// because many callers come or upstreams are slow, or for a moment, when all callers come back after
+// an outage. When everything waits, each request waits until its response is late, and the upstreams
+// work only for late responses. So a packet waits only where its request will probably begin early
+// enough for a timely response, and the others are refused at once. What can only be answered late
+// waits for slots that timely requests leave free; how many such packets may wait follows from how
+// busy timely requests have kept the upstream lately.
+//
+// Timely packets are served in order of arrival, since each of them has been promised its turn. The
+// others, and all packets of listeners without a response aim, are served newest first: fresh requests
+// can still be answered in time, while older ones have become late (adaptive LIFO, as in Maurer,
+// "Fail at Scale", 2015).
+//
+// Higher priorities go first. When they alone need more than the slots, each lower priority whose packets
+// wait gets at least one start in ten (docs/design/priorities.md).
 package backlog
 
 import (
@@ -14,6 +24,7 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 )
 
 const (
@@ -25,17 +36,19 @@
 	// sends the copies.
 	secondCopyAfter = 200 * time.Millisecond
 	thirdCopyAfter  = 600 * time.Millisecond
+	// attemptTime is the time after the first transmission at which a caller gives up an attempt to open a
+	// flow, less the time that the SYN+ACK needs to reach it.
+	attemptTime = 1350 * time.Millisecond
 	// minCopyInterval is the shortest time after which a caller sends the next copy of its opening
 	// packet.
 	minCopyInterval = secondCopyAfter
-	// assumedRequestTime is the processing time that is assumed for a request until one has been
-	// measured.
-	assumedRequestTime = 50 * time.Millisecond
 )
 
 // Backlog is the set of waiting packets, at most one for each flow. It is immutable.
 type Backlog struct {
 	packets []landing.QueuedPacket
+	// shares is the account of starts by which lower priorities get their minimum share.
+	shares Shares
 }
 
 // Len returns the number of waiting packets.
@@ -43,6 +56,38 @@
 	return len(b.packets)
 }
 
+// TimelyUntil returns the time until which a request must begin so that its response is timely, when
+// the copy with this number of earlier copies arrives now. It is the zero time when responseAim, the
+// time within which the caller should get the response, is 0 (not stated).
+func TimelyUntil(earlierCopies uint32, responseAim, requestTime time.Duration, now time.Time) time.Time {
+	if responseAim <= 0 {
+		return time.Time{}
+	}
+	return now.Add(responseAim - sentAfter(earlierCopies) - requestTime)
+}
+
+// CountTimely returns the number of waiting packets whose responses are timely if their requests begin now.
+func (b Backlog) CountTimely(now time.Time) int {
+	count := 0
+	for _, packet := range b.packets {
+		if IsTimely(packet, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// UsefulUntil returns the time until which a request must begin so that its caller gets a response, when
+// the copy with this number of earlier copies arrives now. The caller gives its attempt up attemptTime
+// after the first copy, and waits for the response for requestTimeout (not stated if that is 0).
+func UsefulUntil(earlierCopies uint32, requestTimeout, requestTime time.Duration, now time.Time) time.Time {
+	limit := attemptTime
+	if requestTimeout > 0 {
+		limit = min(limit, requestTimeout-requestTime)
+	}
+	return now.Add(limit - sentAfter(earlierCopies))
+}
+
 // WaitLimit returns the longest time for which a packet with this number of earlier copies waits. A
 // request that begins later takes longer than its caller waits for the response: requestTimeout after
 // the first copy, or not stated if that is 0. RequestTime is the time that the upstream takes for a
@@ -71,68 +116,203 @@
 // upstream processes as many requests at once as it has slots, and each takes requestTime. A
 // requestTime of 0 means that it has not been measured yet.
 func Limit(slots uint32, requestTime, waitLimit time.Duration) int {
-	if requestTime <= 0 {
-		requestTime = assumedRequestTime
-	}
-	return max(int(time.Duration(slots)*waitLimit/requestTime), 1)
+	serviceTime := selection.Upstream{RequestTime: requestTime}.ServiceTime()
+	return max(int(time.Duration(slots)*waitLimit/serviceTime), 1)
+}
+
+// Has reports whether a packet of the flow waits.
+func (b Backlog) Has(key landing.FlowKey) bool {
+	return slices.ContainsFunc(b.packets, func(packet landing.QueuedPacket) bool { return packet.Key() == key })
 }
 
 // With returns the backlog with one more packet. A copy replaces the earlier packet of the same
 // flow.
 func (b Backlog) With(packet landing.QueuedPacket) Backlog {
-	return Backlog{packets: append(b.without(packet.Key()), packet)}
+	return Backlog{packets: append(b.without(packet.Key()), packet), shares: b.shares}.recorded(packet.LastCopyAt())
+}
+
+// WithRefused returns the backlog after a packet of this priority was refused, so that its level is owed
+// starts.
+func (b Backlog) WithRefused(priority uint32, now time.Time) Backlog {
+	b = b.recorded(now)
+	b.shares = b.shares.WithRefused(priority, now)
+	return b
 }
 
-// Pop returns the packet to serve next and the backlog without it. It returns false when the
-// backlog is empty.
-func (b Backlog) Pop() (landing.QueuedPacket, Backlog, bool) {
+// recorded returns the backlog with the levels of its packets recorded in the account, so that each packet
+// has an entry.
+func (b Backlog) recorded(now time.Time) Backlog {
+	for _, packet := range b.packets {
+		if !b.shares.isRecorded(packet.Priority(), now) {
+			b.shares = b.shares.WithWaiting(packet.Priority(), now)
+		}
+	}
+	return b
+}
+
+// Next returns the packet to serve now, and whether it goes before packets of a higher priority because
+// the share of its own is due. It returns false when the backlog is empty.
+func (b Backlog) Next(now time.Time) (packet landing.QueuedPacket, byShare, found bool) {
 	if len(b.packets) == 0 {
-		return landing.QueuedPacket{}, b, false
+		return landing.QueuedPacket{}, false, false
 	}
-	best := b.packets[0]
-	for _, packet := range b.packets[1:] {
-		if isServedBefore(packet, best) {
-			best = packet
+	var best [maxLevels]landing.QueuedPacket
+	var isWaiting [maxLevels]bool
+	for _, packet := range b.packets {
+		i := b.shares.find(packet.Priority())
+		if !isWaiting[i] || isServedBefore(packet, best[i], now) {
+			best[i], isWaiting[i] = packet, true
 		}
 	}
-	return best, Backlog{packets: b.without(best.Key())}, true
+	i := b.shares.next(&isWaiting, now)
+	return best[i], slices.Index(isWaiting[:], true) < i, true
+}
+
+// WithStart returns the backlog without the packet that Next returned with byShare, whose request begins
+// now.
+func (b Backlog) WithStart(packet landing.QueuedPacket, byShare bool, now time.Time) Backlog {
+	b.shares = b.recorded(now).shares.WithWaiting(packet.Priority(), now)
+	var isWaiting [maxLevels]bool
+	for _, waiting := range b.packets {
+		isWaiting[b.shares.find(waiting.Priority())] = true
+	}
+	return Backlog{packets: b.without(packet.Key()), shares: b.shares.WithStart(packet.Priority(), byShare, &isWaiting, now)}
+}
+
+// Pop returns the packet to serve now and the backlog without it. It returns false when the backlog
+// is empty.
+func (b Backlog) Pop(now time.Time) (landing.QueuedPacket, Backlog, bool) {
+	packet, byShare, found := b.Next(now)
+	if !found {
+		return packet, b, false
+	}
+	return packet, b.WithStart(packet, byShare, now), true
 }
 
-// Prune returns the backlog without the packets whose callers have given up, and with at most limit
-// packets. Beyond the limit it removes packets of the lowest priority first, and of these the
-// oldest.
+// Prune returns the backlog without the packets whose callers have given up. Of the packets of listeners
+// without a response aim it removes those that are not among the first limit packets to be served: those of
+// the lowest priority, except for its share, and of these the oldest. The others stay, since DecideWait has
+// decided for each of them that it will be served.
 //
 // It also returns the packets that it removed because of the limit and that must be refused.
 // Packets whose caller may already have sent the next copy are removed without being returned,
 // since that copy may have opened the flow at another sidecar.
 func (b Backlog) Prune(limit int, now time.Time) (Backlog, []landing.QueuedPacket) {
-	kept := slices.DeleteFunc(slices.Clone(b.packets), func(packet landing.QueuedPacket) bool {
-		return now.Sub(packet.LastCopyAt()) > packet.WaitLimit()
-	})
+	hasExpired := func(packet landing.QueuedPacket) bool { return now.Sub(packet.LastCopyAt()) > packet.WaitLimit() }
+	if len(b.packets) <= limit && !slices.ContainsFunc(b.packets, hasExpired) {
+		return b, nil
+	}
+	shares := b.recorded(now).shares
+	for _, packet := range b.packets {
+		if hasExpired(packet) {
+			shares = shares.WithRefused(packet.Priority(), now)
+		}
+	}
+	kept := slices.DeleteFunc(slices.Clone(b.packets), hasExpired)
+	b = Backlog{packets: kept, shares: shares}
 	if len(kept) <= limit {
-		return Backlog{packets: kept}, nil
+		return b, nil
 	}
-	slices.SortFunc(kept, func(a, b landing.QueuedPacket) int {
-		if isServedBefore(a, b) {
+	kept = b.inOrder(now)
+	rest, refused := kept[:limit:limit], []landing.QueuedPacket(nil)
+	for _, packet := range kept[limit:] {
+		if !packet.TimelyUntil().IsZero() {
+			rest = append(rest, packet)
+			continue
+		}
+		shares = shares.WithRefused(packet.Priority(), now)
+		if MayReturn(packet.LastCopyAt(), now) {
+			refused = append(refused, packet)
+		}
+	}
+	return Backlog{packets: rest, shares: shares}, refused
+}
+
+// inOrder returns the packets in the order in which they are served if no other arrives.
+func (b Backlog) inOrder(now time.Time) []landing.QueuedPacket {
+	sorted := slices.Clone(b.packets)
+	slices.SortStableFunc(sorted, func(a, b landing.QueuedPacket) int {
+		switch {
+		case isServedBefore(a, b, now):
 			return -1
+		case isServedBefore(b, a, now):
+			return 1
 		}
-		return 1
+		return 0
 	})
-	refused := slices.DeleteFunc(slices.Clone(kept[limit:]), func(packet landing.QueuedPacket) bool {
-		return now.Sub(packet.LastCopyAt()) >= minCopyInterval
+	var queues [maxLevels][]landing.QueuedPacket
+	for _, packet := range sorted {
+		i := b.shares.find(packet.Priority())
+		queues[i] = append(queues[i], packet)
+	}
+	var counts [maxLevels]int
+	for i, queue := range queues {
+		counts[i] = len(queue)
+	}
+	order := sorted[:0:0]
+	b.simulate(counts, now, func(i int) bool {
+		order = append(order, queues[i][0])
+		queues[i] = queues[i][1:]
+		return true
 	})
-	return Backlog{packets: kept[:limit:limit]}, refused
+	return order
 }
 
-// isServedBefore reports whether a is served before b: the higher priority (lower number) first,
-// then the newer packet.
-func isServedBefore(a, b landing.QueuedPacket) bool {
+// simulate calls visit for each start until all packets have been served, with the entry of the account whose
+// packet is served. Counts holds the number of packets for each entry. It stops when visit returns false.
+func (b Backlog) simulate(counts [maxLevels]int, now time.Time, visit func(entry int) bool) {
+	shares := b.shares
+	for {
+		var isWaiting [maxLevels]bool
+		for i, count := range counts {
+			isWaiting[i] = count > 0
+		}
+		i := shares.next(&isWaiting, now)
+		if i < 0 || !visit(i) {
+			return
+		}
+		shares = shares.WithStart(shares.levels[i].priority, slices.Index(isWaiting[:], true) < i, &isWaiting, now)
+		counts[i]--
+	}
+}
+
+// MayReturn reports whether a packet whose last copy arrived at this time may be returned to its balancer,
+// which then may reset the flow. After minCopyInterval the caller may have sent the next copy, which may
+// have opened the flow at another sidecar.
+func MayReturn(lastCopyAt, now time.Time) bool {
+	return now.Sub(lastCopyAt) < minCopyInterval
+}
+
+// IsTimely reports whether the response to the packet's request is timely if the request begins now.
+func IsTimely(packet landing.QueuedPacket, now time.Time) bool {
+	return now.Before(packet.TimelyUntil())
+}
+
+// isServedBefore reports whether a is served before b: the higher priority (lower number) first, then
+// timely packets in order of arrival, then the newer packet.
+func isServedBefore(a, b landing.QueuedPacket, now time.Time) bool {
 	if a.Priority() != b.Priority() {
 		return a.Priority() < b.Priority()
 	}
+	isTimelyA, isTimelyB := IsTimely(a, now), IsTimely(b, now)
+	switch {
+	case isTimelyA != isTimelyB:
+		return isTimelyA
+	case isTimelyA:
+		return a.TimelyUntil().Before(b.TimelyUntil())
+	}
 	return a.LastCopyAt().After(b.LastCopyAt())
 }
 
+// Without returns the backlog without the packet of this flow, if there is one.
+func (b Backlog) Without(key landing.FlowKey) Backlog {
+	if !b.Has(key) {
+		return b
+	}
+	b.packets = b.without(key)
+	return b
+}
+
 func (b Backlog) without(key landing.FlowKey) []landing.QueuedPacket {
 	return slices.DeleteFunc(slices.Clone(b.packets), func(packet landing.QueuedPacket) bool { return packet.Key() == key })
 }
--- /dev/null
+++ b/core/pkg/backlog/wait.go
@@ -0,0 +1,89 @@
+package backlog
+
+import (
+	"time"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
+)
+
+const (
+	// slackDivisor is the part of the slack of a timely packet that its expected wait may take: half.
+	// Requests differ in the work that they need, so a wait can be twice as long as expected. When the
+	// wait may take all of the slack, three in ten responses are late at 1.3 times the capacity.
+	slackDivisor = 2
+	// spareFrom is the utilization up to which late packets may wait as long as their
+	// callers do. From there the time falls to 0 at full utilization.
+	spareFrom = 0.4
+)
+
+// DecideWait returns whether the packet waits in the backlog of an upstream with this load, whose
+// waiting packets are those of the backlog. Utilization is the part of the upstream's slots that
+// requests of listeners with a response aim have used lately (Starts).
+func DecideWait(b Backlog, packet landing.QueuedPacket, upstream selection.Upstream, utilization float64, now time.Time) landing.WaitDecision {
+	if packet.TimelyUntil().IsZero() {
+		return decideWithoutAim(b, packet, upstream, now)
+	}
+	upstream.Waiting = b.countBefore(packet, true, now)
+	wait := upstream.ExpectedWait()
+	lapsesAfter := packet.LastCopyAt().Add(packet.WaitLimit()).Sub(now)
+	if slack := packet.TimelyUntil().Sub(now) - upstream.ServiceTime(); wait < lapsesAfter && slackDivisor*wait <= slack {
+		return landing.WaitTimely{}.WithExpectedWait(wait)
+	}
+	upstream.Waiting = b.countBefore(packet, false, now)
+	wait = upstream.ExpectedWait()
+	usefulFor := packet.UsefulUntil().Sub(now)
+	if wait < time.Duration(float64(usefulFor)*spareShare(utilization)) {
+		return landing.WaitLate{}.WithExpectedWait(wait)
+	}
+	if usefulFor > 0 && b.Has(packet.Key()) {
+		// The earlier copy would wait on after a refusal of this one.
+		return landing.WaitLate{}.WithExpectedWait(wait)
+	}
+	return landing.RefuseWait{}.WithExpectedWait(wait)
+}
+
+// decideWithoutAim lets a packet of a listener without a response aim wait. What does not fit into the
+// backlog is pruned, the oldest packet first.
+func decideWithoutAim(b Backlog, packet landing.QueuedPacket, upstream selection.Upstream, now time.Time) landing.WaitDecision {
+	upstream.Waiting = b.countBefore(packet, false, now)
+	if packet.WaitLimit() <= 0 {
+		return landing.RefuseWait{}.WithExpectedWait(upstream.ExpectedWait())
+	}
+	return landing.WaitLate{}.WithExpectedWait(upstream.ExpectedWait())
+}
+
+// spareShare returns the part of their time that late packets may wait at this utilization.
+func spareShare(utilization float64) float64 {
+	return min(max((1-utilization)/(1-spareFrom), 0), 1)
+}
+
+// countBefore returns the number of packets that are served before this one, which has just arrived, if no
+// other arrives: those of higher priorities except for the starts that its own is owed, those of lower
+// priorities whose share is due earlier, and of its own priority all or only the timely ones.
+func (b Backlog) countBefore(packet landing.QueuedPacket, onlyTimely bool, now time.Time) int {
+	b.packets = b.without(packet.Key())
+	b.shares = b.recorded(now).shares.WithWaiting(packet.Priority(), now)
+	own := b.shares.find(packet.Priority())
+	var counts [maxLevels]int
+	for _, other := range b.packets {
+		i := b.shares.find(other.Priority())
+		isAfter := other.Priority() > packet.Priority() || other.Priority() == packet.Priority() && onlyTimely && !IsTimely(other, now)
+		if i != own || !isAfter {
+			counts[i]++
+		}
+	}
+	counts[own]++
+	ahead := 0
+	b.simulate(counts, now, func(i int) bool {
+		if i == own {
+			counts[own]--
+			if counts[own] == 0 {
+				return false
+			}
+		}
+		ahead++
+		return true
+	})
+	return ahead
+}
--- a/sidecar/pkg/relay/admission.go
+++ b/sidecar/pkg/relay/admission.go
@@ -8,19 +8,34 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/entry"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 )
 
-// position returns the position of a packet in its chain, and whether the upstream is busy.
-func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket) landing.ChainPosition {
-	now := clock.Now()
-	l := f.table.load(now)
-	isFull := s.upstream.Slots() > 0 && l.runningRequests >= int(s.upstream.Slots())
-	return landing.ChainPosition{}.
+// position returns the position of a packet in its chain and, for a SYN, whether the upstream is busy.
+func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment) landing.ChainPosition {
+	position := landing.ChainPosition{}.
 		WithHasNext(int(forwarded.HopIndex())+1 < forwarded.HopAddressesLen()).
 		WithHasMore(true).
-		WithUpstreamBusy(isFull || !l.history.AdmitsNewFlow(now)).
 		WithDeferredEarlier(forwarded.DeferredBy() > 0).
 		WithReturnedToDeferrer(forwarded.ReturnedToDeferrer())
+	if !segment.IsSyn() {
+		return position
+	}
+	upstream := f.offeredUpstream(s, f.table.load(clock.Now()), segment.Key())
+	stated := time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
+	return position.WithUpstreamBusy(selection.IsBusy(upstream, stated)).WithShortestWait(selection.IsShortest(upstream, stated))
+}
+
+// offeredUpstream returns the load of the upstream to which a new flow with this key is offered.
+func (f *Forwarder) offeredUpstream(s Snapshot, l upstreamLoad, key landing.FlowKey) selection.Upstream {
+	return selection.Upstream{
+		Slots:          int(s.upstream.Slots()),
+		BusySlots:      l.busySlots,
+		Waiting:        f.queue.len(),
+		RequestTime:    l.averageLatency,
+		IsEjected:      !l.history.AdmitsNewFlow(clock.Now()),
+		HasEarlierCopy: f.queue.has(key),
+	}
 }
 
 // refusalReason returns the reason why a new flow may not be admitted; RefusalUnspecified when it may. This
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/backlog"
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 )
 
 // waitQueue holds the SYNs that wait for a free slot of the upstream. Its methods may be called from
@@ -16,28 +18,85 @@
 type waitQueue struct {
 	mu      sync.Mutex
 	backlog backlog.Backlog
+	// starts counts the requests of listeners with a response aim.
+	starts backlog.Starts
+	// lapsed is the number of packets that were removed without an answer.
+	lapsed int64
 }
 
-// add adds a packet and returns the packets that must be refused, because more than limit packets wait.
-// Packets whose callers have given up are removed but not returned.
-func (w *waitQueue) add(packet landing.QueuedPacket, limit int) []landing.QueuedPacket {
+// offer decides whether a packet waits, when the upstream has this load, and adds it if so. It returns the
+// decision and the packets that must be refused because more than limit packets wait.
+func (w *waitQueue) offer(packet landing.QueuedPacket, upstream selection.Upstream, limit int, now time.Time) (landing.WaitDecision, []landing.QueuedPacket) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	utilization := w.starts.Utilization(uint32(upstream.Slots), upstream.ServiceTime(), now)
+	decision := backlog.DecideWait(w.backlog, packet, upstream, utilization, now)
+	if _, isRefused := decision.(landing.RefuseWait); isRefused {
+		w.backlog = w.backlog.WithRefused(packet.Priority(), now)
+		return decision, nil
+	}
+	w.backlog = w.backlog.With(packet)
+	return decision, w.prune(limit, now)
+}
+
+// restore adds a packet that was removed to be served, without a further decision.
+func (w *waitQueue) restore(packet landing.QueuedPacket) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.backlog.Has(packet.Key()) {
+		w.backlog = w.backlog.With(packet)
+	}
+}
+
+// recordAdmission records that a flow is admitted, of which no packet needs to wait any more, and whether its
+// listener has a response aim.
+func (w *waitQueue) recordAdmission(key landing.FlowKey, hasAim bool, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backlog = w.backlog.Without(key)
+	if hasAim {
+		w.starts = w.starts.With(now)
+	}
+}
+
+// next removes and returns the packet that is served next, and whether it goes before packets of a higher
+// priority by the share of its own; false when none waits. Packets whose callers have given up by now are
+// removed as well.
+func (w *waitQueue) next(now time.Time) (packet landing.QueuedPacket, byShare, found bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.prune(w.backlog.Len(), now)
+	packet, byShare, found = w.backlog.Next(now)
+	if found {
+		w.backlog = w.backlog.WithStart(packet, byShare, now)
+	}
+	return packet, byShare, found
+}
+
+// prune removes the packets whose callers have given up, and those beyond the limit, which it returns if they
+// must be refused. It counts the others. w must be locked.
+func (w *waitQueue) prune(limit int, now time.Time) []landing.QueuedPacket {
+	before := w.backlog.Len()
 	var refused []landing.QueuedPacket
-	w.backlog, refused = w.backlog.With(packet).Prune(limit, packet.LastCopyAt())
+	w.backlog, refused = w.backlog.Prune(limit, now)
+	w.lapsed += int64(before - w.backlog.Len() - len(refused))
 	return refused
 }
 
-// next removes and returns the packet that is served next; false when none waits. Packets whose callers
-// have given up by now are removed as well.
-func (w *waitQueue) next(now time.Time) (landing.QueuedPacket, bool) {
+// takeLapsed returns the number of packets that were removed without an answer since the last call.
+func (w *waitQueue) takeLapsed() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := w.lapsed
+	w.lapsed = 0
+	return count
+}
+
+// has reports whether a packet of the flow waits.
+func (w *waitQueue) has(key landing.FlowKey) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.backlog, _ = w.backlog.Prune(w.backlog.Len(), now)
-	var packet landing.QueuedPacket
-	var found bool
-	packet, w.backlog, found = w.backlog.Pop()
-	return packet, found
+	return w.backlog.Has(key)
 }
 
 func (w *waitQueue) len() int {
@@ -46,6 +105,23 @@
 	return w.backlog.Len()
 }
 
+// countWaiting returns the number of waiting packets whose requests would be timely if they began now, and the number
+// of the others. Packets of listeners without a response aim are among the others.
+func (w *waitQueue) countWaiting(now time.Time) (timely, late int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	timely = w.backlog.CountTimely(now)
+	return timely, w.backlog.Len() - timely
+}
+
+// utilization returns the part of the upstream's slots that requests of listeners with a response aim have used lately, as decide
+// takes it into account.
+func (w *waitQueue) utilization(upstream selection.Upstream, now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts.Utilization(uint32(upstream.Slots), upstream.ServiceTime(), now)
+}
+
 // headroomDivisor sets how many flows are admitted beyond the number of slots: slots/headroomDivisor, but at
 // least 1. Between a response and the next request there are a handshake and two network transits, during
 // which a slot would be idle.
@@ -61,39 +137,81 @@
 	return f.table.busySlots(now) >= slots+max(slots/headroomDivisor, 1)
 }
 
-// enqueue lets a SYN wait for a free slot, and refuses the SYNs that no longer fit into the queue.
-func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, now time.Time) {
+// enqueue lets a SYN wait for a free slot, or refuses it when it would wait in vain. It refuses the SYNs that no
+// longer fit into the queue. A SYN that has waited since waitingSince, and whose slot another one has taken meanwhile,
+// returns to its place.
+func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, waitingSince, now time.Time) {
 	listener, _ := s.policy.Rules().FindListener(segment.Key())
 	f.table.withdrawAdmission(segment.Key())
-	l := f.table.load(now)
-	waitLimit := backlog.WaitLimit(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency)
+	l, arrivedAt := f.table.load(now), now
+	if !waitingSince.IsZero() {
+		arrivedAt = waitingSince
+	}
 	packet := landing.QueuedPacket{}.
 		WithForwardedPacket(forwarded).
 		WithKey(segment.Key()).
 		WithPriority(listener.Priority()).
-		WithLastCopyAt(now).
-		WithWaitLimit(waitLimit)
-	if waitLimit == 0 {
-		f.refuseWaiting(packet, l)
+		WithLastCopyAt(arrivedAt).
+		WithWaitLimit(backlog.WaitLimit(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency)).
+		WithUsefulUntil(backlog.UsefulUntil(segment.EarlierCopies(), listener.RequestTimeout(), l.averageLatency, arrivedAt)).
+		WithTimelyUntil(backlog.TimelyUntil(segment.EarlierCopies(), listener.ResponseAim(), l.averageLatency, arrivedAt))
+	if !waitingSince.IsZero() {
+		f.queue.restore(packet)
+		common.Notify(f.queueBlocked)
 		return
 	}
+	limit := math.MaxInt // the decision to wait bounds the queue
+	if packet.TimelyUntil().IsZero() {
+		limit = backlog.Limit(s.upstream.Slots(), l.averageLatency, packet.WaitLimit())
+	}
+	decision, refused := f.queue.offer(packet, f.offeredUpstream(s, l, segment.Key()), limit, now)
+	switch decision := decision.(type) {
+	case landing.RefuseWait:
+		f.refuseWaiting(packet, l, decision.ExpectedWait())
+		return
+	case landing.WaitTimely:
+		f.telemetry.Counters().Counter("waited_timely").Inc(1)
+		f.logWait(packet, l, "timely", decision.ExpectedWait())
+	case landing.WaitLate:
+		f.telemetry.Counters().Counter("waited_late").Inc(1)
+		f.logWait(packet, l, "late", decision.ExpectedWait())
+	}
 	f.telemetry.Counters().Counter("waited").Inc(1)
-	f.telemetry.Log().Info("flow waits", "flow", address.FormatFlow(segment.Key()), "copies", segment.EarlierCopies(),
-		"priority", listener.Priority(), "running", l.runningRequests, "waiting", f.queue.len())
-	for _, refused := range f.queue.add(packet, backlog.Limit(s.upstream.Slots(), l.averageLatency, waitLimit)) {
-		f.refuseWaiting(refused, l)
+	for _, r := range refused {
+		f.refuseWaiting(r, l, 0)
+	}
+	if isWaiting := f.queue.has(segment.Key()); isWaiting && (forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0) {
+		// The caller's next copy then comes to this sidecar, and is not offered to others as well.
+		f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 	}
 	common.Notify(f.queueBlocked)
 }
 
-// refuseWaiting refuses a SYN that cannot be served before its caller gives up.
-func (f *Forwarder) refuseWaiting(packet landing.QueuedPacket, l upstreamLoad) {
+// logWait logs a SYN that waits. The outlook for its response is "timely" or "late".
+func (f *Forwarder) logWait(packet landing.QueuedPacket, l upstreamLoad, outlook string, expectedWait time.Duration) {
+	f.telemetry.Log().Info("flow waits", "flow", address.FormatFlow(packet.Key()), "priority", packet.Priority(), "outlook", outlook,
+		"expected", expectedWait.String(), "running", l.runningRequests, "busy", l.busySlots, "waiting", f.queue.len(), "usual", l.averageLatency.String())
+}
+
+// refuseWaiting refuses a SYN that would wait for this time, too long for its caller; 0 if it has been waiting.
+func (f *Forwarder) refuseWaiting(packet landing.QueuedPacket, l upstreamLoad, expectedWait time.Duration) {
 	f.telemetry.Counters().CountRefusal(landing.RefusalQueue)
 	f.telemetry.Log().Info("flow refused", "flow", address.FormatFlow(packet.Key()), "reason", landing.RefusalQueue.String(),
-		"priority", packet.Priority(), "running", l.runningRequests, "usual", l.averageLatency.String())
+		"priority", packet.Priority(), "expected", expectedWait.String(), "running", l.runningRequests, "busy", l.busySlots,
+		"waiting", f.queue.len(), "usual", l.averageLatency.String())
 	f.returnToBalancer(packet.ForwardedPacket(), landing.RefusalQueue)
 }
 
+// refuse returns a packet to its balancer. One that has waited since waitingSince, for so long that its caller may have
+// sent the next copy, is only counted, since the balancer would reset the flow.
+func (f *Forwarder) refuse(forwarded landing.ForwardedPacket, reason landing.Refusal, waitingSince time.Time) {
+	if !waitingSince.IsZero() && !backlog.MayReturn(waitingSince, clock.Now()) {
+		f.telemetry.Counters().Counter("wait_lapsed").Inc(1)
+		return
+	}
+	f.returnToBalancer(forwarded, reason)
+}
+
 // admitOnLapse admits waiting SYNs when a slot becomes free without a packet, because a request or the
 // reservation of an admitted flow has lapsed.
 func (f *Forwarder) admitOnLapse() {
@@ -106,6 +224,10 @@
 		case <-timer.C:
 			f.admitWaiting()
 		case <-f.queueBlocked:
+			// A slot may have become free after the decision to wait and before the packet was in the queue.
+			if !f.isUpstreamFull(f.controlThread.Snapshot(), clock.Now()) {
+				f.admitWaiting()
+			}
 		}
 		now := clock.Now()
 		if next, found := f.table.nextLapse(now); found && f.queue.len() > 0 {
@@ -122,11 +244,17 @@
 			common.Notify(f.queueBlocked)
 			return
 		}
-		packet, found := f.queue.next(now)
+		packet, byShare, found := f.queue.next(now)
+		f.telemetry.Counters().Counter("wait_lapsed").Inc(f.queue.takeLapsed())
 		if !found {
 			return
 		}
+		if byShare {
+			f.telemetry.Counters().Counter("served_by_share").Inc(1)
+			f.telemetry.Log().Info("flow served by share", "flow", address.FormatFlow(packet.Key()), "priority", packet.Priority(),
+				"waited", now.Sub(packet.LastCopyAt()).String(), "waiting", f.queue.len())
+		}
 		f.waitTimes.Update(int64(now.Sub(packet.LastCopyAt())))
-		f.handlePacket(packet.ForwardedPacket().WithReturnedToDeferrer(true))
+		f.handlePacket(packet.ForwardedPacket().WithReturnedToDeferrer(true), packet.LastCopyAt())
 	}
 }
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -74,6 +74,12 @@
 	return s.confirmation.IsValid(now)
 }
 
+// EnrollmentAge returns the time since the enrollment was last confirmed. It returns false when it has not been
+// confirmed since the start.
+func (s Snapshot) EnrollmentAge(now time.Time) (time.Duration, bool) {
+	return s.confirmation.Age(now)
+}
+
 // WithStopping returns a copy for a sidecar that is stopping, which admits no new flows.
 func (s Snapshot) WithStopping() Snapshot {
 	s.isStopping = true
--- a/sidecar/pkg/relay/upstream.go
+++ b/sidecar/pkg/relay/upstream.go
@@ -43,7 +43,9 @@
 		return
 	}
 	segment := packet.UpstreamSegment()
-	latency := f.table.recordUpstreamSegment(segment, clock.Now())
+	now := clock.Now()
+	f.table.recordAlive(now)
+	latency := f.table.recordUpstreamSegment(segment, now)
 	f.sendToCaller(segment.Key(), packet)
 	if balancerAddress, isOffered := f.table.takeOffer(segment.Key()); isOffered && !segment.IsReset() {
 		f.claimFlow(balancerAddress, segment.Key())
@@ -75,9 +77,9 @@
 		refusal = landing.RefusalRoom
 	}
 	s := f.controlThread.Snapshot()
-	action := hold.Decide(landing.FlowAbsent{}, segment, f.position(s, forwarded), refusal)
+	action := hold.Decide(landing.FlowAbsent{}, segment, f.position(s, forwarded, segment), refusal)
 	f.logAction(segment, forwarded, action, refusal)
-	f.execute(action, forwarded.WithPacket(packet.Bytes()), packet, segment, refusal)
+	f.execute(action, forwarded.WithPacket(packet.Bytes()), packet, segment, refusal, time.Time{})
 	f.admitWaiting()
 }
 
