--- a/sidecar/pkg/relay/previous_version_test.go
+++ b/sidecar/pkg/relay/previous_version_test.go
@@ -45,7 +45,7 @@
 	position := f.position(f.controlThread.Snapshot(), forwarded, syn)
 	is.True(position.ShortestWait())
 	is.Equal(hold.Decide(landing.FlowAbsent{}, syn, position, landing.RefusalUnspecified), landing.DeferAdmission{})
-	deferred := f.withDeferral(forwarded)
+	deferred := f.withDeferral(forwarded, flowKey.WithSourcePort(9))
 	is.Equal(deferred.DeferredBy(), uint32(2))
 	is.True(deferred.ExpectedResponseMicros() > 0)
 	last := f.position(f.controlThread.Snapshot(), forwarded.WithHopIndex(2), syn)
@@ -53,7 +53,7 @@
 
 	// A sidecar of the previous version keeps a deferrer that is already named, and with it the time that was stated.
 	stated := forwarded.WithExpectedResponseMicros(1)
-	is.Equal(f.withDeferral(stated), stated)
+	is.Equal(f.withDeferral(stated, flowKey.WithSourcePort(9)), stated)
 	last = f.position(f.controlThread.Snapshot(), stated.WithHopIndex(2), syn)
 	is.Equal(hold.Decide(landing.FlowAbsent{}, syn, last, landing.RefusalUnspecified), landing.ReturnToDeferrer{})
 }
