--- a/sidecar/pkg/relay/admission.go
+++ b/sidecar/pkg/relay/admission.go
@@ -33,7 +33,7 @@
 		BusySlots:      l.busySlots,
 		Waiting:        f.queue.len(),
 		RequestTime:    l.averageLatency,
-		IsEjected:      !l.history.AdmitsNewFlow(clock.Now()),
+		IsEjected:      l.isEjected(clock.Now()),
 		HasEarlierCopy: f.queue.has(key),
 	}
 }
--- a/sidecar/pkg/relay/load.go
+++ b/sidecar/pkg/relay/load.go
@@ -26,6 +26,13 @@
 	history outlier.History
 }
 
+// isEjected reports whether balancers should offer new flows to other upstreams first, because this one fails
+// requests. It is false while a flow of its trial is due: balancers offer flows to three sidecars, and would
+// never offer one to an ejected upstream while three others are healthy.
+func (l upstreamLoad) isEjected(now time.Time) bool {
+	return !l.history.AdmitsNewFlow(now)
+}
+
 func (t *table) load(now time.Time) upstreamLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -83,7 +83,7 @@
 		WithExclusionsChangedRevision(advertised.Exclusions()).
 		WithUpstreamStartMillis(upstreamStartMillis(s.upstream)).
 		WithSubscriberCount(uint32(s.SubscriberCount(now))).
-		WithEjected(!l.history.IsHealthy(now))
+		WithEjected(l.isEjected(now))
 	f.sentStatuses.record(sequence, now)
 	for _, receiver := range s.StatusReceivers(now) {
 		f.link.Send(status, receiver)
--- a/sidecar/pkg/relay/table_test.go
+++ b/sidecar/pkg/relay/table_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/outlier"
 )
 
 var (
@@ -462,3 +463,20 @@
 	endFlow(tb, start)
 	is.Equal(len(tb.heldFlows(upstream, start.Add(time.Minute), 10)), 0)
 }
+
+// Guards against an ejected upstream that gets no flow any more, so that its trial never ends: its status named it
+// as ejected during the trial, and balancers put it behind all others. With more than three healthy upstreams no
+// chain reached it.
+func TestLoadIsNotEjectedWhileTrialFlowIsDue(t *testing.T) {
+	is := is.New(t)
+	failed := outlier.History{}
+	for range 3 {
+		failed = failed.WithOutcome(true, start)
+	}
+	is.True(upstreamLoad{history: failed}.isEjected(start))
+	due := start.Add(2 * time.Second)
+	is.True(!upstreamLoad{history: failed}.isEjected(due))
+	admitted := upstreamLoad{history: failed.WithNewFlow(due)}
+	is.True(admitted.isEjected(due))
+	is.True(!admitted.isEjected(due.Add(time.Second)))
+}
