backlog: no simulation of the order while one priority waits

Cause: the decision to wait simulated the order of priorities for each packet. Change: with one priority the packets before are counted; readers of the account take no copy.

--- a/core/pkg/backlog/shares.go
+++ b/core/pkg/backlog/shares.go
@@ -115,7 +115,7 @@
 // next returns the entry that is served next, when this reports which entries have waiting packets: the one
 // that is due and has been passed most often, or else the one with the highest priority. It returns -1 when
 // none has.
-func (s Shares) next(isWaiting *[maxLevels]bool, now time.Time) int {
+func (s *Shares) next(isWaiting *[maxLevels]bool, now time.Time) int {
 	best := -1
 	for i := range s.count {
 		if !isWaiting[i] {
@@ -130,13 +130,13 @@
 }
 
 // isRecorded reports whether a packet of this priority has been recorded as waiting now.
-func (s Shares) isRecorded(priority uint32, now time.Time) bool {
+func (s *Shares) isRecorded(priority uint32, now time.Time) bool {
 	i := s.find(priority)
 	return i >= 0 && s.levels[i].priority == priority && s.levels[i].seenAt.Equal(now)
 }
 
 // find returns the entry that counts packets of this priority; -1 when there is none.
-func (s Shares) find(priority uint32) int {
+func (s *Shares) find(priority uint32) int {
 	for i := s.count - 1; i >= 0; i-- {
 		if s.levels[i].priority <= priority {
 			return i
--- a/core/pkg/backlog/wait.go
+++ b/core/pkg/backlog/wait.go
@@ -62,17 +62,24 @@
 // other arrives: those of higher priorities except for the starts that its own is owed, those of lower
 // priorities whose share is due earlier, and of its own priority all or only the timely ones.
 func (b Backlog) countBefore(packet landing.QueuedPacket, onlyTimely bool, now time.Time) int {
-	b.packets = b.without(packet.Key())
 	b.shares = b.recorded(now).shares.WithWaiting(packet.Priority(), now)
 	own := b.shares.find(packet.Priority())
 	var counts [maxLevels]int
+	hasOtherLevel := false
 	for _, other := range b.packets {
+		if other.Key() == packet.Key() {
+			continue
+		}
 		i := b.shares.find(other.Priority())
+		hasOtherLevel = hasOtherLevel || i != own
 		isAfter := other.Priority() > packet.Priority() || other.Priority() == packet.Priority() && onlyTimely && !IsTimely(other, now)
 		if i != own || !isAfter {
 			counts[i]++
 		}
 	}
+	if !hasOtherLevel {
+		return counts[own]
+	}
 	counts[own]++
 	ahead := 0
 	b.simulate(counts, now, func(i int) bool {
