Late packets may wait for four seconds after a start

Cause: after an outage all callers come back at once. Change: for four seconds after the start of an upstream or of its sidecar the utilization does not shorten the wait of late packets.

--- a/core/pkg/backlog/wait.go
+++ b/core/pkg/backlog/wait.go
@@ -15,6 +15,10 @@
 	// spareFrom is the utilization up to which late packets may wait as long as their
 	// callers do. From there the time falls to 0 at full utilization.
 	spareFrom = 0.4
+	// returnTime is the time after the start of an upstream or its sidecar for which late packets may wait as
+	// long as their callers do, whatever the utilization. After an outage all callers come back at once, and
+	// until then their requests can be served; refused callers use up their attempts within milliseconds.
+	returnTime = 4 * time.Second
 )
 
 // DecideWait returns whether the packet waits in the backlog of an upstream with this load, whose
@@ -53,6 +57,15 @@
 	return landing.WaitLate{}.WithExpectedWait(upstream.ExpectedWait())
 }
 
+// EffectiveUtilization returns the utilization that decides about late packets at an upstream that has been
+// serving since this time.
+func EffectiveUtilization(utilization float64, servingSince, now time.Time) float64 {
+	if now.Sub(servingSince) < returnTime {
+		return 0
+	}
+	return utilization
+}
+
 // spareShare returns the part of their time that late packets may wait at this utilization.
 func spareShare(utilization float64) float64 {
 	return min(max((1-utilization)/(1-spareFrom), 0), 1)
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -24,12 +24,14 @@
 	lapsed int64
 }
 
-// offer decides whether a packet waits, when the upstream has this load, and adds it if so. It returns the
-// decision and the packets that must be refused because more than limit packets wait.
-func (w *waitQueue) offer(packet landing.QueuedPacket, upstream selection.Upstream, limit int, now time.Time) (landing.WaitDecision, []landing.QueuedPacket) {
+// offer decides whether a packet waits, when the upstream has this load and has been serving since servingSince,
+// and adds it if so. It returns the decision and the packets that must be refused because more than limit packets
+// wait.
+func (w *waitQueue) offer(packet landing.QueuedPacket, upstream selection.Upstream, limit int, servingSince, now time.Time) (landing.WaitDecision, []landing.QueuedPacket) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	utilization := w.starts.Utilization(uint32(upstream.Slots), upstream.ServiceTime(), now)
+	utilization = backlog.EffectiveUtilization(utilization, servingSince, now)
 	decision := backlog.DecideWait(w.backlog, packet, upstream, utilization, now)
 	if _, isRefused := decision.(landing.RefuseWait); isRefused {
 		w.backlog = w.backlog.WithRefused(packet.Priority(), now)
@@ -164,7 +166,7 @@
 	if packet.TimelyUntil().IsZero() {
 		limit = backlog.Limit(s.upstream.Slots(), l.averageLatency, packet.WaitLimit())
 	}
-	decision, refused := f.queue.offer(packet, f.offeredUpstream(s, l, segment.Key()), limit, now)
+	decision, refused := f.queue.offer(packet, f.offeredUpstream(s, l, segment.Key()), limit, f.servingSince(s), now)
 	switch decision := decision.(type) {
 	case landing.RefuseWait:
 		f.refuseWaiting(packet, l, decision.ExpectedWait())
@@ -187,6 +189,14 @@
 	common.Notify(f.queueBlocked)
 }
 
+// servingSince returns the time since which this process and that of the upstream have been running.
+func (f *Forwarder) servingSince(s Snapshot) time.Time {
+	if s.upstream.FirstHeartbeat().After(f.startedAt) {
+		return s.upstream.FirstHeartbeat()
+	}
+	return f.startedAt
+}
+
 // logWait logs a SYN that waits. The outlook for its response is "timely" or "late".
 func (f *Forwarder) logWait(packet landing.QueuedPacket, l upstreamLoad, outlook string, expectedWait time.Duration) {
 	f.telemetry.Log().Info("flow waits", "flow", address.FormatFlow(packet.Key()), "priority", packet.Priority(), "outlook", outlook,
