--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -120,9 +120,10 @@
 }
 
 // retryOpening handles an opening packet that came back because no sidecar of its chain accepted the flow. After the
-// first part of the chain it offers the flow to sidecars that have not been tried, unless the reason holds for these too.
-// After the second part, or when there are no such sidecars, it refuses the flow, or leaves it to the next copy of the
-// packet when the reason may no longer hold by then. When a later copy has been sent or the flow has been claimed meanwhile, it only counts the refusal.
+// first part of the chain it offers the flow to sidecars that have not been tried. After the second part, when there are
+// no such sidecars, or when the reason applies to them too (reject.IsFinalEverywhere), it refuses the flow, or leaves it to
+// the next copy of the packet when the reason may no longer apply by then. When a later copy has been sent or the flow has
+// been claimed meanwhile, it only counts the refusal.
 func (f *Forwarder) retryOpening(s Snapshot, listener landing.Listener, segment landing.Segment, returned landing.ForwardedPacket, reason landing.Refusal, packet platform.Packet) {
 	if f.flows.hasNewerPlacement(segment) {
 		f.telemetry.Counters().CountRefusal(reason)
--- a/balancer/pkg/relay/orphan_resetter.go
+++ b/balancer/pkg/relay/orphan_resetter.go
@@ -18,8 +18,8 @@
 	minReadInterval = 100 * time.Millisecond
 	// maxOrphanCandidates limits the flows that wait for a read of the enrollments.
 	maxOrphanCandidates = 4096
-	// maxCandidateAge is the time after which the result of a walk no longer counts, for instance because the balancer was
-	// paused meanwhile. It covers a read of a slow platform.
+	// maxCandidateAge is the time after which the result of a walk is too old for a reset, for instance because the balancer
+	// was paused meanwhile. It is longer than a read of a slow platform takes.
 	maxCandidateAge = 4 * time.Second
 )
 
--- a/experiment/pkg/relayed/load_test.go
+++ b/experiment/pkg/relayed/load_test.go
@@ -20,15 +20,15 @@
 	maxAttempts = 3
 )
 
-// result tells how the request of a caller ended.
+// result is the result of one caller's request.
 type result struct {
 	request string
 	elapsed time.Duration
 	// refusals are the times from the first copy of a SYN to its refusal, one for each refused attempt.
 	refusals []time.Duration
-	// abandoned is the number of flows that the caller abandoned since nothing arrived for them.
+	// abandoned is the number of flows that the caller abandoned after openTimeout without a response.
 	abandoned int
-	// isAnswered is true when the right answer has arrived.
+	// isAnswered reports whether the right answer has arrived.
 	isAnswered bool
 	// err is the error with which a flow ended on which the request was sent, if any. The caller does not repeat such a
 	// request.
@@ -40,7 +40,7 @@
 	return !r.isAnswered && r.err == nil && len(r.refusals) > 0 && len(r.refusals)+r.abandoned == maxAttempts
 }
 
-// callers sends requests with texts of their own to a fleet, each on a new flow. Its methods may be called from several
+// callers sends requests to a fleet, each with its own text and on a new flow. Its methods may be called from several
 // goroutines.
 type callers struct {
 	fleet   *Fleet
@@ -51,7 +51,8 @@
 	results []result
 }
 
-// start lets this number of callers send a request at the same time, by the balancers that route returns for each.
+// start lets this number of callers send one request each at the same time, along the route that the function returns for
+// the number of the caller.
 func (c *callers) start(count int, route func(caller int) endpoint.Route) {
 	for range count {
 		c.mu.Lock()
@@ -124,7 +125,8 @@
 	t.Logf("%d requests: %d answered, %d refused; %d flows abandoned", len(results), answered, refused, abandoned)
 }
 
-// startFleetWith does the same as startFleet for the deployment that cfg describes.
+// startFleetWith starts the deployment that cfg describes, waits until all upstreams are reachable through each balancer,
+// and stops it after the test.
 func startFleetWith(t *testing.T, cfg Config) *Fleet {
 	is := is.New(t)
 	f, err := NewFromConfig(cfg)
--- a/experiment/pkg/relayed/openflow_test.go
+++ b/experiment/pkg/relayed/openflow_test.go
@@ -13,7 +13,7 @@
 	"github.com/crocuslanding/crocuslanding/platform/standin/endpoint"
 )
 
-// delayingRouter is a router that receives packets and keeps them until the test passes them on.
+// delayingRouter receives packets in place of a router and holds them until the test sends them on.
 type delayingRouter struct {
 	conn *net.UDPConn
 }
@@ -47,9 +47,9 @@
 	is.NoErr(err)
 }
 
-// Guards against the reset of an open flow that a late copy of its SYN has masked. The sidecar was restarted while its
-// upstream ran. The first copy of the SYN, which had been delayed, arrives there, and the next request comes through
-// another balancer. Found by the review, case 2.
+// Guards against the reset of an open flow whose entry at the sidecar a late copy of its SYN has masked (review/2). The
+// sidecar is restarted while its upstream runs. Then the delayed first copy of the SYN arrives, and the next request comes
+// through another balancer.
 func TestLateSynAtRestartedSidecarKeepsOpenFlow(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 2, 1)
@@ -79,8 +79,8 @@
 	is.NoErr(err)
 }
 
-// Guards against the reset of flows that were opened before the first heartbeat of an upstream that crashed and started
-// again at once, and were then idle for longer than a handshake takes. Found by the review, case 3.
+// Guards against the reset of idle flows of an upstream that crashed and started again at once (review/3). The flows were
+// opened before its first heartbeat, and were idle for longer than the handshake timeout.
 func TestIdleFlowsOfRestartedUpstreamContinue(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 1, 1)
--- a/experiment/pkg/relayed/overload_test.go
+++ b/experiment/pkg/relayed/overload_test.go
@@ -13,14 +13,14 @@
 	"github.com/crocuslanding/crocuslanding/platform/standin/endpoint"
 )
 
-// waitingFlows returns how often the process of this instance has logged that a flow waits.
+// waitingFlows returns how many flows have begun to wait at this instance, by its log.
 func waitingFlows(t *testing.T, f *Fleet, instance string) int {
 	data, err := os.ReadFile(filepath.Join(f.cfg.BinaryFolder, instance+".log"))
 	is.New(t).NoErr(err)
 	return strings.Count(string(data), "flow waits")
 }
 
-// awaitWaitingFlows waits until more flows than before have waited at each of these sidecars.
+// awaitWaitingFlows waits until waitingFlows of each sidecar i exceeds before[i].
 func awaitWaitingFlows(t *testing.T, f *Fleet, before []int) {
 	await(t, "flows wait", func() bool {
 		for i, count := range before {
@@ -52,8 +52,8 @@
 	}
 }
 
-// Guards against new flows that are refused, and an enrollment that is not confirmed, when the platform's store is away
-// under load and a sidecar restarts meanwhile.
+// Guards against refusals of new flows while the platform's store is unavailable under load and a sidecar restarts, and
+// against an enrollment that the platform does not confirm afterwards.
 func TestStoreOutageUnderLoad(t *testing.T) {
 	is := is.New(t)
 	f := startFleetWith(t, Config{Balancers: 2, Sidecars: 3, Slots: 2, ServiceTime: 50 * time.Millisecond, RequestTimeout: requestTimeout})
@@ -64,7 +64,8 @@
 	f.KillSidecar(0)
 	is.NoErr(f.StartSidecar(0))
 	opened := f.Upstream(0).OpenedFlows()
-	// The validity of a confirmation, 2 s, passes as well: without subscriptions no flow would be admitted afterwards.
+	// The outage is longer than the validity of a confirmation, 2 s. After that time only subscriptions of balancers confirm
+	// the enrollments, and without them no flow would be admitted.
 	outageEndsAt := time.Now().Add(4 * time.Second)
 	for time.Now().Before(outageEndsAt) {
 		c.start(4, alternate)
@@ -88,13 +89,13 @@
 	awaitAllUpstreamsReachable(t, f, 0)
 }
 
-// Guards against an overload in which upstreams work for late responses only, refusals come late, or the effects last
-// longer than the load. For 3 s twice as many requests arrive as the slots serve.
+// Guards against an overload in which upstreams process mostly requests whose responses are late, refusals come late, or
+// the effects outlast the load. For 3 s twice as many requests arrive as the slots can serve.
 func TestOverloadIsServedInTime(t *testing.T) {
 	const (
 		sidecars, slots = 4, 4
-		// The ratio of aim and service time is a little stricter than on the deployments for which the page is designed. With
-		// longer times, delays of a loaded machine count less.
+		// The ratio of aim to service time is a little stricter than that of the deployments in docs/PLAN.md. The times are
+		// longer, so that delays of a loaded machine matter less.
 		serviceTime = 100 * time.Millisecond
 		aim         = 500 * time.Millisecond
 		loadTime    = 3 * time.Second
--- a/experiment/pkg/relayed/soak_test.go
+++ b/experiment/pkg/relayed/soak_test.go
@@ -37,7 +37,7 @@
 	recoveryTimeout = 15 * time.Second
 )
 
-// soakPlan says how a run of the soak is done.
+// soakPlan is the deployment and the faults of a run of the soak.
 type soakPlan struct {
 	cfg Config
 	// faultKinds is the number of kinds of faults, of which injectFault selects one at random.
@@ -55,7 +55,8 @@
 	return soakPlan{cfg: cfg, faultKinds: 9, maxSuspension: maxSuspension, hasLateSyns: true}
 }
 
-// newRegressionPlan returns the plan of the seeds that failed in the past: other faults would change what a seed does.
+// newRegressionPlan returns the plan with which the seeds of TestSoakRegressions failed. With more kinds of faults or longer
+// suspensions, a seed would inject other faults.
 func newRegressionPlan(binaryFolder string) soakPlan {
 	return soakPlan{
 		cfg:        Config{BinaryFolder: binaryFolder, Balancers: soakBalancerCount, Sidecars: soakNodeCount},
@@ -299,7 +300,7 @@
 }
 
 // restartWithLateHeartbeat crashes an upstream and restarts its sidecar. The first heartbeat that reaches the new process
-// of the sidecar is a late one of the crashed incarnation, unless it takes too long to start.
+// of the sidecar is a late one of the crashed incarnation, unless the process does not accept it within requestTimeout.
 func (s *soak) restartWithLateHeartbeat(nodeIndex int) {
 	id, crashed := fmt.Sprintf("i-%d-%d", nodeIndex, s.fleet.nodes[nodeIndex].incarnations), s.fleet.Upstream(nodeIndex)
 	s.crashUpstream(nodeIndex)
--- a/experiment/pkg/relayed/statusloss_test.go
+++ b/experiment/pkg/relayed/statusloss_test.go
@@ -17,8 +17,9 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 )
 
-// statusProxy stands between one balancer and one sidecar and can drop the statuses of the sidecar. The balancer finds it
-// in its list of sidecars in place of the sidecar, and the sidecar takes it for the balancer.
+// statusProxy forwards datagrams between one balancer and one sidecar and can drop the sidecar's statuses. The balancer's
+// list of sidecars contains the proxy's address instead of the sidecar's, and the sidecar receives the proxy's address as
+// that of the balancer.
 type statusProxy struct {
 	conn              *net.UDPConn
 	balancer, sidecar netip.AddrPort
@@ -47,7 +48,7 @@
 	return p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// run passes datagrams on until the socket is closed.
+// run forwards datagrams until the socket is closed.
 func (p *statusProxy) run() {
 	b := make([]byte, 4096) // longer than any datagram
 	for {
@@ -61,8 +62,8 @@
 	}
 }
 
-// pass passes a datagram on. One for the sidecar gets the address of the proxy as that of the balancer, so that the
-// responses come back through the proxy.
+// pass forwards a datagram. In one for the sidecar, the proxy's address replaces that of the balancer, so that the sidecar
+// responds through the proxy.
 func (p *statusProxy) pass(d landing.Datagram) {
 	own := address.PackAddrPort(p.address())
 	switch d := d.(type) {
@@ -98,7 +99,7 @@
 func (b *bufferedResponse) Write(body []byte) (int, error) { return b.body.Write(body) }
 
 // startBehindProxies restarts balancer number i so that it reaches each sidecar through a proxy, and returns the proxies.
-// The platform then states the addresses of the proxies to this balancer.
+// The balancer gets its own view of the platform, in which the proxies' addresses replace those of the sidecars.
 func startBehindProxies(t *testing.T, f *Fleet, i int) []*statusProxy {
 	var proxies []*statusProxy
 	for _, n := range f.nodes {
--- a/experiment/pkg/relayed/suspension_test.go
+++ b/experiment/pkg/relayed/suspension_test.go
@@ -8,9 +8,9 @@
 	"github.com/matryer/is"
 )
 
-// Guards against the reset of open flows whose sidecar was stopped for some seconds. Balancers remove its enrollment
-// after 2.5 s. When it runs again, subscriptions that waited in its socket must not count as a confirmation of the
-// enrollment: without one a balancer that does not know the flows takes them for lost (deployment nosa-lb).
+// Guards against the reset of open flows whose sidecar was suspended for some seconds (seen on the deployment nosa-lb).
+// Balancers remove its enrollment after 2.5 s. When the sidecar runs again, subscriptions that waited in its socket must
+// not confirm the enrollment: if it relied on a removed one, balancers that do not know its flows would reset them.
 func TestSuspendedSidecarKeepsFlows(t *testing.T) {
 	is := is.New(t)
 	f, err := NewFromBinaries(buildPrograms(t), 2, 4)
@@ -40,9 +40,9 @@
 }
 
 // Guards against requests that are processed twice, callers without an answer or a refusal, and slots that stay reserved
-// when a sidecar is stopped for 1.2 s while SYNs wait at it. This is longer than the 1 s after which a request without a
-// response counts as failed: the sidecar then ejected its healthy upstream, or took it for slow, as the responses had waited
-// in its socket.
+// when a sidecar is suspended for 1.2 s while SYNs wait at it. The time is longer than the 1 s after which a request without
+// a response counts as failed. Responses had waited in the sidecar's socket, so that it ejected its healthy upstream or
+// measured latencies that were too long.
 func TestSidecarSuspensionWhileFlowsWait(t *testing.T) {
 	const slots = 4
 	f := startFleetWith(t, Config{BinaryFolder: buildPrograms(t), Balancers: 1, Sidecars: 3, Slots: slots, ServiceTime: 60 * time.Millisecond, RequestTimeout: requestTimeout})
--- a/sidecar/pkg/relay/gauges_test.go
+++ b/sidecar/pkg/relay/gauges_test.go
@@ -95,7 +95,8 @@
 	is.Equal(late, 1)
 }
 
-func TestUtilization_CountsRecentTimelyStarts(t *testing.T) {
+// Guards against a utilization that counts requests older than its window.
+func TestUtilization_CountsRecentStarts(t *testing.T) {
 	is := is.New(t)
 	var w waitQueue
 	upstream := selection.Upstream{Slots: 2, RequestTime: 50 * time.Millisecond}
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -24,9 +24,9 @@
 	lapsed int64
 }
 
-// offer decides whether a packet waits, when the upstream has this load and has been serving since servingSince,
-// and adds it if so. It returns the decision and the packets that must be refused because more than limit packets
-// wait.
+// offer decides whether a packet waits at an upstream with this load that has been serving since servingSince, and
+// adds the packet if so. It returns the decision and the packets that must be refused because of the limit (see
+// backlog.Prune).
 func (w *waitQueue) offer(packet landing.QueuedPacket, upstream selection.Upstream, limit int, servingSince, now time.Time) (landing.WaitDecision, []landing.QueuedPacket) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -41,7 +41,7 @@
 	return decision, w.prune(limit, now)
 }
 
-// restore adds a packet that was removed to be served, without a further decision.
+// restore puts back a packet that next has returned and that could not be served, without a further decision.
 func (w *waitQueue) restore(packet landing.QueuedPacket) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -50,8 +50,8 @@
 	}
 }
 
-// recordAdmission records that a flow is admitted, of which no packet needs to wait any more, and whether its
-// listener has a response aim.
+// recordAdmission records that a flow is admitted, and removes its packet if one waits. If the flow's listener has a
+// response aim, the flow counts in the utilization.
 func (w *waitQueue) recordAdmission(key landing.FlowKey, hasAim bool, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -61,9 +61,8 @@
 	}
 }
 
-// next removes and returns the packet that is served next, and whether it goes before packets of a higher
-// priority by the share of its own; false when none waits. Packets whose callers have given up by now are
-// removed as well.
+// next removes and returns the packet that is served next, and whether the share of its priority lets it go before
+// packets of a higher one. Found is false when none waits. Packets whose callers have given up are removed first.
 func (w *waitQueue) next(now time.Time) (packet landing.QueuedPacket, byShare, found bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -75,8 +74,8 @@
 	return packet, byShare, found
 }
 
-// prune removes the packets whose callers have given up, and those beyond the limit, which it returns if they
-// must be refused. It counts the others. w must be locked.
+// prune removes the packets whose callers have given up and those beyond the limit. It returns those that must be
+// refused, and counts the others as lapsed. w must be locked.
 func (w *waitQueue) prune(limit int, now time.Time) []landing.QueuedPacket {
 	before := w.backlog.Len()
 	var refused []landing.QueuedPacket
@@ -107,8 +106,8 @@
 	return w.backlog.Len()
 }
 
-// countWaiting returns the number of waiting packets whose requests would be timely if they began now, and the number
-// of the others. Packets of listeners without a response aim are among the others.
+// countWaiting returns the number of waiting packets whose responses would be timely if their requests began now, and
+// the number of the others, which include all packets of listeners without a response aim.
 func (w *waitQueue) countWaiting(now time.Time) (timely, late int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -116,8 +115,8 @@
 	return timely, w.backlog.Len() - timely
 }
 
-// utilization returns the part of the upstream's slots that requests of listeners with a response aim have used lately, as decide
-// takes it into account.
+// utilization returns the part of the upstream's slots that requests of listeners with a response aim have used lately.
+// After a start, offer does not use it (see backlog.EffectiveUtilization).
 func (w *waitQueue) utilization(upstream selection.Upstream, now time.Time) float64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -125,8 +124,8 @@
 }
 
 // headroomDivisor sets how many flows are admitted beyond the number of slots: slots/headroomDivisor, but at
-// least 1. Between a response and the next request there are a handshake and two network transits, during
-// which a slot would be idle.
+// least 1. Without them a slot would be idle between a response and the next request, for a handshake and two
+// network transits.
 const headroomDivisor = 4
 
 // isUpstreamFull reports whether the slots of the upstream and the headroom are in use. It returns false if
@@ -139,9 +138,9 @@
 	return f.table.busySlots(now) >= slots+max(slots/headroomDivisor, 1)
 }
 
-// enqueue lets a SYN wait for a free slot, or refuses it when it would wait in vain. It refuses the SYNs that no
-// longer fit into the queue. A SYN that has waited since waitingSince, and whose slot another one has taken meanwhile,
-// returns to its place.
+// enqueue lets a SYN wait for a free slot or refuses it, as backlog.DecideWait decides, and refuses the SYNs that no
+// longer fit into the queue. A SYN that was taken from the queue, and whose slot another one has used meanwhile, is put
+// back without a decision; waitingSince is the time since which it has waited, and the zero time for a new SYN.
 func (f *Forwarder) enqueue(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, waitingSince, now time.Time) {
 	listener, _ := s.policy.Rules().FindListener(segment.Key())
 	f.table.withdrawAdmission(segment.Key())
@@ -162,7 +161,7 @@
 		common.Notify(f.queueBlocked)
 		return
 	}
-	limit := math.MaxInt // the decision to wait bounds the queue
+	limit := math.MaxInt // with a response aim, the decision to wait bounds the queue
 	if packet.TimelyUntil().IsZero() {
 		limit = backlog.Limit(s.upstream.Slots(), l.averageLatency, packet.WaitLimit())
 	}
@@ -183,13 +182,15 @@
 		f.refuseWaiting(r, l, 0)
 	}
 	if isWaiting := f.queue.has(segment.Key()); isWaiting && (forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0) {
-		// The caller's next copy then comes to this sidecar, and is not offered to others as well.
+		// The balancer sends the caller's next copy to the sidecar that has claimed the flow. Without a claim the copy
+		// would go to the first sidecar of the chain, which could admit the flow as well.
 		f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 	}
 	common.Notify(f.queueBlocked)
 }
 
-// servingSince returns the time since which this process and that of the upstream have been running.
+// servingSince returns the later of two times: the start of this process and the first heartbeat of the upstream's
+// current process.
 func (f *Forwarder) servingSince(s Snapshot) time.Time {
 	if s.upstream.FirstHeartbeat().After(f.startedAt) {
 		return s.upstream.FirstHeartbeat()
@@ -203,7 +204,8 @@
 		"expected", expectedWait.String(), "running", l.runningRequests, "busy", l.busySlots, "waiting", f.queue.len(), "usual", l.averageLatency.String())
 }
 
-// refuseWaiting refuses a SYN that would wait for this time, too long for its caller; 0 if it has been waiting.
+// refuseWaiting refuses a SYN because of its expected wait, or one that has waited and no longer fits into the queue, for
+// which expectedWait is 0.
 func (f *Forwarder) refuseWaiting(packet landing.QueuedPacket, l upstreamLoad, expectedWait time.Duration) {
 	f.telemetry.Counters().CountRefusal(landing.RefusalQueue)
 	f.telemetry.Log().Info("flow refused", "flow", address.FormatFlow(packet.Key()), "reason", landing.RefusalQueue.String(),
@@ -212,8 +214,8 @@
 	f.returnToBalancer(packet.ForwardedPacket(), landing.RefusalQueue)
 }
 
-// refuse returns a packet to its balancer. One that has waited since waitingSince, for so long that its caller may have
-// sent the next copy, is only counted, since the balancer would reset the flow.
+// refuse returns a packet to its balancer, which may reset the flow. A SYN that has waited since waitingSince is dropped and
+// counted instead if its caller may have sent the next copy, which may have opened the flow elsewhere.
 func (f *Forwarder) refuse(forwarded landing.ForwardedPacket, reason landing.Refusal, waitingSince time.Time) {
 	if !waitingSince.IsZero() && !backlog.MayReturn(waitingSince, clock.Now()) {
 		f.telemetry.Counters().Counter("wait_lapsed").Inc(1)
@@ -222,8 +224,8 @@
 	f.returnToBalancer(forwarded, reason)
 }
 
-// admitOnLapse admits waiting SYNs when a slot becomes free without a packet, because a request or the
-// reservation of an admitted flow has lapsed.
+// admitOnLapse admits waiting SYNs when a slot becomes free although no packet arrives, because a request or the
+// reservation for the first request of an admitted flow has lapsed. It runs until the Forwarder stops.
 func (f *Forwarder) admitOnLapse() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -14,8 +14,8 @@
 // times the interval at which balancers renew it.
 const subscriptionTimeout = 3 * time.Second
 
-// subscriberRetention is the time for which a balancer is remembered that no longer subscribes. A sidecar whose
-// enrollment is not confirmed sends it statuses all the same.
+// subscriberRetention is the time for which a balancer is kept after its last subscription. A sidecar whose enrollment is
+// not confirmed sends statuses to these balancers too (StatusReceivers).
 const subscriberRetention = 30 * time.Second
 
 // Snapshot is the control state that the workers read. It is immutable.
@@ -113,9 +113,9 @@
 }
 
 // StatusReceivers returns the addresses of the balancers that get the sidecar's status: those with a
-// subscription that has not expired. While the sidecar cannot rely on its enrollment, balancers whose list no
-// longer contains it get its status too. They then know that flows which nobody in their list holds may be held
-// by this sidecar, and do not reset them.
+// subscription that has not expired, and all that are kept while the sidecar cannot rely on its enrollment. The
+// enrollment may have been removed, and balancers without it in their list do not subscribe. A status shows them
+// that a flow which no sidecar of their list holds may be held by this one, so that they do not reset it.
 func (s Snapshot) StatusReceivers(now time.Time) []uint64 {
 	var receivers []uint64
 	for _, b := range s.subscribers {
@@ -146,9 +146,9 @@
 	return landing.FlowUnknown{}
 }
 
-// BalancersWithNewerPolicy returns the addresses of the subscribed balancers that have advertised newer
-// revisions than those in force. If there are none, it returns the addresses of all subscribed balancers.
-// Expired subscriptions are included until the next subscription arrives.
+// BalancersWithNewerPolicy returns the addresses of the balancers that have advertised newer revisions than
+// those in force. If there are none, it returns the addresses of all balancers. Balancers whose subscriptions
+// have expired are included as long as they are kept (subscriberRetention).
 func (s Snapshot) BalancersWithNewerPolicy() []uint64 {
 	var newer, all []uint64
 	for _, b := range s.subscribers {
--- a/sidecar/pkg/relay/status_times.go
+++ b/sidecar/pkg/relay/status_times.go
@@ -7,11 +7,11 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
-// keptStatusTimes is the number of statuses whose times are kept: those of 8 s, four times the validity of a
-// confirmation of the enrollment.
+// keptStatusTimes is the number of statuses whose times are kept. At one in 250 ms these are the statuses of 8 s, four
+// times the validity of a confirmation of the enrollment: an older one confirms nothing.
 const keptStatusTimes = 32
 
-// statusTimes holds the times at which the last statuses were sent. Its methods may be called from several
+// statusTimes holds the times at which the last keptStatusTimes statuses were sent. Its methods may be called from several
 // goroutines.
 type statusTimes struct {
 	mu sync.Mutex
@@ -27,7 +27,7 @@
 	t.times[sequence%keptStatusTimes], t.sequences[sequence%keptStatusTimes] = now, sequence
 }
 
-// find returns the time at which the status with this sequence number was sent; false when it is not known.
+// find returns the time at which the status with this sequence number was sent; false if that time is not kept.
 func (t *statusTimes) find(sequence uint64) (time.Time, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -35,13 +35,15 @@
 	return t.times[sequence%keptStatusTimes], isKnown
 }
 
-// incarnation returns the number that distinguishes this process of the sidecar from earlier ones.
+// incarnation returns the number by which balancers distinguish this process of the sidecar from earlier ones: its start
+// time in nanoseconds since 1970.
 func (f *Forwarder) incarnation() uint64 {
 	return uint64(f.startedAt.UnixNano())
 }
 
-// acknowledgedAt returns the time at which the sidecar sent the status that the subscription acknowledges. It
-// returns the start of the process if there is none: a subscription can have waited in the socket since then.
+// acknowledgedAt returns the time at which the sidecar sent the status that the subscription acknowledges. If the
+// subscription acknowledges none whose time is kept, it can have waited in the socket since the start of the process, so
+// that start is returned.
 func (f *Forwarder) acknowledgedAt(subscription landing.StatusSubscription) time.Time {
 	if subscription.StatusIncarnation() != f.incarnation() {
 		return f.startedAt
--- a/sidecar/pkg/relay/suspension.go
+++ b/sidecar/pkg/relay/suspension.go
@@ -2,20 +2,20 @@
 
 import "time"
 
-// suspendedAfter is the time without a sign of its own activity after which the process counts as suspended: two
-// intervals between statuses.
+// suspendedAfter is the time between two calls of withAlive after which the process counts as suspended. The calls are at
+// most one status interval apart while it runs, so it is twice that interval.
 const suspendedAfter = 2 * statusInterval
 
-// suspension observes whether the process was suspended. Its zero value is that of a process that has just started.
+// suspension records when the process was last suspended. It is immutable. Its zero value is that of a process that has
+// just started.
 type suspension struct {
-	// aliveAt is the last time at which the process ran.
+	// aliveAt is the time of the last call of withAlive.
 	aliveAt time.Time
 	// resumedAt is the end of the last suspension; the zero time when there was none.
 	resumedAt time.Time
 }
 
-// withAlive returns the suspension after the process ran now. It must be called at least once in each interval between
-// statuses.
+// withAlive returns the record of a process that runs now. It must be called at least once in each status interval.
 func (s suspension) withAlive(now time.Time) suspension {
 	if !s.aliveAt.IsZero() && now.Sub(s.aliveAt) > suspendedAfter {
 		s.resumedAt = now
@@ -24,18 +24,19 @@
 	return s
 }
 
-// hasInterrupted reports whether the process was suspended after a request arrived at this time. How long the upstream
-// took for such a request is not known.
+// hasInterrupted reports whether the process was suspended after a request arrived at this time. The latency of such a
+// request is not known, since the response may have waited in the socket.
 func (s suspension) hasInterrupted(arrivedAt time.Time) bool {
 	return arrivedAt.Before(s.resumedAt)
 }
 
-// hasJustResumed reports whether responses may still wait in the socket since the end of the suspension.
+// hasJustResumed reports whether the last suspension ended so recently that responses which arrived during it may still
+// wait in the socket.
 func (s suspension) hasJustResumed(now time.Time) bool {
 	return !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < statusInterval
 }
 
-// recordAlive records that the process runs now.
+// recordAlive calls withAlive.
 func (t *table) recordAlive(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/sidecar/pkg/relay/table.go
+++ b/sidecar/pkg/relay/table.go
@@ -52,9 +52,9 @@
 	// hasUpstreamFin reports whether the upstream has ended its side of the flow with a FIN. When another
 	// request arrives after that, the upstream resets the flow, which is not a failure.
 	hasUpstreamFin bool
-	// replacesOpenFlow reports whether the flow's SYN has replaced an entry of a flow that may be open. When the
-	// handshake fails, the entry remains in the state FlowUnknown: without it the sidecar would report that its
-	// upstream does not hold the flow.
+	// replacesOpenFlow reports whether the flow's SYN has replaced the entry of a flow that may be open. If the
+	// handshake then fails, the entry remains in the state FlowUnknown. If it were removed, the sidecar would
+	// report that its upstream does not hold the flow.
 	replacesOpenFlow bool
 }
 
@@ -78,7 +78,7 @@
 	return false
 }
 
-// isOpenFlowPossible reports whether the upstream may hold an open flow, which the current handshake is not part of.
+// isOpenFlowPossible reports whether the upstream may hold an open flow with this key, apart from a current handshake.
 func (f flow) isOpenFlowPossible() bool {
 	switch state := f.state.(type) {
 	case landing.FlowAdmitted:
@@ -92,7 +92,8 @@
 	return false
 }
 
-// withoutOpenFlow returns the flow after the upstream has shown that it holds no open flow beside the handshake.
+// withoutOpenFlow returns the flow after the upstream has shown that it holds no open flow with the key of the
+// handshake.
 func (f flow) withoutOpenFlow() flow {
 	f.replacesOpenFlow = false
 	switch state := f.state.(type) {
@@ -119,8 +120,7 @@
 		WithOpenFlowPossible(f.isOpenFlowPossible()))
 }
 
-// withOpenFlowFound returns the flow after a segment with which the upstream shows that it holds the flow as an open
-// one.
+// withOpenFlowFound returns the flow after a segment with which the upstream shows that the flow is open.
 func (f flow) withOpenFlowFound(s landing.Segment, now time.Time) flow {
 	f.firstReplyAt = now
 	f.replacesOpenFlow = false
@@ -178,7 +178,7 @@
 	opensFlow := s.IsSyn() && (!found || isUnknown || f.initialSequence != s.SequenceNumber())
 	refusal := landing.RefusalUnspecified
 	if opensFlow {
-		// Also when the caller uses its port for a new flow, that flow is admitted or refused like any other.
+		// A new flow from a port that the caller has used before is admitted or refused like any other.
 		f = t.replaceLocked(s.Key(), f, untracked)
 		refusal = refusalReason(t.loadLocked(now))
 		if len(t.flows) >= maxFlows && refusal == landing.RefusalUnspecified {
@@ -213,9 +213,9 @@
 	return action
 }
 
-// replaceLocked ends flow f, whose caller has sent a SYN that opens a flow with the same key, and returns the flow as
-// the decision about that SYN finds it. Since the SYN may be a late one and f still open, the entry remains in the state
-// FlowUnknown. An entry of a handshake that has replaced no open flow is removed. t must be locked.
+// replaceLocked ends flow f because of a SYN that opens a flow with the same key, and returns the flow by which that SYN
+// is decided. The SYN may be a late copy while f is still open, so the entry of f remains, in the state FlowUnknown.
+// The entry of a handshake that has replaced no open flow is removed. t must be locked.
 func (t *table) replaceLocked(k landing.FlowKey, f flow, untracked landing.FlowState) flow {
 	if !t.hasLocked(k) {
 		return f
@@ -262,8 +262,8 @@
 }
 
 // recordReturn records that the upstream has returned a segment of a caller, because it does not hold the flow or cannot
-// accept the segment. A returned SYN shows only that no flow is opened, so the state of an open flow becomes FlowUnknown.
-// Any other returned segment shows that the upstream holds no open flow. A handshake beside such a flow goes on.
+// accept the segment. A returned SYN shows only that it opens no flow, so an open flow gets the state FlowUnknown.
+// Any other returned segment shows that the upstream holds no open flow; a handshake with the same key continues.
 func (t *table) recordReturn(s landing.Segment) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -353,8 +353,8 @@
 	return latency
 }
 
-// withUpstreamAcceptance returns the flow after a segment that an upstream sends only in a flow that it holds as an open
-// one, and updates the ledger and the offer. t must be locked.
+// withUpstreamAcceptance returns the flow after a segment that an upstream sends only in an open flow, and updates the
+// ledger and the offer. t must be locked.
 func (t *table) withUpstreamAcceptance(f flow, s landing.Segment, now time.Time) flow {
 	switch state := f.state.(type) {
 	case landing.FlowAdmitted:
@@ -362,7 +362,7 @@
 		f = f.withOpenFlowFound(s, now)
 	case landing.FlowHalfOpen:
 		if state.OpenFlowPossible() {
-			// The SYN was a late one, for which no first request follows.
+			// The SYN was a late copy, after which no first request follows.
 			t.ledger = t.ledger.Without(s.Key())
 			f = f.withOpenFlowFound(s, now)
 		}
@@ -451,8 +451,8 @@
 }
 
 // heldFlows returns the established flows that certainly belong to the upstream's current process and were
-// opened before this time, ordered by key. It leaves out flows that an end has ended, since nobody waits for
-// their reset. It returns at most limit flows.
+// opened before this time, ordered by key. It leaves out flows that the caller or the upstream has ended with a
+// FIN, which need no reset after a failure. It returns at most limit flows.
 func (t *table) heldFlows(upstream landing.UpstreamState, before time.Time, limit int) []landing.HeldFlow {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -482,7 +482,7 @@
 	return t.hasLocked(k)
 }
 
-// hasLocked does the same as has. t must be locked.
+// hasLocked reports whether the table has an entry for the flow. t must be locked.
 func (t *table) hasLocked(k landing.FlowKey) bool {
 	_, found := t.flows[k]
 	return found
@@ -504,9 +504,9 @@
 	}
 }
 
-// expire removes flows without a segment for longer than idleTimeout, or for longer than endedTimeout after both
-// ends have ended them, and ends incomplete handshakes after handshakeTimeout. Offers that the upstream has not reacted to are removed after the same time. A flow in the state
-// FlowUnknown may be open, so it stays until the idle timeout.
+// expire removes flows without a segment for longer than idleTimeout, or than endedTimeout if both ends have ended
+// the flow. A flow in the state FlowUnknown may be open, so it stays until the idle timeout. Incomplete handshakes end,
+// and offers are removed, after handshakeTimeout.
 func (t *table) expire(idleTimeout time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
