A sidecar asks subscribed balancers for newer rules

Cause: balancers are remembered for 30 s after their subscription, so that they hear a sidecar that is not enrolled; the list of balancers to ask for newer rules then contained those that had stopped. Change: only subscribed balancers, unless there are none. One comment of the schema corrected. Result: TestBalancersWithNewerPolicy_LeavesOutExpiredSubscriptions would get 7 before 8 without the change; it passes.

--- a/core/gen/landing/load.go
+++ b/core/gen/landing/load.go
@@ -230,7 +230,7 @@
 
 // UtilizationPermille returns the field of the same name.
 //
-// Slots that timely requests have used in the last 0.8 s, in thousandths.
+// Slots that requests of listeners with a response aim have used in the last 0.8 s, in thousandths.
 func (v SidecarLoad) UtilizationPermille() int64 {
 	return v.utilizationPermille
 }
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -71,7 +71,7 @@
 // PeersAhead returns the addresses of the subscribed balancers that have advertised newer revisions than
 // those in force. If there are none, it returns the addresses of all subscribed balancers.
 func (t *ControlThread) PeersAhead() []uint64 {
-	return t.Snapshot().BalancersWithNewerPolicy()
+	return t.Snapshot().BalancersWithNewerPolicy(clock.Now())
 }
 
 // PolicyOutdated returns a channel that receives a value when another process has advertised newer rules or
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -146,21 +146,29 @@
 	return landing.FlowUnknown{}
 }
 
-// BalancersWithNewerPolicy returns the addresses of the balancers that have advertised newer revisions than
-// those in force. If there are none, it returns the addresses of all balancers. Balancers whose subscriptions
-// have expired are included as long as they are kept (subscriberRetention).
-func (s Snapshot) BalancersWithNewerPolicy() []uint64 {
-	var newer, all []uint64
+// BalancersWithNewerPolicy returns the addresses of the subscribed balancers that have advertised newer revisions
+// than those in force. If there are none, it returns the addresses of all subscribed balancers, and if none
+// subscribes, of all that are remembered.
+func (s Snapshot) BalancersWithNewerPolicy(now time.Time) []uint64 {
+	var newer, subscribed, all []uint64
 	for _, b := range s.subscribers {
 		all = append(all, b.address)
+		if !b.isSubscribed(now) {
+			continue
+		}
+		subscribed = append(subscribed, b.address)
 		if s.policy.IsOlderThan(b.revisions) {
 			newer = append(newer, b.address)
 		}
 	}
-	if len(newer) > 0 {
+	switch {
+	case len(newer) > 0:
 		return newer
+	case len(subscribed) > 0:
+		return subscribed
+	default:
+		return all
 	}
-	return all
 }
 
 // PlatformSnapshot returns the rules and exclusions in force, for another process of the fleet that asks for
--- a/sidecar/pkg/relay/snapshot_test.go
+++ b/sidecar/pkg/relay/snapshot_test.go
@@ -53,3 +53,14 @@
 		is.True(!found)
 	}
 }
+
+// Guards against a sidecar that asks a balancer for newer rules that stopped 20 s ago, and waits for it in vain.
+func TestBalancersWithNewerPolicy_LeavesOutExpiredSubscriptions(t *testing.T) {
+	is := is.New(t)
+	later := start.Add(20 * time.Second)
+	stopped := landing.StatusSubscription{}.WithBalancerAddress(7).WithRulesRevision(9)
+	s := Snapshot{}.WithSubscriber(stopped, start)
+	is.Equal(s.BalancersWithNewerPolicy(later), []uint64{7}) // nobody else is known
+	s = s.WithSubscriber(landing.StatusSubscription{}.WithBalancerAddress(8), later)
+	is.Equal(s.BalancersWithNewerPolicy(later), []uint64{8})
+}
