--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -89,3 +89,22 @@
 		f.link.Send(status, receiver)
 	}
 }
+
+// incarnation returns the number by which balancers distinguish this process of the sidecar from earlier ones: its start
+// time in nanoseconds since 1970.
+func (f *Forwarder) incarnation() uint64 {
+	return uint64(f.startedAt.UnixNano())
+}
+
+// acknowledgedAt returns the time at which the sidecar sent the status that the subscription acknowledges. If the
+// subscription acknowledges none whose time is kept, it can have waited in the socket since the start of the process, so
+// that start is returned.
+func (f *Forwarder) acknowledgedAt(subscription landing.StatusSubscription) time.Time {
+	if subscription.StatusIncarnation() != f.incarnation() {
+		return f.startedAt
+	}
+	if sentAt, found := f.sentStatuses.find(subscription.StatusSequenceNumber()); found {
+		return sentAt
+	}
+	return f.startedAt
+}
--- a/sidecar/pkg/relay/status_times.go
+++ b/sidecar/pkg/relay/status_times.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
 // keptStatusTimes is the number of statuses whose times are kept. At one in 250 ms these are the statuses of 8 s, four
@@ -34,22 +32,3 @@
 	isKnown := sequence > 0 && t.sequences[sequence%keptStatusTimes] == sequence
 	return t.times[sequence%keptStatusTimes], isKnown
 }
-
-// incarnation returns the number by which balancers distinguish this process of the sidecar from earlier ones: its start
-// time in nanoseconds since 1970.
-func (f *Forwarder) incarnation() uint64 {
-	return uint64(f.startedAt.UnixNano())
-}
-
-// acknowledgedAt returns the time at which the sidecar sent the status that the subscription acknowledges. If the
-// subscription acknowledges none whose time is kept, it can have waited in the socket since the start of the process, so
-// that start is returned.
-func (f *Forwarder) acknowledgedAt(subscription landing.StatusSubscription) time.Time {
-	if subscription.StatusIncarnation() != f.incarnation() {
-		return f.startedAt
-	}
-	if sentAt, found := f.sentStatuses.find(subscription.StatusSequenceNumber()); found {
-		return sentAt
-	}
-	return f.startedAt
-}
--- a/sidecar/pkg/relay/suspension.go
+++ b/sidecar/pkg/relay/suspension.go
@@ -35,10 +35,3 @@
 func (s suspension) hasJustResumed(now time.Time) bool {
 	return !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < statusInterval
 }
-
-// recordAlive calls withAlive.
-func (t *table) recordAlive(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.suspension = t.suspension.withAlive(now)
-}
