--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -216,9 +216,9 @@
 		status int
 	}{
 		"missing fields": {func(h map[string]any) {
-			delete(h, "zone")
-			delete(h, "version")
-			delete(h, "cold_remain_ms")
+			for _, field := range endpoint.FieldsMissingElsewhere {
+				delete(h, field)
+			}
 		}, http.StatusBadRequest},
 		"another zone": {func(h map[string]any) { h["zone"] = "elsewhere" }, http.StatusOK},
 	} {
