--- a/landingctl/pkg/command/load_metrics.go
+++ b/landingctl/pkg/command/load_metrics.go
@@ -207,7 +207,7 @@
 // packets waiting, and have the largest part of their slots in use.
 func compareSidecars(a, b landing.SidecarLoad) int {
 	return cmp.Or(
-		-compareBools(!a.Enrolled(), !b.Enrolled()),
+		compareBools(a.Enrolled(), b.Enrolled()),
 		-compareBools(a.Ejected(), b.Ejected()),
 		-cmp.Compare(sumLoadRefusals(a.Refusals()), sumLoadRefusals(b.Refusals())),
 		-cmp.Compare(a.Waiting(), b.Waiting()),
--- a/sidecar/pkg/relay/admission.go
+++ b/sidecar/pkg/relay/admission.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
-	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/entry"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
@@ -12,7 +11,7 @@
 )
 
 // position returns the position of a packet in its chain and, for a SYN, whether the upstream is busy.
-func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment) landing.ChainPosition {
+func (f *Forwarder) position(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, now time.Time) landing.ChainPosition {
 	position := landing.ChainPosition{}.
 		WithHasNext(int(forwarded.HopIndex())+1 < forwarded.HopAddressesLen()).
 		WithHasMore(true).
@@ -21,19 +20,25 @@
 	if !segment.IsSyn() {
 		return position
 	}
-	upstream := f.offeredUpstream(s, f.table.load(clock.Now()), segment.Key())
-	stated := time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
+	upstream := f.offeredUpstream(s, f.table.load(now), segment.Key(), now)
+	stated := statedResponse(forwarded)
 	return position.WithUpstreamBusy(selection.IsBusy(upstream, stated)).WithShortestWait(selection.IsShortest(upstream, stated))
 }
 
+// statedResponse returns the expected response time that the sidecar which has deferred the flow states; 0 when there is
+// none.
+func statedResponse(forwarded landing.ForwardedPacket) time.Duration {
+	return time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
+}
+
 // offeredUpstream returns the load of the upstream to which a new flow with this key is offered.
-func (f *Forwarder) offeredUpstream(s Snapshot, l upstreamLoad, key landing.FlowKey) selection.Upstream {
+func (f *Forwarder) offeredUpstream(s Snapshot, l upstreamLoad, key landing.FlowKey, now time.Time) selection.Upstream {
 	return selection.Upstream{
 		Slots:          int(s.upstream.Slots()),
 		BusySlots:      l.busySlots,
 		Waiting:        f.queue.len(),
 		RequestTime:    l.averageLatency,
-		IsEjected:      l.isEjected(clock.Now()),
+		IsEjected:      l.isEjected(now),
 		HasEarlierCopy: f.queue.has(key),
 	}
 }
--- a/sidecar/pkg/relay/execute.go
+++ b/sidecar/pkg/relay/execute.go
@@ -20,9 +20,7 @@
 		f.claimFlow(forwarded.BalancerAddress(), segment.Key())
 	case landing.Deliver:
 		f.deliver(forwarded, packet)
-		if forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0 {
-			f.claimFlow(forwarded.BalancerAddress(), segment.Key())
-		}
+		f.claimFromLaterHop(forwarded, segment.Key())
 	case landing.AdmitFlow:
 		now := clock.Now()
 		if s := f.controlThread.Snapshot(); f.isUpstreamFull(s, now) {
@@ -32,9 +30,7 @@
 		f.table.recordAdmission(segment.Key(), now)
 		f.recordStart(segment, now)
 		f.deliver(forwarded, packet)
-		if forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0 {
-			f.claimFlow(forwarded.BalancerAddress(), segment.Key())
-		}
+		f.claimFromLaterHop(forwarded, segment.Key())
 	case landing.OfferToUpstream:
 		f.table.recordOffer(segment, forwarded.BalancerAddress(), clock.Now())
 		f.deliver(forwarded, packet)
@@ -61,9 +57,9 @@
 // withDeferral returns the packet with this sidecar as the one that defers it, unless an earlier one expects to
 // respond sooner.
 func (f *Forwarder) withDeferral(forwarded landing.ForwardedPacket, key landing.FlowKey) landing.ForwardedPacket {
-	upstream := f.offeredUpstream(f.controlThread.Snapshot(), f.table.load(clock.Now()), key)
-	stated := time.Duration(forwarded.ExpectedResponseMicros()) * time.Microsecond
-	if forwarded.DeferredBy() > 0 && !selection.IsShortest(upstream, stated) {
+	now := clock.Now()
+	upstream := f.offeredUpstream(f.controlThread.Snapshot(), f.table.load(now), key, now)
+	if forwarded.DeferredBy() > 0 && !selection.IsShortest(upstream, statedResponse(forwarded)) {
 		return forwarded
 	}
 	return forwarded.WithDeferredBy(forwarded.HopIndex() + 1).WithExpectedResponseMicros(uint32(upstream.ExpectedResponse().Microseconds()))
@@ -94,6 +90,14 @@
 	f.link.Send(landing.ReturnedPacket{}.WithForwardedPacket(forwarded).WithReason(reason), forwarded.BalancerAddress())
 }
 
+// claimFromLaterHop claims a flow of this sidecar to the balancer that forwarded its packet, unless this sidecar is the first
+// of the chain, at which the balancer has cached the flow when it sent the SYN.
+func (f *Forwarder) claimFromLaterHop(forwarded landing.ForwardedPacket, k landing.FlowKey) {
+	if forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0 {
+		f.claimFlow(forwarded.BalancerAddress(), k)
+	}
+}
+
 // claimFlow tells the balancer at this address, which has sent a packet of flow k, that this sidecar's upstream
 // holds the flow. Whether the flow belongs to the upstream's current process is certain only after the next
 // heartbeat. Until then the claim states the start time 0.
--- a/sidecar/pkg/relay/forwarder.go
+++ b/sidecar/pkg/relay/forwarder.go
@@ -147,8 +147,9 @@
 		return 1
 	})
 	c.RegisterGauge("utilization_permille", func() int64 {
-		upstream := f.offeredUpstream(f.controlThread.Snapshot(), load(), landing.FlowKey{})
-		return int64(f.queue.utilization(upstream, clock.Now()) * 1000)
+		now := clock.Now()
+		upstream := f.offeredUpstream(f.controlThread.Snapshot(), f.table.load(now), landing.FlowKey{}, now)
+		return int64(f.queue.utilization(upstream, now) * 1000)
 	})
 	c.RegisterGauge("slots", func() int64 { return int64(f.controlThread.Snapshot().upstream.Slots()) })
 	c.RegisterGauge("waiting", func() int64 { return int64(f.queue.len()) })
@@ -226,7 +227,7 @@
 		refusal = f.refusalReason(s, forwarded, segment, l, now)
 		return refusal
 	}
-	position := f.position(s, forwarded, segment)
+	position := f.position(s, forwarded, segment, now)
 	action := f.table.decide(segment, position, s.UntrackedFlowState(), decideRefusal, now)
 	f.logAction(segment, forwarded, action, refusal)
 	f.logRequest(segment, forwarded, packet, action)
--- a/sidecar/pkg/relay/previous_version_test.go
+++ b/sidecar/pkg/relay/previous_version_test.go
@@ -42,19 +42,19 @@
 	f := newBusyForwarder()
 	syn := landing.Segment{}.WithKey(flowKey.WithSourcePort(9)).WithIsSyn(true)
 	forwarded := received(t, landing.ForwardedPacket{}.WithHopAddresses(7, 8, 9).WithHopIndex(1).WithDeferredBy(1)).(landing.ForwardedPacket)
-	position := f.position(f.controlThread.Snapshot(), forwarded, syn)
+	position := f.position(f.controlThread.Snapshot(), forwarded, syn, clock.Now())
 	is.True(position.ShortestWait())
 	is.Equal(hold.Decide(landing.FlowAbsent{}, syn, position, landing.RefusalUnspecified), landing.DeferAdmission{})
 	deferred := f.withDeferral(forwarded, flowKey.WithSourcePort(9))
 	is.Equal(deferred.DeferredBy(), uint32(2))
 	is.True(deferred.ExpectedResponseMicros() > 0)
-	last := f.position(f.controlThread.Snapshot(), forwarded.WithHopIndex(2), syn)
+	last := f.position(f.controlThread.Snapshot(), forwarded.WithHopIndex(2), syn, clock.Now())
 	is.Equal(hold.Decide(landing.FlowAbsent{}, syn, last, landing.RefusalUnspecified), landing.AdmitFlow{})
 
 	// A sidecar of the previous version keeps a deferrer that is already named, and with it the time that was stated.
 	stated := forwarded.WithExpectedResponseMicros(1)
 	is.Equal(f.withDeferral(stated, flowKey.WithSourcePort(9)), stated)
-	last = f.position(f.controlThread.Snapshot(), stated.WithHopIndex(2), syn)
+	last = f.position(f.controlThread.Snapshot(), stated.WithHopIndex(2), syn, clock.Now())
 	is.Equal(hold.Decide(landing.FlowAbsent{}, syn, last, landing.RefusalUnspecified), landing.ReturnToDeferrer{})
 }
 
--- a/sidecar/pkg/relay/queue.go
+++ b/sidecar/pkg/relay/queue.go
@@ -53,7 +53,7 @@
 	if packet.TimelyUntil().IsZero() {
 		limit = backlog.Limit(s.upstream.Slots(), l.averageLatency, packet.WaitLimit())
 	}
-	decision, refused := f.queue.offer(packet, f.offeredUpstream(s, l, segment.Key()), limit, f.servingSince(s), now)
+	decision, refused := f.queue.offer(packet, f.offeredUpstream(s, l, segment.Key(), now), limit, f.servingSince(s), now)
 	switch decision := decision.(type) {
 	case landing.RefuseWait:
 		f.refuseWaiting(packet, l, decision.ExpectedWait())
@@ -69,10 +69,10 @@
 	for _, r := range refused {
 		f.refuseWaiting(r, l, 0)
 	}
-	if isWaiting := f.queue.has(segment.Key()); isWaiting && (forwarded.ChainPart() > 0 || forwarded.HopIndex() > 0) {
+	if f.queue.has(segment.Key()) {
 		// The balancer sends the caller's next copy to the sidecar that has claimed the flow. Without a claim the copy
 		// would go to the first sidecar of the chain, which could admit the flow as well.
-		f.claimFlow(forwarded.BalancerAddress(), segment.Key())
+		f.claimFromLaterHop(forwarded, segment.Key())
 	}
 	common.Notify(f.queueBlocked)
 }
--- a/sidecar/pkg/relay/upstream.go
+++ b/sidecar/pkg/relay/upstream.go
@@ -77,7 +77,7 @@
 		refusal = landing.RefusalRoom
 	}
 	s := f.controlThread.Snapshot()
-	action := hold.Decide(landing.FlowAbsent{}, segment, f.position(s, forwarded, segment), refusal)
+	action := hold.Decide(landing.FlowAbsent{}, segment, f.position(s, forwarded, segment, clock.Now()), refusal)
 	f.logAction(segment, forwarded, action, refusal)
 	f.execute(action, forwarded.WithPacket(packet.Bytes()), packet, segment, refusal, time.Time{})
 	f.admitWaiting()
