--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -102,9 +102,9 @@
 func (c *ControlThread) handle(s Snapshot, event landing.RelayEvent) Snapshot {
 	switch event := event.(type) {
 	case landing.RulesReceived:
-		return c.applyPolicy(s, s.policy.WithRules(event.Rules()))
+		return c.applyPolicy(s, s.policy.WithRules(event.Rules()), event.Source())
 	case landing.ExclusionsReceived:
-		return c.applyPolicy(s, s.policy.WithExclusions(event.Exclusions()))
+		return c.applyPolicy(s, s.policy.WithExclusions(event.Exclusions()), nil)
 	case landing.EnrollmentsReceived:
 		return c.applyEnrollments(s, event.EnrollmentList())
 	case landing.StatusesReceived:
@@ -127,9 +127,9 @@
 }
 
 // applyPolicy puts a policy in force and logs newer rules and changed exclusions.
-func (c *ControlThread) applyPolicy(s Snapshot, p policy.Policy) Snapshot {
+func (c *ControlThread) applyPolicy(s Snapshot, p policy.Policy, source landing.ReadSource) Snapshot {
 	if r := p.Rules().Rules(); r.Revision() != s.policy.Rules().Rules().Revision() {
-		c.telemetry.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen())
+		c.telemetry.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen(), "source", policy.SourceLabel(source))
 	}
 	if e := p.Exclusions(); e.ChangedRevision() != s.policy.Exclusions().ChangedRevision() {
 		c.telemetry.Log().Info("exclusions in force", "changed", e.ChangedRevision(), "zones", e.Zones())
@@ -162,7 +162,11 @@
 // noteRevisions records the revisions that another process has advertised, and signals PolicyOutdated when they are
 // newer than those in force.
 func (c *ControlThread) noteRevisions(s Snapshot, advertised landing.PolicyRevisions) Snapshot {
-	s = s.WithPolicy(s.policy.WithRevisionsSeen(advertised))
+	next := s.policy.WithRevisionsSeen(advertised)
+	if s.policy.LearnsOfNewer(next) {
+		c.telemetry.Log().Info("newer policy advertised", "rules", advertised.Rules(), "exclusions", advertised.Exclusions())
+	}
+	s = s.WithPolicy(next)
 	if s.policy.IsBehind() {
 		common.Notify(c.policyOutdated)
 	}
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -154,7 +154,7 @@
 		}
 		since = revision
 		if rules.Revision() > 0 {
-			s.control.Post(landing.RulesReceived{}.WithRules(rules))
+			s.control.Post(landing.RulesReceived{}.WithRules(rules).WithSource(landing.WatchRead{}))
 			common.Sleep(s.stopper.Stopper, pace.PauseAfterChange)
 		}
 		return nil
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -638,6 +638,7 @@
 func EncodeRulesReceived(v landing.RulesReceived) *landingpb.RulesReceived {
 	m := &landingpb.RulesReceived{}
 	m.Rules = EncodeRoutingRules(v.Rules())
+	m.Source = EncodeReadSource(v.Source())
 	return m
 }
 
@@ -645,6 +646,7 @@
 func DecodeRulesReceived(m *landingpb.RulesReceived) landing.RulesReceived {
 	v := landing.RulesReceived{}
 	v = v.WithRules(DecodeRoutingRules(m.GetRules()))
+	v = v.WithSource(DecodeReadSource(m.GetSource()))
 	return v
 }
 
@@ -799,6 +801,8 @@
 		return &landingpb.ReadSource{ReadSource: &landingpb.ReadSource_PeerRead{PeerRead: EncodePeerRead(v)}}
 	case landing.ConsistentRead:
 		return &landingpb.ReadSource{ReadSource: &landingpb.ReadSource_ConsistentRead{ConsistentRead: EncodeConsistentRead(v)}}
+	case landing.WatchRead:
+		return &landingpb.ReadSource{ReadSource: &landingpb.ReadSource_WatchRead{WatchRead: EncodeWatchRead(v)}}
 	default:
 		return &landingpb.ReadSource{}
 	}
@@ -813,6 +817,8 @@
 		return DecodePeerRead(c.PeerRead)
 	case *landingpb.ReadSource_ConsistentRead:
 		return DecodeConsistentRead(c.ConsistentRead)
+	case *landingpb.ReadSource_WatchRead:
+		return DecodeWatchRead(c.WatchRead)
 	default:
 		return nil
 	}
@@ -854,6 +860,18 @@
 	return v
 }
 
+// EncodeWatchRead converts v to its protobuf message.
+func EncodeWatchRead(v landing.WatchRead) *landingpb.WatchRead {
+	m := &landingpb.WatchRead{}
+	return m
+}
+
+// DecodeWatchRead converts the protobuf message m to its value. Unset fields (all fields of a nil m) become zero, times 1970-01-01 UTC.
+func DecodeWatchRead(m *landingpb.WatchRead) landing.WatchRead {
+	v := landing.WatchRead{}
+	return v
+}
+
 // EncodeProbeAckReceived converts v to its protobuf message.
 func EncodeProbeAckReceived(v landing.ProbeAckReceived) *landingpb.ProbeAckReceived {
 	m := &landingpb.ProbeAckReceived{}
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -1722,7 +1722,8 @@
 
 // RulesReceived means that routing rules were read from the platform or another process.
 type RulesReceived struct {
-	rules RoutingRules
+	rules  RoutingRules
+	source ReadSource
 }
 
 func (RulesReceived) isRelayEvent() {}
@@ -1740,6 +1741,19 @@
 	return v
 }
 
+// Source returns the field of the same name.
+//
+// The source from which they were read.
+func (v RulesReceived) Source() ReadSource {
+	return v.source
+}
+
+// WithSource returns a copy of v with the given source.
+func (v RulesReceived) WithSource(source ReadSource) RulesReceived {
+	v.source = source
+	return v
+}
+
 // ExclusionsReceived means that zone exclusions were read from the platform or another process.
 type ExclusionsReceived struct {
 	exclusions ZoneExclusions
@@ -2028,6 +2042,12 @@
 
 func (ConsistentRead) isReadSource() {}
 
+// WatchRead is a call to the platform that returns when an object has changed.
+type WatchRead struct {
+}
+
+func (WatchRead) isReadSource() {}
+
 // ProbeAckReceived means that a silent sidecar answered an indirect probe.
 type ProbeAckReceived struct {
 	subjectAddress uint64
--- a/core/pkg/catchup/catchup.go
+++ b/core/pkg/catchup/catchup.go
@@ -69,12 +69,12 @@
 			return false
 		}
 		if err != nil {
-			r.telemetry.Log().V(1).Info("source cannot be read", "source", sourceLabel(source), "error", err.Error())
+			r.telemetry.Log().V(1).Info("source cannot be read", "source", policy.SourceLabel(source), "error", err.Error())
 			continue
 		}
 		r.control.AwaitPosted()
 		if !r.control.Policy().IsBehind() {
-			r.telemetry.Counters().Counter("caught_up." + sourceLabel(source)).Inc(1)
+			r.telemetry.Counters().Counter("caught_up." + policy.SourceLabel(source)).Inc(1)
 			return true
 		}
 	}
@@ -131,6 +131,7 @@
 			r.control.Post(landing.ConsistentReadEnded{}.WithWantedAtStart(before.WantedRevisions()))
 		}
 		return err
+	case landing.WatchRead: // watches are run by the balancers' PlatformSync
 	}
 	return nil
 }
@@ -143,7 +144,7 @@
 		if err != nil {
 			return err
 		}
-		r.control.Post(landing.RulesReceived{}.WithRules(rules))
+		r.control.Post(landing.RulesReceived{}.WithRules(rules).WithSource(storeSource(freshness)))
 	}
 	if isIsolated || before.WantedRevisions().Exclusions() > before.KnownRevisions().Exclusions() {
 		exclusions, err := r.store.ReadExclusions(ctx, before.Exclusions(), freshness)
@@ -155,6 +156,14 @@
 	return nil
 }
 
+// storeSource returns the source of a read from the platform with this freshness.
+func storeSource(freshness landing.Freshness) landing.ReadSource {
+	if freshness == landing.FreshnessNewest {
+		return landing.ConsistentRead{}
+	}
+	return landing.StaleRead{}
+}
+
 // ReadFromPeers reads rules, exclusions and the list of enrolled sidecars from another process and
 // posts them to the control thread.
 func (r Reader) ReadFromPeers(ctx context.Context) error {
@@ -162,21 +171,8 @@
 	if err != nil {
 		return err
 	}
-	r.control.Post(landing.RulesReceived{}.WithRules(snapshot.Rules()))
+	r.control.Post(landing.RulesReceived{}.WithRules(snapshot.Rules()).WithSource(landing.PeerRead{}))
 	r.control.Post(landing.ExclusionsReceived{}.WithExclusions(snapshot.Exclusions()))
 	r.control.Post(landing.EnrollmentsReceived{}.WithEnrollmentList(snapshot.EnrollmentList()))
 	return nil
 }
-
-// sourceLabel returns the name of the source in logs and counters.
-func sourceLabel(source landing.ReadSource) string {
-	switch source.(type) {
-	case landing.StaleRead:
-		return "copy"
-	case landing.PeerRead:
-		return "peer"
-	case landing.ConsistentRead:
-		return "original"
-	}
-	return ""
-}
--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -104,6 +104,11 @@
 	return p
 }
 
+// LearnsOfNewer reports whether the next policy wants a newer revision than p that it does not have.
+func (p Policy) LearnsOfNewer(next Policy) bool {
+	return p.wantedRevisions != next.wantedRevisions && next.IsBehind()
+}
+
 // IsBehind reports whether other processes have advertised newer revisions than this process has.
 func (p Policy) IsBehind() bool {
 	return p.IsOlderThan(p.wantedRevisions)
@@ -129,3 +134,18 @@
 func NewRevisions(rulesRevision, exclusionsChangedRevision uint64) landing.PolicyRevisions {
 	return landing.PolicyRevisions{}.WithRules(rulesRevision).WithExclusions(exclusionsChangedRevision)
 }
+
+// SourceLabel returns the name of the source in logs and counters, or "" for nil.
+func SourceLabel(source landing.ReadSource) string {
+	switch source.(type) {
+	case landing.StaleRead:
+		return "copy"
+	case landing.PeerRead:
+		return "peer"
+	case landing.ConsistentRead:
+		return "original"
+	case landing.WatchRead:
+		return "watch"
+	}
+	return ""
+}
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -110,9 +110,9 @@
 func (t *ControlThread) handle(s Snapshot, e landing.RelayEvent) Snapshot {
 	switch e := e.(type) {
 	case landing.RulesReceived:
-		return t.applyPolicy(s, s.policy.WithRules(e.Rules()))
+		return t.applyPolicy(s, s.policy.WithRules(e.Rules()), e.Source())
 	case landing.ExclusionsReceived:
-		return t.applyPolicy(s, s.policy.WithExclusions(e.Exclusions()))
+		return t.applyPolicy(s, s.policy.WithExclusions(e.Exclusions()), nil)
 	case landing.UpstreamEventObserved:
 		return t.applyUpstreamEvent(s, e.Event())
 	case landing.SubscriptionReceived:
@@ -133,9 +133,9 @@
 
 // applyPolicy puts a policy in force and logs the change. When the upstream's zone is put back into
 // service, the upstream counts as cold.
-func (t *ControlThread) applyPolicy(s Snapshot, p policy.Policy) Snapshot {
+func (t *ControlThread) applyPolicy(s Snapshot, p policy.Policy, source landing.ReadSource) Snapshot {
 	if r := p.Rules().Rules(); r.Revision() != s.policy.Rules().Rules().Revision() {
-		t.telemetry.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen())
+		t.telemetry.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen(), "source", policy.SourceLabel(source))
 	}
 	wasExcluded, isExcluded := s.policy.IsExcluded(t.zone), p.IsExcluded(t.zone)
 	s = s.WithPolicy(p)
@@ -172,7 +172,11 @@
 // recordRevisions records the revisions that another process has advertised, and signals PolicyOutdated when
 // they are newer than those in force.
 func (t *ControlThread) recordRevisions(s Snapshot, seen landing.PolicyRevisions) Snapshot {
-	s = s.WithPolicy(s.policy.WithRevisionsSeen(seen))
+	next := s.policy.WithRevisionsSeen(seen)
+	if s.policy.LearnsOfNewer(next) {
+		t.telemetry.Log().Info("newer policy advertised", "rules", seen.Rules(), "exclusions", seen.Exclusions())
+	}
+	s = s.WithPolicy(next)
 	if s.policy.IsBehind() {
 		common.Notify(t.policyOutdated)
 	}
