Failing tests: a large configuration is never in force

What callers see: after the third addition of 1,400 routes no new route is served, and no later change comes into force.

--- a/experiment/pkg/relayed/fleet.go
+++ b/experiment/pkg/relayed/fleet.go
@@ -171,14 +171,27 @@
 }
 
 // SetRules writes a configuration with this version, in which all flows to Listener are routed to this service, to the
-// store. In the platform's format, the host of a route is the IP address of a listener and the path prefix its port.
+// store.
 func (f *Fleet) SetRules(version int, service string) {
+	f.SetRulesWithRoutes(version, service, 0)
+}
+
+// SetRulesWithRoutes does the same as SetRules, with this number of further routes to the service. In the platform's
+// format, the host of a route is the IP address of a listener and the path prefix its port.
+func (f *Fleet) SetRulesWithRoutes(version int, service string, further int) {
+	routes := []any{map[string]any{
+		"name": "r", "host": Listener.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", Listener.Port()), "service": service,
+		"aim_ms": f.cfg.ResponseAim.Milliseconds(), "timeout_ms": f.cfg.RequestTimeout.Milliseconds(),
+	}}
+	for i := range further {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r%d", i), "host": fmt.Sprintf("198.19.%d.%d", i/256, i%256), "path_prefix": "/443/", "service": service,
+			"type": "safe", "aim_ms": 250, "timeout_ms": 2500, "priority": 2, "max_attempts": 2,
+		})
+	}
 	f.store.Put("config", "main", map[string]any{
-		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r", "host": Listener.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", Listener.Port()), "service": service,
-			"aim_ms": f.cfg.ResponseAim.Milliseconds(), "timeout_ms": f.cfg.RequestTimeout.Milliseconds(),
-		}},
+		"version":  version,
+		"routes":   routes,
 		"services": []any{map[string]any{"name": "desk", "max_conns": 2000, "cold_start_s": 1}},
 		"limits":   map[string]any{"idle_timeout_ms": 15000},
 	})
