A watch whose response cannot be read is replaced by a read

What callers see: at a process that was cut off while large configurations followed each other, no change comes into force by its own watch any longer.

Cause: after an error a watch continued from the same revision. A response with more than 4 MiB of changes, which the process refuses, was requested again and again. On links of 10 Mbit/s the same holds for a response that takes longer than the watch. Class: the same limit as before, applied to a request that is repeated unchanged.

A read returns the newest version only, so its size does not depend on how far the process is behind.

--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -166,10 +166,10 @@
 	return pace.WatchTimeout(s.control.Snapshot().BalancerCount(), within)
 }
 
-// resumeRevision returns the revision from which a watch continues after an error. It returns 0 when the platform no
-// longer has the changes since that revision, so that the object must be read again.
+// resumeRevision returns the revision from which a watch continues after an error. It returns 0 when the changes
+// since that revision cannot be had, so that the object must be read again.
 func resumeRevision(err error, since uint64) uint64 {
-	if errors.Is(err, platform.ErrRevisionExpired) {
+	if errors.Is(err, platform.ErrReadRequired) {
 		return 0
 	}
 	return since
