Time limits of reads follow the progress of the response

What callers see: on a balancer with a link of 10 Mbit/s a configuration of 1 MiB comes into force late or, beside traffic, not at all.

Cause: a read from the store ended after 2 s and one from a peer after 0.8 s, whatever had been received by then, and the next attempt started over. 1 MiB takes 0.9 s on such a link without any other traffic. Class: a limit that is narrower than what the store accepts.

--- a/core/pkg/peer/peer.go
+++ b/core/pkg/peer/peer.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,12 +18,13 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/gen/wire"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/transfer"
 )
 
 const (
 	snapshotPath = "/picture"
-	// requestTimeout is the timeout of one request. The round trip between processes of the fleet takes a few
-	// milliseconds.
+	// requestTimeout limits the time until a process responds, and the time without progress of its response. The round
+	// trip between processes of the fleet takes a few milliseconds.
 	requestTimeout = 800 * time.Millisecond
 	// maxSnapshotBytes is the largest size of a response. It exceeds the size of the routing rules and the list of
 	// enrolled sidecars of the largest deployment.
@@ -59,7 +59,6 @@
 // that of fleetAddress.
 func NewClient(fleetAddress string, seeds []string) *Client {
 	c := &Client{http: &http.Client{
-		Timeout:   requestTimeout,
 		Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: requestTimeout}).DialContext},
 	}}
 	if own, err := netip.ParseAddrPort(fleetAddress); err == nil {
@@ -112,14 +111,12 @@
 	if err != nil {
 		return landing.PlatformSnapshot{}, trace.Wrap(err)
 	}
-	resp, err := c.http.Do(r)
+	status, body, err := transfer.Do(c.http, r, transfer.Limits{Response: requestTimeout, Stall: requestTimeout, Bytes: maxSnapshotBytes})
 	if err != nil {
-		return landing.PlatformSnapshot{}, trace.ConnectionProblem(err, "fetch snapshot from %s", address)
+		return landing.PlatformSnapshot{}, trace.ConnectionProblem(err, "fetch snapshot from %s: %v", address, err)
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxSnapshotBytes))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return landing.PlatformSnapshot{}, trace.ConnectionProblem(err, "fetch snapshot from %s: %s", address, resp.Status)
+	if status != http.StatusOK {
+		return landing.PlatformSnapshot{}, trace.ConnectionProblem(nil, "fetch snapshot from %s: status %d", address, status)
 	}
 	return wire.ParsePlatformSnapshot(body)
 }
--- /dev/null
+++ b/core/pkg/peer/peer_test.go
@@ -0,0 +1,62 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/gen/wire"
+	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+)
+
+// serveSnapshot serves a snapshot with rules of this revision on a loopback address and returns the address.
+func serveSnapshot(t *testing.T, listenAddress string, revision uint64, w func(http.Handler) http.Handler) netip.AddrPort {
+	t.Helper()
+	snapshot := landing.PlatformSnapshot{}.WithRules(landing.RoutingRules{}.WithRevision(revision))
+	server := httptest.NewUnstartedServer(w(NewHandler(func() (landing.PlatformSnapshot, bool) { return snapshot, true })))
+	server.Listener.Close()
+	listener, err := net.Listen("tcp", listenAddress)
+	is.New(t).NoErr(err)
+	server.Listener = listener
+	server.Start()
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func unchanged(h http.Handler) http.Handler { return h }
+
+// Guards against a snapshot over a slow link that is given up although it makes progress.
+func TestFetchSnapshot_OverSlowLink(t *testing.T) {
+	is := is.New(t)
+	inParts := func(http.Handler) http.Handler {
+		body := wire.AppendPlatformSnapshot(nil, landing.PlatformSnapshot{}.WithRules(landing.RoutingRules{}.WithRevision(7)))
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for _, b := range body {
+				time.Sleep(requestTimeout / 2)
+				_, _ = w.Write([]byte{b})
+				w.(http.Flusher).Flush()
+			}
+		})
+	}
+	seed := serveSnapshot(t, "127.0.0.2:0", 7, inParts)
+	client := NewClient(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), seed.Port()).String(), []string{seed.String()})
+	snapshot, err := client.FetchSnapshot(context.Background(), nil)
+	is.NoErr(err)
+	is.Equal(snapshot.Rules().Revision(), uint64(7))
+}
+
+func TestFetchSnapshot_FailsWithoutPeers(t *testing.T) {
+	is := is.New(t)
+	_, err := NewClient("127.0.0.1:1", nil).FetchSnapshot(context.Background(), nil)
+	is.True(err != nil)
+	refused := address.PackAddrPort(netip.MustParseAddrPort("127.0.0.1:1"))
+	_, err = NewClient("127.0.0.1:2", nil).FetchSnapshot(context.Background(), []uint64{refused, refused})
+	is.True(err != nil)
+}
