--- a/core/pkg/peer/peer.go
+++ b/core/pkg/peer/peer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,9 @@
 	// requestTimeout limits the time until a process responds, and the time without progress of its response. The round
 	// trip between processes of the fleet takes a few milliseconds.
 	requestTimeout = 800 * time.Millisecond
+	// hedgeDelay is the time after which the next process is asked while the one before has not responded. Many processes
+	// may have lost power at the same time.
+	hedgeDelay = requestTimeout / 4
 	// maxSnapshotBytes is the largest size of a response. It exceeds the size of the routing rules and the list of
 	// enrolled sidecars of the largest deployment.
 	maxSnapshotBytes = 8 << 20
@@ -79,8 +83,8 @@
 	c.seedIPs.Store(&ips)
 }
 
-// FetchSnapshot returns the snapshot of the first process that responds. It tries the processes at the addresses in
-// peers in random order, then the seeds in random order. Addresses in peers are packed, see address.PackAddrPort.
+// FetchSnapshot returns the snapshot of the first process that responds. It asks the processes at the addresses in
+// peers in random order, then the seeds in random order, and does not wait long for any of them. Addresses in peers are packed, see address.PackAddrPort.
 // When no process responds, it returns the error of the last attempt. That is trace.ConnectionProblem unless the
 // snapshot cannot be decoded.
 func (c *Client) FetchSnapshot(ctx context.Context, peers []uint64) (landing.PlatformSnapshot, error) {
@@ -92,18 +96,48 @@
 	for _, i := range rand.Perm(len(seedIPs)) {
 		addresses = append(addresses, netip.AddrPortFrom(seedIPs[i], c.fleetPort).String())
 	}
-	var lastErr error = trace.ConnectionProblem(nil, "there is no other process to fetch a snapshot from")
-	for _, a := range addresses {
-		if a == c.ownAddress {
-			continue
+	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == c.ownAddress })
+	if len(addresses) == 0 {
+		return landing.PlatformSnapshot{}, trace.ConnectionProblem(nil, "there is no other process to fetch a snapshot from")
+	}
+	return c.fetchFromAny(ctx, addresses)
+}
+
+// fetched is the result of a request to one process.
+type fetched struct {
+	snapshot landing.PlatformSnapshot
+	err      error
+}
+
+// fetchFromAny returns the first snapshot that one of the processes at these addresses returns. It asks them one after the
+// other, the next one as soon as a request has failed or hedgeDelay has passed. When all requests fail, it returns the last
+// error.
+func (c *Client) fetchFromAny(ctx context.Context, addresses []string) (landing.PlatformSnapshot, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the requests that are still waiting
+	results := make(chan fetched, len(addresses))
+	ask := func(address string) {
+		snapshot, err := c.fetchFrom(ctx, address)
+		results <- fetched{snapshot, err}
+	}
+	timer := time.NewTimer(hedgeDelay)
+	defer timer.Stop()
+	go ask(addresses[0])
+	for asked, failed := 1, 0; ; {
+		select {
+		case r := <-results:
+			failed++
+			if r.err == nil || failed == len(addresses) {
+				return r.snapshot, r.err
+			}
+		case <-timer.C:
 		}
-		p, err := c.fetchFrom(ctx, a)
-		if err == nil {
-			return p, nil
+		if asked < len(addresses) {
+			go ask(addresses[asked])
+			asked++
+			timer.Reset(hedgeDelay)
 		}
-		lastErr = err
 	}
-	return landing.PlatformSnapshot{}, lastErr
 }
 
 func (c *Client) fetchFrom(ctx context.Context, address string) (landing.PlatformSnapshot, error) {
--- a/core/pkg/peer/peer_test.go
+++ b/core/pkg/peer/peer_test.go
@@ -16,6 +16,9 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
 )
 
+// applyTime is the shortest time within which a change of the routing rules must be in force on any deployment.
+const applyTime = 3 * time.Second
+
 // serveSnapshot serves a snapshot with rules of this revision on a loopback address and returns the address.
 func serveSnapshot(t *testing.T, listenAddress string, revision uint64, w func(http.Handler) http.Handler) netip.AddrPort {
 	t.Helper()
@@ -30,8 +33,33 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// unresponsive returns the address of a process that accepts connections and does not respond.
+func unresponsive(t *testing.T) uint64 {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	return address.PackAddrPort(netip.MustParseAddrPort(listener.Addr().String()))
+}
+
 func unchanged(h http.Handler) http.Handler { return h }
 
+// Guards against a process that is behind for seconds because it asks one lost process after the other.
+func TestFetchSnapshot_UnresponsivePeersDelayLittle(t *testing.T) {
+	is := is.New(t)
+	seed := serveSnapshot(t, "127.0.0.2:0", 7, unchanged)
+	client := NewClient(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), seed.Port()).String(), []string{seed.String()})
+	var peers []uint64
+	for range 8 {
+		peers = append(peers, unresponsive(t))
+	}
+	start := time.Now()
+	snapshot, err := client.FetchSnapshot(context.Background(), peers)
+	is.NoErr(err)
+	is.Equal(snapshot.Rules().Revision(), uint64(7))
+	is.True(time.Since(start) < applyTime)
+}
+
 // Guards against a snapshot over a slow link that is given up although it makes progress.
 func TestFetchSnapshot_OverSlowLink(t *testing.T) {
 	is := is.New(t)
