--- a/balancer/pkg/relay/orphan_resetter.go
+++ b/balancer/pkg/relay/orphan_resetter.go
@@ -89,7 +89,7 @@
 	snapshot := r.control.Snapshot()
 	before := snapshot.directory.EnrollmentList()
 	// The complete list is read, since a watch can miss changes when the platform drops its history of revisions.
-	current, err := r.store.ReadEnrollments(r.stopper.Context())
+	current, err := r.store.ReadEnrollments(r.stopper.Context(), before)
 	if err != nil {
 		r.telemetry.Log().Info("flows not reset", "reason", "platform cannot be read", "flows", len(pending), "error", err.Error())
 		return
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -205,7 +205,7 @@
 		var next landing.EnrollmentList
 		var err error
 		if known.Revision() == 0 {
-			next, err = s.store.ReadEnrollments(s.stopper.Context())
+			next, err = s.store.ReadEnrollments(s.stopper.Context(), known)
 		} else {
 			next, err = s.store.WatchEnrollments(s.stopper.Context(), known, enrollmentTimeoutFactor*s.watchTimeout(s.applyWithin))
 		}
--- a/sidecar/pkg/relay/platform_sync_test.go
+++ b/sidecar/pkg/relay/platform_sync_test.go
@@ -45,7 +45,7 @@
 
 func readEnrollments(t *testing.T, client *platform.StoreClient) landing.EnrollmentList {
 	t.Helper()
-	r, err := client.ReadEnrollments(t.Context())
+	r, err := client.ReadEnrollments(t.Context(), landing.EnrollmentList{})
 	if err != nil {
 		t.Fatal(err)
 	}
