core/platform: time limits follow the progress of the response

What callers see: on the product's own path, a process on a slow link does not follow the lists, which may have up to 1 MiB.

Cause: the same as on the relay path (package transfer): a read ended after 3 s, whatever had been received by then. Found by looking for the same cause elsewhere.

Change: the client uses package transfer, whose Do now also returns the header.

--- a/core/pkg/peer/peer.go
+++ b/core/pkg/peer/peer.go
@@ -145,12 +145,12 @@
 	if err != nil {
 		return landing.PlatformSnapshot{}, trace.Wrap(err)
 	}
-	status, body, err := transfer.Do(c.http, r, transfer.Limits{Response: requestTimeout, Stall: requestTimeout, Bytes: maxSnapshotBytes})
+	response, err := transfer.Do(c.http, r, transfer.Limits{Response: requestTimeout, Stall: requestTimeout, Bytes: maxSnapshotBytes})
 	if err != nil {
 		return landing.PlatformSnapshot{}, trace.ConnectionProblem(err, "fetch snapshot from %s: %v", address, err)
 	}
-	if status != http.StatusOK {
-		return landing.PlatformSnapshot{}, trace.ConnectionProblem(nil, "fetch snapshot from %s: status %d", address, status)
+	if response.Status != http.StatusOK {
+		return landing.PlatformSnapshot{}, trace.ConnectionProblem(nil, "fetch snapshot from %s: status %d", address, response.Status)
 	}
-	return wire.ParsePlatformSnapshot(body)
+	return wire.ParsePlatformSnapshot(response.Body)
 }
--- a/core/pkg/platform/client.go
+++ b/core/pkg/platform/client.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,13 +12,16 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/crocuslanding/crocuslanding/core/pkg/transfer"
 )
 
 const (
 	// MaxValueBytes is the size of the largest value that the platform stores.
 	MaxValueBytes = 1 << 20
 
-	// callTimeout is the timeout of each call other than a watch.
+	// callTimeout limits the time until the response to a call other than a watch, and the time without progress of any
+	// response.
 	callTimeout = 3 * time.Second
 	// watchTimeout is the time after which the platform answers a watch although the object has not changed.
 	watchTimeout = 10 * time.Second
@@ -60,21 +62,17 @@
 // Get returns the object with this name. It returns trace.NotFound when there is none, trace.LimitExceeded when the
 // platform limits calls, and trace.ConnectionProblem when the platform is unreachable or fails.
 func (c *Client) Get(ctx context.Context, name string) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return c.do(ctx, http.MethodGet, name, nil, nil, nil)
+	return c.do(ctx, callTimeout, http.MethodGet, name, nil, nil, nil)
 }
 
 // Watch returns the object with this name as soon as its version differs from knownVersion. It returns
 // trace.LimitExceeded when the object does not change within watchTimeout, and otherwise the errors of Get. The timeout
 // ensures that a connection that has stopped responding is detected.
 func (c *Client) Watch(ctx context.Context, name string, knownVersion uint64) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchTimeoutMargin)
-	defer cancel()
 	query := url.Values{}
 	query.Set("after", strconv.FormatUint(knownVersion, 10))
 	query.Set("wait", watchTimeout.String())
-	return c.do(ctx, http.MethodGet, name, query, nil, nil)
+	return c.do(ctx, watchTimeout+watchTimeoutMargin, http.MethodGet, name, query, nil, nil)
 }
 
 // Put writes value if the object has this version, and returns the written object. Version 0 means that the object must
@@ -85,15 +83,13 @@
 	if len(value) > MaxValueBytes {
 		return Object{}, trace.BadParameter("value of %s has %d bytes, more than %d", name, len(value), MaxValueBytes)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	header := http.Header{}
 	if version == 0 {
 		header.Set("If-None-Match", "*")
 	} else {
 		header.Set("If-Match", etag(version))
 	}
-	return c.do(ctx, http.MethodPut, name, nil, header, value)
+	return c.do(ctx, callTimeout, http.MethodPut, name, nil, header, value)
 }
 
 // Close closes idle connections.
@@ -101,7 +97,8 @@
 	c.http.CloseIdleConnections()
 }
 
-func (c *Client) do(ctx context.Context, method, name string, query url.Values, header http.Header, value []byte) (Object, error) {
+// do sends a request. The header of the response must come within timeout, and its body must then make progress.
+func (c *Client) do(ctx context.Context, timeout time.Duration, method, name string, query url.Values, header http.Header, value []byte) (Object, error) {
 	address := c.base + objectsPath + url.PathEscape(name) + "?" + query.Encode()
 	r, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(value))
 	if err != nil {
@@ -110,44 +107,40 @@
 	if header != nil {
 		r.Header = header
 	}
-	resp, err := c.http.Do(r)
+	response, err := transfer.Do(c.http, r, transfer.Limits{Response: timeout, Stall: callTimeout, Bytes: MaxValueBytes})
 	if err != nil {
-		return Object{}, trace.ConnectionProblem(err, "%s %s", method, name)
+		return Object{}, trace.ConnectionProblem(err, "%s %s: %v", method, name, err)
 	}
-	defer resp.Body.Close()
-	return readResponse(resp, name, value)
+	return readResponse(response, name, value)
 }
 
-func readResponse(resp *http.Response, name string, written []byte) (Object, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
-	if err != nil {
-		return Object{}, trace.ConnectionProblem(err, "read response for object %s", name)
-	}
-	switch resp.StatusCode {
+func readResponse(response transfer.Response, name string, written []byte) (Object, error) {
+	switch response.Status {
 	case http.StatusOK:
-		return readObject(resp, name, body, written)
+		return readObject(response, name, written)
 	case http.StatusNotFound:
 		return Object{}, trace.NotFound("object %s does not exist", name)
 	case http.StatusPreconditionFailed:
 		return Object{}, trace.CompareFailed("object %s has another version", name)
 	case http.StatusNotModified, http.StatusTooManyRequests:
-		return Object{}, trace.LimitExceeded("object %s: platform responded %s", name, resp.Status)
+		return Object{}, trace.LimitExceeded("object %s: platform responded with status %d", name, response.Status)
 	default:
-		return Object{}, trace.ConnectionProblem(nil, "object %s: platform responded %s", name, resp.Status)
+		return Object{}, trace.ConnectionProblem(nil, "object %s: platform responded with status %d", name, response.Status)
 	}
 }
 
 // readObject returns the object with the version in the response. Its value is written if that is not nil, as after a
 // Put, and otherwise the body of the response.
-func readObject(resp *http.Response, name string, body, written []byte) (Object, error) {
-	version, err := strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
-	if err != nil || len(body) > MaxValueBytes {
-		return Object{}, trace.ConnectionProblem(err, "response for object %s has no valid version or is too long", name)
+func readObject(response transfer.Response, name string, written []byte) (Object, error) {
+	version, err := strconv.ParseUint(strings.Trim(response.Header.Get("ETag"), `"`), 10, 64)
+	if err != nil {
+		return Object{}, trace.ConnectionProblem(err, "response for object %s has no valid version", name)
 	}
+	value := response.Body
 	if written != nil {
-		body = written
+		value = written
 	}
-	return Object{version: version, value: body}, nil
+	return Object{version: version, value: value}, nil
 }
 
 func etag(version uint64) string {
--- /dev/null
+++ b/core/pkg/platform/client_test.go
@@ -0,0 +1,58 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+)
+
+// serve returns a client of a platform with this handler.
+func serve(t *testing.T, handler http.HandlerFunc) *Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	client := New(strings.TrimPrefix(server.URL, "http://"))
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return client
+}
+
+// Guards against a large object over a slow link that is given up although its transfer makes progress.
+func TestGet_OverSlowLink(t *testing.T) {
+	is := is.New(t)
+	part := strings.Repeat("v", MaxValueBytes/4)
+	client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("ETag", `"3"`)
+		for range 4 {
+			_, _ = w.Write([]byte(part))
+			w.(http.Flusher).Flush()
+			time.Sleep(callTimeout / 3)
+		}
+	})
+	object, err := client.Get(context.Background(), "lists")
+	is.NoErr(err)
+	is.Equal(object.Version(), uint64(3))
+	is.Equal(len(object.Value()), MaxValueBytes)
+}
+
+func TestGet_FailsWithoutVersionOrOverLimit(t *testing.T) {
+	is := is.New(t)
+	for _, header := range []string{"", `"3"`} {
+		client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			if header != "" {
+				w.Header().Set("ETag", header)
+				_, _ = w.Write(make([]byte, MaxValueBytes))
+			}
+			_, _ = w.Write([]byte("v"))
+		})
+		_, err := client.Get(context.Background(), "lists")
+		is.True(trace.IsConnectionProblem(err))
+	}
+}
--- a/core/pkg/transfer/transfer.go
+++ b/core/pkg/transfer/transfer.go
@@ -25,16 +25,24 @@
 	Bytes int64
 }
 
-// Do sends the request and returns the status and the body of the response. If the body cannot be read, Do returns an error
-// together with the status. The error is trace.LimitExceeded if a limit was exceeded.
-func Do(client *http.Client, request *http.Request, limits Limits) (status int, body []byte, err error) {
+// Response is a response with its whole body.
+type Response struct {
+	// Status is the status code; 0 if there was no response.
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Do sends the request and returns the response. If the body cannot be read, Do returns an error together with the status
+// and the header. The error is trace.LimitExceeded if a limit was exceeded.
+func Do(client *http.Client, request *http.Request, limits Limits) (Response, error) {
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
 	timer := time.AfterFunc(limits.Response, func() { cancel(trace.LimitExceeded("no response within %s", limits.Response)) })
 	defer timer.Stop()
 	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
-		return 0, nil, causeOf(ctx, err)
+		return Response{}, causeOf(ctx, err)
 	}
 	defer response.Body.Close()
 	timer.Stop()
@@ -42,14 +50,16 @@
 	defer stall.Stop()
 	total := time.AfterFunc(maxBodyTime, func() { cancel(trace.LimitExceeded("response takes longer than %s", maxBodyTime)) })
 	defer total.Stop()
-	body, err = io.ReadAll(io.LimitReader(progressReader{response.Body, stall, limits.Stall}, limits.Bytes+1))
+	r := Response{Status: response.StatusCode, Header: response.Header}
+	body, err := io.ReadAll(io.LimitReader(progressReader{response.Body, stall, limits.Stall}, limits.Bytes+1))
 	if err != nil {
-		return response.StatusCode, nil, causeOf(ctx, err)
+		return r, causeOf(ctx, err)
 	}
 	if int64(len(body)) > limits.Bytes {
-		return response.StatusCode, nil, trace.LimitExceeded("response has more than %d bytes", limits.Bytes)
+		return r, trace.LimitExceeded("response has more than %d bytes", limits.Bytes)
 	}
-	return response.StatusCode, body, nil
+	r.Body = body
+	return r, nil
 }
 
 // causeOf returns the limit that ended the transfer, or err if there is none.
--- a/core/pkg/transfer/transfer_test.go
+++ b/core/pkg/transfer/transfer_test.go
@@ -16,13 +16,13 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "rules") }))
 	defer server.Close()
 	request, _ := http.NewRequest(http.MethodGet, server.URL, nil)
-	status, body, err := Do(http.DefaultClient, request, Limits{Response: time.Second, Stall: time.Second, Bytes: 100})
-	fmt.Println(status, string(body), err)
+	r, err := Do(http.DefaultClient, request, Limits{Response: time.Second, Stall: time.Second, Bytes: 100})
+	fmt.Println(r.Status, string(r.Body), err)
 	// Output: 200 rules <nil>
 }
 
 // get requests a response that consists of this number of parts, one each interval.
-func get(t *testing.T, parts int, interval time.Duration, limits Limits) (int, []byte, error) {
+func get(t *testing.T, parts int, interval time.Duration, limits Limits) (Response, error) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for range parts {
@@ -46,31 +46,31 @@
 	is := is.New(t)
 	limits := Limits{Response: time.Second, Stall: time.Second, Bytes: 100}
 	start := time.Now()
-	status, body, err := get(t, 6, 250*time.Millisecond, limits)
+	r, err := get(t, 6, 250*time.Millisecond, limits)
 	is.NoErr(err)
-	is.Equal(status, http.StatusOK)
-	is.Equal(string(body), strings.Repeat("part", 6))
+	is.Equal(r.Status, http.StatusOK)
+	is.Equal(string(r.Body), strings.Repeat("part", 6))
 	is.True(time.Since(start) > limits.Response)
 }
 
 // Guards against a request that waits for a process that has stopped.
 func TestDo_EndsWithoutProgress(t *testing.T) {
 	is := is.New(t)
-	status, _, err := get(t, 1, time.Minute, Limits{Response: 50 * time.Millisecond, Stall: time.Minute, Bytes: 100})
+	r, err := get(t, 1, time.Minute, Limits{Response: 50 * time.Millisecond, Stall: time.Minute, Bytes: 100})
 	is.True(trace.IsLimitExceeded(err))
-	is.Equal(status, 0)
-	status, _, err = get(t, 2, 300*time.Millisecond, Limits{Response: time.Minute, Stall: 50 * time.Millisecond, Bytes: 100})
+	is.Equal(r.Status, 0)
+	r, err = get(t, 2, 300*time.Millisecond, Limits{Response: time.Minute, Stall: 50 * time.Millisecond, Bytes: 100})
 	is.True(trace.IsLimitExceeded(err))
-	is.Equal(status, http.StatusOK)
+	is.Equal(r.Status, http.StatusOK)
 }
 
 // Guards against a response that takes all memory.
 func TestDo_LimitsBody(t *testing.T) {
 	is := is.New(t)
 	limits := Limits{Response: time.Minute, Stall: time.Minute, Bytes: 4}
-	_, body, err := get(t, 1, 0, limits)
+	r, err := get(t, 1, 0, limits)
 	is.NoErr(err)
-	is.Equal(string(body), "part")
-	_, _, err = get(t, 2, 0, limits)
+	is.Equal(string(r.Body), "part")
+	_, err = get(t, 2, 0, limits)
 	is.True(trace.IsLimitExceeded(err))
 }
