balancer: leave flows to unknown addresses to their next copy while behind

Cause: a balancer without a rule for the address reset the flow even when other processes had advertised newer rules. The same refusal by a sidecar was already left to the next copy, 200 ms later (reject.IsFinal).

Evidence: TestRefuseUnknownService_WaitsForNewerRules failed before (a reset at once).

Change: the refusal follows reject.IsFinal; a balancer that is not behind refuses at once as before.

--- a/balancer/pkg/relay/forwarder.go
+++ b/balancer/pkg/relay/forwarder.go
@@ -113,7 +113,7 @@
 	listener, found := s.policy.Rules().FindListener(segment.Key())
 	switch {
 	case !found:
-		f.refuseUnknownService(segment)
+		f.refuseUnknownService(s, segment)
 	case segment.IsSyn():
 		f.openFlow(s, listener, segment, packet)
 	default:
@@ -171,7 +171,7 @@
 	segment := packet.CallerSegment()
 	listener, found := s.policy.Rules().FindListener(segment.Key())
 	if !found {
-		f.refuseUnknownService(segment)
+		f.refuseUnknownService(s, segment)
 		return
 	}
 	if segment.IsSyn() {
--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -23,9 +23,15 @@
 
 // refuseUnknownService refuses a packet to an address for which there is no rule. It sends a reset in reply to the first
 // copy of an opening packet. An open flow is reset only when this balancer has it in its cache, since another balancer may
-// have newer rules that allow the flow.
-func (f *Forwarder) refuseUnknownService(segment landing.Segment) {
+// have newer rules that allow the flow. It sends no reset while other processes have newer rules, which may contain the
+// address.
+func (f *Forwarder) refuseUnknownService(s Snapshot, segment landing.Segment) {
 	f.telemetry.Counters().CountRefusal(landing.RefusalService)
+	if isBehind := s.policy.IsBehind(); !reject.IsFinal(landing.RefusalService, isBehind) {
+		f.telemetry.Log().Info("flow left to its next copy", "flow", address.FormatFlow(segment.Key()), "copies", segment.EarlierCopies(),
+			"reason", landing.RefusalService.String(), "behind", isBehind)
+		return
+	}
 	sidecarAddress, found := f.flows.lookupAndUpdate(segment, clock.Now())
 	if found {
 		f.flows.remove(segment.Key(), sidecarAddress)
