--- a/balancer/pkg/relay/opening_test.go
+++ b/balancer/pkg/relay/opening_test.go
@@ -22,7 +22,7 @@
 	is := is.New(t)
 	caller, err := net.ListenPacket("udp4", "127.0.0.2:0")
 	is.NoErr(err)
-	t.Cleanup(func() { caller.Close() })
+	t.Cleanup(func() { _ = caller.Close() })
 	// Resets go to the caller's address at the port of the balancer's front socket.
 	port := netip.MustParseAddrPort(caller.LocalAddr().String()).Port()
 	settings := landing.RelayBalancerSettings{}.WithInstance("edge-1").WithZone("a").
--- a/core/pkg/peer/peer_test.go
+++ b/core/pkg/peer/peer_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	snapshot := landing.PlatformSnapshot{}.WithRules(landing.RoutingRules{}.WithRevision(revision))
 	server := httptest.NewUnstartedServer(w(NewHandler(func() (landing.PlatformSnapshot, bool) { return snapshot, true })))
-	server.Listener.Close()
+	_ = server.Listener.Close()
 	listener, err := net.Listen("tcp", listenAddress)
 	is.New(t).NoErr(err)
 	server.Listener = listener
@@ -38,7 +38,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	t.Cleanup(func() { listener.Close() })
+	t.Cleanup(func() { _ = listener.Close() })
 	return address.PackAddrPort(netip.MustParseAddrPort(listener.Addr().String()))
 }
 
