--- a/core/pkg/peer/peer.go
+++ b/core/pkg/peer/peer.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/gen/wire"
 	"github.com/crocuslanding/crocuslanding/core/pkg/address"
+	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/transfer"
 )
 
@@ -84,9 +86,9 @@
 }
 
 // FetchSnapshot returns the snapshot of the first process that responds. It asks the processes at the addresses in
-// peers in random order, then the seeds in random order, and does not wait long for any of them. Addresses in peers are packed, see address.PackAddrPort.
-// When no process responds, it returns the error of the last attempt. That is trace.ConnectionProblem unless the
-// snapshot cannot be decoded.
+// peers in random order, then the seeds in random order, and does not wait long for any of them. Addresses in peers are
+// packed, see address.PackAddrPort. When no process responds, it returns the error of the last attempt. That is
+// trace.ConnectionProblem unless the snapshot cannot be decoded.
 func (c *Client) FetchSnapshot(ctx context.Context, peers []uint64) (landing.PlatformSnapshot, error) {
 	var addresses []string
 	for _, i := range rand.Perm(len(peers)) {
@@ -110,32 +112,45 @@
 }
 
 // fetchFromAny returns the first snapshot that one of the processes at these addresses returns. It asks them one after the
-// other, the next one as soon as a request has failed or hedgeDelay has passed. When all requests fail, it returns the last
-// error.
+// other, the next one as soon as a request has failed or hedgeDelay has passed. Once a process responds it asks no further
+// one, so that a slow link carries one snapshot at a time. When all requests fail, it returns the last error.
 func (c *Client) fetchFromAny(ctx context.Context, addresses []string) (landing.PlatformSnapshot, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the requests that are still waiting
 	results := make(chan fetched, len(addresses))
-	ask := func(address string) {
-		snapshot, err := c.fetchFrom(ctx, address)
-		results <- fetched{snapshot, err}
-	}
+	responding := make(chan struct{}, 1)
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { common.Notify(responding) }})
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
-	go ask(addresses[0])
-	for asked, failed := 1, 0; ; {
+	asked := 0
+	askNext := func() {
+		if asked == len(addresses) {
+			return
+		}
+		address := addresses[asked]
+		asked++
+		timer.Reset(hedgeDelay)
+		go func() {
+			snapshot, err := c.fetchFrom(traced, address)
+			results <- fetched{snapshot, err}
+		}()
+	}
+	askNext()
+	for failed := 0; ; {
 		select {
 		case r := <-results:
+			if r.err == nil {
+				return r.snapshot, nil
+			}
 			failed++
-			if r.err == nil || failed == len(addresses) {
-				return r.snapshot, r.err
+			if failed == len(addresses) {
+				return landing.PlatformSnapshot{}, r.err
 			}
+			askNext()
+		case <-responding:
+			timer.Stop()
 		case <-timer.C:
-		}
-		if asked < len(addresses) {
-			go ask(addresses[asked])
-			asked++
-			timer.Reset(hedgeDelay)
+			askNext()
 		}
 	}
 }
--- a/core/pkg/peer/peer_test.go
+++ b/core/pkg/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,24 +61,30 @@
 	is.True(time.Since(start) < applyTime)
 }
 
-// Guards against a snapshot over a slow link that is given up although it makes progress.
+// Guards against a snapshot over a slow link that is given up although it makes progress, and against further snapshots
+// over the same link at the same time.
 func TestFetchSnapshot_OverSlowLink(t *testing.T) {
 	is := is.New(t)
+	var requests atomic.Int32
 	inParts := func(http.Handler) http.Handler {
 		body := wire.AppendPlatformSnapshot(nil, landing.PlatformSnapshot{}.WithRules(landing.RoutingRules{}.WithRevision(7)))
 		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			requests.Add(1)
 			for _, b := range body {
-				time.Sleep(requestTimeout / 2)
 				_, _ = w.Write([]byte{b})
 				w.(http.Flusher).Flush()
+				time.Sleep(requestTimeout / 2)
 			}
 		})
 	}
-	seed := serveSnapshot(t, "127.0.0.2:0", 7, inParts)
-	client := NewClient(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), seed.Port()).String(), []string{seed.String()})
-	snapshot, err := client.FetchSnapshot(context.Background(), nil)
+	var peers []uint64
+	for range 3 {
+		peers = append(peers, address.PackAddrPort(serveSnapshot(t, "127.0.0.1:0", 7, inParts)))
+	}
+	snapshot, err := NewClient("127.0.0.1:1", nil).FetchSnapshot(context.Background(), peers)
 	is.NoErr(err)
 	is.Equal(snapshot.Rules().Revision(), uint64(7))
+	is.Equal(requests.Load(), int32(1))
 }
 
 func TestFetchSnapshot_FailsWithoutPeers(t *testing.T) {
