--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -26,12 +26,11 @@
 // have newer rules that allow the flow. It sends no reset while other processes have newer rules, which may contain the
 // address.
 func (f *Forwarder) refuseUnknownService(s Snapshot, segment landing.Segment) {
-	f.telemetry.Counters().CountRefusal(landing.RefusalService)
 	if isBehind := s.policy.IsBehind(); !reject.IsFinal(landing.RefusalService, isBehind) {
-		f.telemetry.Log().Info("flow left to its next copy", "flow", address.FormatFlow(segment.Key()), "copies", segment.EarlierCopies(),
-			"reason", landing.RefusalService.String(), "behind", isBehind)
+		f.leaveToNextCopy(segment, landing.RefusalService, isBehind)
 		return
 	}
+	f.telemetry.Counters().CountRefusal(landing.RefusalService)
 	sidecarAddress, found := f.flows.lookupAndUpdate(segment, clock.Now())
 	if found {
 		f.flows.remove(segment.Key(), sidecarAddress)
@@ -147,14 +146,19 @@
 	}
 	isOutdated := s.policy.IsOlderThan(policy.NewRevisions(returned.RulesRevision(), returned.ExclusionsChangedRevision()))
 	if !reject.IsFinal(reason, isOutdated) {
-		f.telemetry.Counters().CountRefusal(reason)
-		f.telemetry.Log().Info("flow left to its next copy", "flow", address.FormatFlow(segment.Key()), "copies", segment.EarlierCopies(),
-			"reason", reason.String(), "behind", isOutdated)
+		f.leaveToNextCopy(segment, reason, isOutdated)
 		return
 	}
 	f.refuseOpening(segment, reason)
 }
 
+// leaveToNextCopy counts and logs a refusal that may no longer apply to the caller's next copy, and sends no reset.
+func (f *Forwarder) leaveToNextCopy(segment landing.Segment, reason landing.Refusal, isBehind bool) {
+	f.telemetry.Counters().CountRefusal(reason)
+	f.telemetry.Log().Info("flow left to its next copy", "flow", address.FormatFlow(segment.Key()), "copies", segment.EarlierCopies(),
+		"reason", reason.String(), "behind", isBehind)
+}
+
 // refuseOpening refuses a new flow with a reset. It sends no reset in reply to a later copy of an opening packet or for a
 // cached flow, since an earlier copy may have opened the flow meanwhile.
 func (f *Forwarder) refuseOpening(segment landing.Segment, reason landing.Refusal) {
--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -59,14 +59,7 @@
 // awaitServing waits until a balancer is ready and a flow can be opened through it.
 func awaitServing(t *testing.T, f *Fleet, balancer int) {
 	await(t, fmt.Sprintf("balancer %d serves", balancer), func() bool {
-		if !f.IsReady(balancer) {
-			return false
-		}
-		flow, err := f.OpenFlow(f.RouteThrough(balancer), time.Second)
-		if err == nil {
-			flow.Close()
-		}
-		return err == nil
+		return f.IsReady(balancer) && canOpenFlow(f, balancer)
 	})
 }
 
