--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -80,21 +80,26 @@
 	mu        sync.Mutex
 }
 
-// newFleet starts the store with the first configuration.
-func newFleet(r *record, root, folder string, config map[string]any) (*fleet, error) {
+// newFleet selects the addresses of a deployment.
+func newFleet(r *record, root, folder string) (*fleet, error) {
 	f := &fleet{record: r, root: root, folder: folder, net: 40 + os.Getpid()%180}
 	for f.base = 20000 + os.Getpid()%10000; !f.isFree(); f.base += portCount {
 		if f.base > 60000 {
 			return nil, errors.New("no free ports")
 		}
 	}
+	return f, nil
+}
+
+// startStore starts the store with the first configuration.
+func (f *fleet) startStore(config map[string]any) error {
 	s, err := newStore(f.at(f.ip(250, 1), portStore))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	f.store = s
 	f.configure(config)
-	return f, nil
+	return nil
 }
 
 // isFree reports whether the ports are free on an address of the fleet.
@@ -265,7 +270,9 @@
 		<-b.exited
 		b.platform.stop()
 	}
-	f.store.stop()
+	if f.store != nil {
+		f.store.stop()
+	}
 }
 
 // front returns the address of balancer i to which the routers send packets.
--- a/review/lab2/silent.go
+++ b/review/lab2/silent.go
@@ -24,11 +24,14 @@
 // check begins when all machines are in touch again and the time that a configuration may take has passed.
 func playSilent(r *record, root, folder string, trouble bool) (int, error) {
 	desk, old := route("desk", "198.18.0.1", 443, "desk"), route("old", "198.18.0.2", 443, "desk")
-	f, err := newFleet(r, root, folder, config(1, 15000, desk, old))
+	f, err := newFleet(r, root, folder)
 	if err != nil {
 		return 0, err
 	}
 	defer f.close()
+	if err := f.startStore(config(1, 15000, desk, old)); err != nil {
+		return 0, err
+	}
 	for i := range silentBalancers {
 		if err := f.addBalancer(string(rune('a' + i%4))); err != nil {
 			return 0, err
