--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -13,7 +13,7 @@
 type scenario func(r *record, root, folder string, trouble bool) (int, error)
 
 func main() {
-	scenarios := map[string]scenario{"silent": playSilent, "long": playLong, "zone": playZone}
+	scenarios := map[string]scenario{"silent": playSilent, "long": playLong, "zone": playZone, "odd": playOdd}
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab2 CASE RECORD")
 		os.Exit(2)
