Log the era of the store, and rules that are read and not used

New lines: 'rules ignored', 'exclusions ignored' and 'sidecars ignored'; 'rules in force' has the version before and the era. No decision has changed: era and version are compared for the log only.

--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -8,6 +8,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policylog"
 )
 
 // eventBuffer is the number of events that can wait before Post blocks.
@@ -102,9 +103,11 @@
 func (c *ControlThread) handle(s Snapshot, event landing.RelayEvent) Snapshot {
 	switch event := event.(type) {
 	case landing.RulesReceived:
-		return c.applyPolicy(s, s.policy.WithRules(event.Rules()), event.Source())
+		next := s.policy.WithRules(event.Rules())
+		policylog.Rules(c.telemetry, s.policy, next, event.Rules(), event.Source())
+		return s.WithPolicy(next)
 	case landing.ExclusionsReceived:
-		return c.applyPolicy(s, s.policy.WithExclusions(event.Exclusions()), nil)
+		return c.applyExclusions(s, event.Exclusions())
 	case landing.EnrollmentsReceived:
 		return c.applyEnrollments(s, event.EnrollmentList())
 	case landing.StatusesReceived:
@@ -126,24 +129,23 @@
 	return s
 }
 
-// applyPolicy puts a policy in force and logs newer rules and changed exclusions.
-func (c *ControlThread) applyPolicy(s Snapshot, p policy.Policy, source landing.ReadSource) Snapshot {
-	if r := p.Rules().Rules(); r.Revision() != s.policy.Rules().Rules().Revision() {
-		c.telemetry.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen(), "source", policy.SourceLabel(source))
-	}
-	if e := p.Exclusions(); e.ChangedRevision() != s.policy.Exclusions().ChangedRevision() {
-		c.telemetry.Log().Info("exclusions in force", "changed", e.ChangedRevision(), "zones", e.Zones())
-	}
-	return s.WithPolicy(p)
+// applyExclusions puts newer zone exclusions in force and logs when they have changed.
+func (c *ControlThread) applyExclusions(s Snapshot, received landing.ZoneExclusions) Snapshot {
+	next := s.policy.WithExclusions(received)
+	policylog.Exclusions(c.telemetry, s.policy, next, received)
+	return s.WithPolicy(next)
 }
 
 // applyEnrollments puts a newer list of enrolled sidecars in force. A list with the same or a lower revision is ignored.
 func (c *ControlThread) applyEnrollments(s Snapshot, list landing.EnrollmentList) Snapshot {
-	if list.Revision() <= s.directory.EnrollmentList().Revision() {
+	if inForce := s.directory.EnrollmentList(); list.Revision() <= inForce.Revision() {
+		if list.Era() > inForce.Era() {
+			c.telemetry.Log().Info("sidecars ignored", "revision", list.Revision(), "era", list.Era(), "sidecars", list.EnrollmentsLen(), "since", inForce.Revision())
+		}
 		return s
 	}
 	if !directory.SameSidecars(list, s.directory.EnrollmentList()) {
-		c.telemetry.Log().Info("sidecars enrolled", "revision", list.Revision(), "sidecars", list.EnrollmentsLen())
+		c.telemetry.Log().Info("sidecars enrolled", "revision", list.Revision(), "era", list.Era(), "sidecars", list.EnrollmentsLen())
 		common.Notify(c.sidecarsChanged)
 	}
 	return s.WithDirectory(s.directory.WithEnrollmentList(list, clock.Now()))
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -22,6 +22,7 @@
 		m.Pools = append(m.Pools, EncodeUpstreamPool(v.PoolsAt(i)))
 	}
 	m.IdleTimeout = durationpb.New(v.IdleTimeout())
+	m.Era = v.Era()
 	return m
 }
 
@@ -41,6 +42,7 @@
 	}
 	v = v.WithPools(pools...)
 	v = v.WithIdleTimeout(m.GetIdleTimeout().AsDuration())
+	v = v.WithEra(m.GetEra())
 	return v
 }
 
@@ -120,6 +122,7 @@
 	for i := range v.ZonesLen() {
 		m.Zones = append(m.Zones, v.ZonesAt(i))
 	}
+	m.Era = v.Era()
 	return m
 }
 
@@ -133,6 +136,7 @@
 		zones = append(zones, e)
 	}
 	v = v.WithZones(zones...)
+	v = v.WithEra(m.GetEra())
 	return v
 }
 
@@ -144,6 +148,7 @@
 	m.Zone = v.Zone()
 	m.FleetAddress = v.FleetAddress()
 	m.Revision = v.Revision()
+	m.Era = v.Era()
 	return m
 }
 
@@ -155,6 +160,7 @@
 	v = v.WithZone(m.GetZone())
 	v = v.WithFleetAddress(m.GetFleetAddress())
 	v = v.WithRevision(m.GetRevision())
+	v = v.WithEra(m.GetEra())
 	return v
 }
 
@@ -165,6 +171,7 @@
 	for i := range v.EnrollmentsLen() {
 		m.Enrollments = append(m.Enrollments, EncodeEnrollment(v.EnrollmentsAt(i)))
 	}
+	m.Era = v.Era()
 	return m
 }
 
@@ -177,6 +184,7 @@
 		enrollments = append(enrollments, DecodeEnrollment(e))
 	}
 	v = v.WithEnrollments(enrollments...)
+	v = v.WithEra(m.GetEra())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -76,6 +76,7 @@
 	listeners   []Listener
 	pools       []UpstreamPool
 	idleTimeout time.Duration
+	era         uint64
 }
 
 // Version returns the field of the same name.
@@ -164,6 +165,19 @@
 	return v
 }
 
+// Era returns the field of the same name.
+//
+// Era of the platform in which the configuration was read.
+func (v RoutingRules) Era() uint64 {
+	return v.era
+}
+
+// WithEra returns a copy of v with the given era.
+func (v RoutingRules) WithEra(era uint64) RoutingRules {
+	v.era = era
+	return v
+}
+
 // Listener is an address and port that callers connect to.
 type Listener struct {
 	name           string
@@ -374,6 +388,7 @@
 	revision        uint64
 	changedRevision uint64
 	zones           []string
+	era             uint64
 }
 
 // Revision returns the field of the same name.
@@ -426,6 +441,19 @@
 	return v
 }
 
+// Era returns the field of the same name.
+//
+// Era of the platform to which the revisions belong.
+func (v ZoneExclusions) Era() uint64 {
+	return v.era
+}
+
+// WithEra returns a copy of v with the given era.
+func (v ZoneExclusions) WithEra(era uint64) ZoneExclusions {
+	v.era = era
+	return v
+}
+
 // Enrollment is the entry in the platform with which a sidecar registers itself with the fleet.
 type Enrollment struct {
 	instance     string
@@ -433,6 +461,7 @@
 	zone         string
 	fleetAddress string
 	revision     uint64
+	era          uint64
 }
 
 // Instance returns the field of the same name.
@@ -500,10 +529,24 @@
 	return v
 }
 
+// Era returns the field of the same name.
+//
+// Era of the platform to which the revision belongs.
+func (v Enrollment) Era() uint64 {
+	return v.era
+}
+
+// WithEra returns a copy of v with the given era.
+func (v Enrollment) WithEra(era uint64) Enrollment {
+	v.era = era
+	return v
+}
+
 // EnrollmentList is the list of all enrolled sidecars.
 type EnrollmentList struct {
 	revision    uint64
 	enrollments []Enrollment
+	era         uint64
 }
 
 // Revision returns the field of the same name.
@@ -543,6 +586,19 @@
 	return v
 }
 
+// Era returns the field of the same name.
+//
+// Era of the platform to which the revision belongs.
+func (v EnrollmentList) Era() uint64 {
+	return v.era
+}
+
+// WithEra returns a copy of v with the given era.
+func (v EnrollmentList) WithEra(era uint64) EnrollmentList {
+	v.era = era
+	return v
+}
+
 // PlatformSnapshot holds the objects that a process last read from the platform. Other processes
 // request it when they start while the platform is unavailable, or when they lack newer objects.
 type PlatformSnapshot struct {
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -19,6 +19,7 @@
 		b = field.AppendMessage(b, 4, func(b []byte) []byte { return AppendUpstreamPool(b, v.PoolsAt(i)) })
 	}
 	b = field.AppendDuration(b, 5, v.IdleTimeout())
+	b = field.AppendUint(b, 6, v.Era())
 	return b
 }
 
@@ -48,6 +49,8 @@
 			pools = append(pools, e)
 		case 5:
 			v = v.WithIdleTimeout(r.Duration())
+		case 6:
+			v = v.WithEra(r.Uint())
 		}
 	}
 	v = v.WithListeners(listeners...)
@@ -157,6 +160,7 @@
 	for i := range v.ZonesLen() {
 		b = field.AppendStringElement(b, 3, v.ZonesAt(i))
 	}
+	b = field.AppendUint(b, 4, v.Era())
 	return b
 }
 
@@ -173,6 +177,8 @@
 			v = v.WithChangedRevision(r.Uint())
 		case 3:
 			zones = append(zones, r.String())
+		case 4:
+			v = v.WithEra(r.Uint())
 		}
 	}
 	v = v.WithZones(zones...)
@@ -186,6 +192,7 @@
 	b = field.AppendString(b, 3, v.Zone())
 	b = field.AppendString(b, 4, v.FleetAddress())
 	b = field.AppendUint(b, 5, v.Revision())
+	b = field.AppendUint(b, 6, v.Era())
 	return b
 }
 
@@ -205,6 +212,8 @@
 			v = v.WithFleetAddress(r.String())
 		case 5:
 			v = v.WithRevision(r.Uint())
+		case 6:
+			v = v.WithEra(r.Uint())
 		}
 	}
 	return v, r.Err()
@@ -216,6 +225,7 @@
 	for i := range v.EnrollmentsLen() {
 		b = field.AppendMessage(b, 2, func(b []byte) []byte { return AppendEnrollment(b, v.EnrollmentsAt(i)) })
 	}
+	b = field.AppendUint(b, 3, v.Era())
 	return b
 }
 
@@ -234,6 +244,8 @@
 				return landing.EnrollmentList{}, err
 			}
 			enrollments = append(enrollments, e)
+		case 3:
+			v = v.WithEra(r.Uint())
 		}
 	}
 	v = v.WithEnrollments(enrollments...)
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -8,6 +8,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policylog"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 )
 
@@ -110,9 +111,11 @@
 func (t *ControlThread) handle(s Snapshot, e landing.RelayEvent) Snapshot {
 	switch e := e.(type) {
 	case landing.RulesReceived:
-		return t.applyPolicy(s, s.policy.WithRules(e.Rules()), e.Source())
+		next := s.policy.WithRules(e.Rules())
+		policylog.Rules(t.telemetry, s.policy, next, e.Rules(), e.Source())
+		return s.WithPolicy(next)
 	case landing.ExclusionsReceived:
-		return t.applyPolicy(s, s.policy.WithExclusions(e.Exclusions()), nil)
+		return t.applyExclusions(s, e.Exclusions())
 	case landing.UpstreamEventObserved:
 		return t.applyUpstreamEvent(s, e.Event())
 	case landing.SubscriptionReceived:
@@ -131,19 +134,15 @@
 	return s
 }
 
-// applyPolicy puts a policy in force and logs the change. When the upstream's zone is put back into
-// service, the upstream counts as cold.
-func (t *ControlThread) applyPolicy(s Snapshot, p policy.Policy, source landing.ReadSource) Snapshot {
-	if r := p.Rules().Rules(); r.Revision() != s.policy.Rules().Rules().Revision() {
-		t.telemetry.Log().Info("rules in force", "version", r.Version(), "revision", r.Revision(), "listeners", r.ListenersLen(), "source", policy.SourceLabel(source))
-	}
-	wasExcluded, isExcluded := s.policy.IsExcluded(t.zone), p.IsExcluded(t.zone)
-	s = s.WithPolicy(p)
-	if wasExcluded != isExcluded {
-		t.telemetry.Log().Info("exclusions in force", "changed", p.Exclusions().ChangedRevision(), "out", isExcluded)
-	}
+// applyExclusions puts newer zone exclusions in force and logs when they have changed. When the upstream's zone is put
+// back into service, the upstream counts as cold.
+func (t *ControlThread) applyExclusions(s Snapshot, received landing.ZoneExclusions) Snapshot {
+	next := s.policy.WithExclusions(received)
+	policylog.Exclusions(t.telemetry, s.policy, next, received)
+	wasExcluded, isExcluded := s.policy.IsExcluded(t.zone), next.IsExcluded(t.zone)
+	s = s.WithPolicy(next)
 	if wasExcluded && !isExcluded {
-		return t.applyUpstreamEvent(s, landing.ZoneRestored{}.WithRestoredAt(clock.Now()).WithAssumedColdStart(p.Rules().Pool(t.service).ColdStartDuration()))
+		return t.applyUpstreamEvent(s, landing.ZoneRestored{}.WithRestoredAt(clock.Now()).WithAssumedColdStart(next.Rules().Pool(t.service).ColdStartDuration()))
 	}
 	return s
 }
