Order the states of the store by era and revision, and rules by version

Cause: rules, exclusions, watches and the revisions that processes advertise were ordered by the store's revision alone, which goes back with the store. Every process ignored what had a lower revision than what it had read before the return, until the counter had passed that value. A watch from a revision that had been given out again missed the changes before it.

Change: a position is an era (Store-Era) and a revision, compared in this order (core/pkg/position). The client carries it with each page; a watch whose response is of another era must read the objects again, and a watch that waits ends when the process learns of a later era. Exclusions are ordered by position. Rules are ordered by version, and by position only within a version: versions only increase, and a copy of the store has lower ones. Statuses, subscriptions and forwarded packets state era and version beside the revisions, so that processes that are behind read what they lack; a process of the previous version states neither, and its revisions count as before. No stale read is used for 20 s after a change of era. A store without the header is in era 0, where nothing changes.

--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -24,6 +24,7 @@
 	policyOutdated    chan struct{}
 	sidecarsChanged   chan struct{}
 	onUpstreamRestart func(sidecarAddress, startMillis uint64)
+	eras              *eraSignal
 }
 
 // NewControlThread returns the control thread of the balancer at this address, without any state from the platform. It
@@ -37,6 +38,7 @@
 		policyOutdated:    make(chan struct{}, 1),
 		sidecarsChanged:   make(chan struct{}, 1),
 		onUpstreamRestart: onUpstreamRestart,
+		eras:              newEraSignal(),
 	}
 	s := NewSnapshot(balancerAddress)
 	control.snapshot.Store(&s)
@@ -80,6 +82,11 @@
 	return c.sidecarsChanged
 }
 
+// LaterEra returns a channel that is closed when the platform is known to be in a later era than the given one.
+func (c *ControlThread) LaterEra(era uint64) <-chan struct{} {
+	return c.eras.after(era)
+}
+
 // AwaitPosted returns when all events posted before have been handled, or when the thread stops.
 func (c *ControlThread) AwaitPosted() {
 	c.thread.AwaitPosted()
@@ -87,7 +94,11 @@
 
 // Post queues an event for the control thread. It blocks while the queue is full.
 func (c *ControlThread) Post(event landing.RelayEvent) {
-	c.Update(func(s Snapshot) Snapshot { return c.handle(s, event) })
+	c.Update(func(s Snapshot) Snapshot {
+		next := c.handle(s, event)
+		c.noteEra(s, next)
+		return next
+	})
 }
 
 // Update queues a function that derives the next snapshot from the current one. The control thread calls it and
@@ -112,7 +123,7 @@
 		return c.applyEnrollments(s, event.EnrollmentList())
 	case landing.StatusesReceived:
 		for _, received := range event.Statuses() {
-			s = c.noteRevisions(s, policy.NewRevisions(received.Status().RulesRevision(), received.Status().ExclusionsChangedRevision()))
+			s = c.noteRevisions(s, policy.RevisionsOfStatus(received.Status()))
 			c.detectUpstreamRestart(s, received)
 		}
 		return s.WithDirectory(s.directory.WithStatuses(event.Statuses()...))
@@ -131,7 +142,7 @@
 
 // applyExclusions puts newer zone exclusions in force and logs when they have changed.
 func (c *ControlThread) applyExclusions(s Snapshot, received landing.ZoneExclusions) Snapshot {
-	next := s.policy.WithExclusions(received)
+	next := s.policy.WithExclusions(received, clock.Now())
 	policylog.Exclusions(c.telemetry, s.policy, next, received)
 	return s.WithPolicy(next)
 }
@@ -151,6 +162,19 @@
 	return s.WithDirectory(s.directory.WithEnrollmentList(list, clock.Now()))
 }
 
+// noteEra ends the watches of an earlier era, and logs it, when the next snapshot is of a later era of the platform.
+func (c *ControlThread) noteEra(before, next Snapshot) {
+	era := next.StoreEra()
+	if era <= before.StoreEra() {
+		return
+	}
+	if before.HasInitialState() {
+		c.telemetry.Counters().Counter("store_returned").Inc(1)
+		c.telemetry.Log().Info("store came back from an older copy", "era", era, "before", before.StoreEra())
+	}
+	c.eras.raise(era)
+}
+
 // detectUpstreamRestart calls onUpstreamRestart when the status carries another start time of the upstream than the last
 // status of the sidecar.
 func (c *ControlThread) detectUpstreamRestart(s Snapshot, received landing.ReceivedStatus) {
--- a/balancer/pkg/relay/forwarder.go
+++ b/balancer/pkg/relay/forwarder.go
@@ -78,6 +78,7 @@
 	c.RegisterGauge("balancers", func() int64 { return int64(f.control.Snapshot().BalancerCount()) })
 	c.RegisterGauge("revision.rules", func() int64 { return int64(f.control.Policy().AdvertisedRevisions().Rules()) })
 	c.RegisterGauge("revision.exclusions", func() int64 { return int64(f.control.Policy().AdvertisedRevisions().Exclusions()) })
+	c.RegisterGauge("revision.era", func() int64 { return int64(f.control.Snapshot().StoreEra()) })
 	c.RegisterGauge("revision.roll", func() int64 { return int64(f.control.Snapshot().directory.EnrollmentList().Revision()) })
 }
 
@@ -124,13 +125,8 @@
 // newForwardedPacket wraps a packet for its way along a chain, together with the revisions that this balancer has in
 // force. The hops are still to be set by the caller of this function.
 func (f *Forwarder) newForwardedPacket(s Snapshot, packet platform.Packet) landing.ForwardedPacket {
-	advertised := s.policy.AdvertisedRevisions()
-	return landing.ForwardedPacket{}.
-		WithBalancerAddress(f.link.LocalAddress()).
-		WithRulesRevision(advertised.Rules()).
-		WithExclusionsChangedRevision(advertised.Exclusions()).
-		WithEnrollmentsChangedRevision(s.directory.ChangedRevision()).
-		WithPacket(packet.Bytes())
+	p := landing.ForwardedPacket{}.WithBalancerAddress(f.link.LocalAddress()).WithEnrollmentsChangedRevision(s.directory.ChangedRevision()).WithPacket(packet.Bytes())
+	return policy.PacketWithRevisions(p, s.policy.AdvertisedRevisions())
 }
 
 // send sends the packet to its current hop.
@@ -165,7 +161,7 @@
 		return
 	}
 	s := f.control.Snapshot()
-	if advertised := policy.NewRevisions(p.RulesRevision(), p.ExclusionsChangedRevision()); s.policy.IsOlderThan(advertised) {
+	if advertised := policy.RevisionsOfPacket(p); s.policy.IsOlderThan(advertised) {
 		f.control.Post(landing.RevisionsSeen{}.WithRevisions(advertised))
 	}
 	segment := packet.CallerSegment()
--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -144,7 +144,7 @@
 		f.sendOpening(s, service, segment, hops[:min(len(hops), walk.MaxHopsPerPart)], 1, packet) // part 1 is the second
 		return
 	}
-	isOutdated := s.policy.IsOlderThan(policy.NewRevisions(returned.RulesRevision(), returned.ExclusionsChangedRevision()))
+	isOutdated := s.policy.IsOlderThan(policy.RevisionsOfPacket(returned))
 	if !reject.IsFinal(reason, isOutdated) {
 		f.leaveToNextCopy(segment, reason, isOutdated)
 		return
--- a/balancer/pkg/relay/opening_test.go
+++ b/balancer/pkg/relay/opening_test.go
@@ -49,7 +49,7 @@
 	callerIP := netip.MustParseAddr("127.0.0.2")
 	syn := landing.Segment{}.WithIsSyn(true).WithKey(landing.FlowKey{}.WithSourceAddress(address.ToUint32(callerIP)).WithSourcePort(40001))
 	current := policy.Policy{}.WithRules(landing.RoutingRules{}.WithRevision(7))
-	behind := current.WithRevisionsSeen(policy.NewRevisions(8, 0))
+	behind := current.WithRevisionsSeen(landing.PolicyRevisions{}.WithRules(8))
 	f.refuseUnknownService(Snapshot{}.WithPolicy(behind), syn)
 	is.True(!receivesReset(caller))
 	f.refuseUnknownService(Snapshot{}.WithPolicy(behind.WithRules(landing.RoutingRules{}.WithRevision(8))), syn)
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -1,10 +1,14 @@
 package relay
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/absence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/catchup"
@@ -143,22 +147,25 @@
 // watchRules returns a function that waits for newer rules, up to the watch timeout, and posts them. Its first call reads
 // the rules without waiting. When the platform cannot be read, it reads from other processes of the fleet.
 func (s *PlatformSync) watchRules() func() error {
-	since := uint64(0)
+	var since landing.StorePosition
 	return func() error {
 		var rules landing.RoutingRules
-		var revision uint64
+		var current landing.StorePosition
 		var err error
-		if since == 0 {
-			rules, revision, err = s.store.ReadRules(s.stopper.Context(), landing.FreshnessNewest)
+		if since.Revision() == 0 {
+			rules, current, err = s.store.ReadRules(s.stopper.Context(), landing.FreshnessNewest)
 		} else {
-			rules, revision, err = s.store.WatchRules(s.stopper.Context(), since, s.watchTimeout(s.applyWithin))
+			err = s.watchInEra(since.Era(), func(ctx context.Context) error {
+				rules, current, err = s.store.WatchRules(ctx, since, s.watchTimeout(s.applyWithin))
+				return err
+			})
 		}
 		if err != nil {
-			since = resumeRevision(err, since)
+			since = since.WithRevision(resumeRevision(err, since.Revision()))
 			s.readFromPeers()
 			return err
 		}
-		since = revision
+		since = current
 		if rules.Revision() > 0 {
 			s.control.Post(landing.RulesReceived{}.WithRules(rules).WithSource(landing.WatchRead{}))
 			common.Sleep(s.stopper.Stopper, pace.PauseAfterChange)
@@ -167,6 +174,29 @@
 	}
 }
 
+// watchInEra calls watch with a context that ends when the platform is known to be in a later era than the given one. It then
+// returns ErrReadRequired: the revision from which the watch continues may have been given out again, and the watch would
+// wait for the changes after that.
+func (s *PlatformSync) watchInEra(era uint64, watch func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(s.stopper.Context())
+	defer cancel()
+	laterEra := s.control.LaterEra(era)
+	go func() {
+		select {
+		case <-laterEra:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := watch(ctx)
+	select {
+	case <-laterEra:
+		return trace.Wrap(fmt.Errorf("%w: the store is in a later era than %d", platform.ErrReadRequired, era))
+	default:
+		return err
+	}
+}
+
 // watchTimeout returns the timeout of the next watch, when a change must be in force within this time.
 func (s *PlatformSync) watchTimeout(within time.Duration) time.Duration {
 	rank, count := s.control.Snapshot().BalancerRank()
@@ -192,7 +222,10 @@
 		if known.Revision() == 0 {
 			next, err = s.store.ReadExclusions(s.stopper.Context(), known, landing.FreshnessNewest)
 		} else {
-			next, err = s.store.WatchExclusions(s.stopper.Context(), known, s.watchTimeout(s.excludeWithin))
+			err = s.watchInEra(known.Era(), func(ctx context.Context) error {
+				next, err = s.store.WatchExclusions(ctx, known, s.watchTimeout(s.excludeWithin))
+				return err
+			})
 		}
 		if err != nil {
 			known = known.WithRevision(resumeRevision(err, known.Revision()))
@@ -214,7 +247,10 @@
 		if known.Revision() == 0 {
 			next, err = s.store.ReadEnrollments(s.stopper.Context(), known)
 		} else {
-			next, err = s.store.WatchEnrollments(s.stopper.Context(), known, enrollmentTimeoutFactor*s.watchTimeout(s.applyWithin))
+			err = s.watchInEra(known.Era(), func(ctx context.Context) error {
+				next, err = s.store.WatchEnrollments(ctx, known, enrollmentTimeoutFactor*s.watchTimeout(s.applyWithin))
+				return err
+			})
 		}
 		if err != nil {
 			known = known.WithRevision(resumeRevision(err, known.Revision()))
@@ -296,7 +332,9 @@
 	subscription := landing.StatusSubscription{}.
 		WithBalancerAddress(f.link.LocalAddress()).
 		WithRulesRevision(advertised.Rules()).
+		WithRulesVersion(advertised.RulesVersion()).
 		WithExclusionsChangedRevision(advertised.Exclusions()).
+		WithStoreEra(advertised.Era()).
 		WithSidecarCount(uint32(len(s.directory.Sidecars())))
 	subscribed := s.directory.Subscribed()
 	if toTell > 0 {
@@ -306,7 +344,7 @@
 	for _, sidecar := range subscribed {
 		status := sidecar.LastStatus()
 		isDue := all || absence.IsStatusOverdue(sidecar, now)
-		isTold := !isDue && toTell > 0 && policy.NewRevisions(status.RulesRevision(), status.ExclusionsChangedRevision()) != advertised
+		isTold := !isDue && toTell > 0 && policy.RevisionsOfStatus(status) != advertised
 		if isTold {
 			toTell--
 		}
--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -39,6 +39,11 @@
 	return s
 }
 
+// StoreEra returns the latest era of the platform in which rules, exclusions or enrollments have been read.
+func (s Snapshot) StoreEra() uint64 {
+	return max(s.policy.Rules().Rules().Era(), s.policy.Exclusions().Era(), s.directory.EnrollmentList().Era())
+}
+
 // HasInitialState reports whether rules, exclusions and enrolled sidecars have been read at least once. Before that the
 // balancer cannot forward packets.
 func (s Snapshot) HasInitialState() bool {
@@ -65,7 +70,7 @@
 func (s Snapshot) SidecarsWithNewerPolicy() []uint64 {
 	var addresses []uint64
 	for _, sidecar := range s.directory.Sidecars() {
-		if s.policy.IsOlderThan(policy.NewRevisions(sidecar.LastStatus().RulesRevision(), sidecar.LastStatus().ExclusionsChangedRevision())) {
+		if s.policy.IsOlderThan(policy.RevisionsOfStatus(sidecar.LastStatus())) {
 			addresses = append(addresses, sidecar.Address())
 		}
 	}
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -10,6 +10,22 @@
 	timestamppb "google.golang.org/protobuf/types/known/timestamppb"
 )
 
+// EncodeStorePosition converts v to its protobuf message.
+func EncodeStorePosition(v landing.StorePosition) *landingpb.StorePosition {
+	m := &landingpb.StorePosition{}
+	m.Era = v.Era()
+	m.Revision = v.Revision()
+	return m
+}
+
+// DecodeStorePosition converts the protobuf message m to its value. Unset fields (all fields of a nil m) become zero, times 1970-01-01 UTC.
+func DecodeStorePosition(m *landingpb.StorePosition) landing.StorePosition {
+	v := landing.StorePosition{}
+	v = v.WithEra(m.GetEra())
+	v = v.WithRevision(m.GetRevision())
+	return v
+}
+
 // EncodeRoutingRules converts v to its protobuf message.
 func EncodeRoutingRules(v landing.RoutingRules) *landingpb.RoutingRules {
 	m := &landingpb.RoutingRules{}
@@ -224,6 +240,8 @@
 	m.SubscriberCount = v.SubscriberCount()
 	m.Ejected = v.Ejected()
 	m.SubscriberRank = v.SubscriberRank()
+	m.StoreEra = v.StoreEra()
+	m.RulesVersion = v.RulesVersion()
 	return m
 }
 
@@ -245,6 +263,8 @@
 	v = v.WithSubscriberCount(m.GetSubscriberCount())
 	v = v.WithEjected(m.GetEjected())
 	v = v.WithSubscriberRank(m.GetSubscriberRank())
+	v = v.WithStoreEra(m.GetStoreEra())
+	v = v.WithRulesVersion(m.GetRulesVersion())
 	return v
 }
 
@@ -258,6 +278,8 @@
 	m.SidecarCount = v.SidecarCount()
 	m.StatusIncarnation = v.StatusIncarnation()
 	m.StatusSequenceNumber = v.StatusSequenceNumber()
+	m.StoreEra = v.StoreEra()
+	m.RulesVersion = v.RulesVersion()
 	return m
 }
 
@@ -271,6 +293,8 @@
 	v = v.WithSidecarCount(m.GetSidecarCount())
 	v = v.WithStatusIncarnation(m.GetStatusIncarnation())
 	v = v.WithStatusSequenceNumber(m.GetStatusSequenceNumber())
+	v = v.WithStoreEra(m.GetStoreEra())
+	v = v.WithRulesVersion(m.GetRulesVersion())
 	return v
 }
 
@@ -309,6 +333,8 @@
 	m.AskedSidecars = v.AskedSidecars()
 	m.SearchNumber = v.SearchNumber()
 	m.ExpectedResponseMicros = v.ExpectedResponseMicros()
+	m.StoreEra = v.StoreEra()
+	m.RulesVersion = v.RulesVersion()
 	return m
 }
 
@@ -333,6 +359,8 @@
 	v = v.WithAskedSidecars(m.GetAskedSidecars())
 	v = v.WithSearchNumber(m.GetSearchNumber())
 	v = v.WithExpectedResponseMicros(m.GetExpectedResponseMicros())
+	v = v.WithStoreEra(m.GetStoreEra())
+	v = v.WithRulesVersion(m.GetRulesVersion())
 	return v
 }
 
@@ -792,6 +820,8 @@
 func EncodePolicyRevisions(v landing.PolicyRevisions) *landingpb.PolicyRevisions {
 	m := &landingpb.PolicyRevisions{}
 	m.Rules = v.Rules()
+	m.RulesVersion = v.RulesVersion()
+	m.Era = v.Era()
 	m.Exclusions = v.Exclusions()
 	return m
 }
@@ -800,6 +830,8 @@
 func DecodePolicyRevisions(m *landingpb.PolicyRevisions) landing.PolicyRevisions {
 	v := landing.PolicyRevisions{}
 	v = v.WithRules(m.GetRules())
+	v = v.WithRulesVersion(m.GetRulesVersion())
+	v = v.WithEra(m.GetEra())
 	v = v.WithExclusions(m.GetExclusions())
 	return v
 }
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -68,6 +68,39 @@
 	}
 }
 
+// StorePosition is a state in the history of the platform's objects. Positions are ordered by era, then
+// by revision.
+type StorePosition struct {
+	era      uint64
+	revision uint64
+}
+
+// Era returns the field of the same name.
+//
+// Era of the platform.
+func (v StorePosition) Era() uint64 {
+	return v.era
+}
+
+// WithEra returns a copy of v with the given era.
+func (v StorePosition) WithEra(era uint64) StorePosition {
+	v.era = era
+	return v
+}
+
+// Revision returns the field of the same name.
+//
+// Revision within the era.
+func (v StorePosition) Revision() uint64 {
+	return v.revision
+}
+
+// WithRevision returns a copy of v with the given revision.
+func (v StorePosition) WithRevision(revision uint64) StorePosition {
+	v.revision = revision
+	return v
+}
+
 // RoutingRules map the addresses that callers connect to onto services. They are the operators'
 // configuration, which the platform stores.
 type RoutingRules struct {
@@ -81,7 +114,8 @@
 
 // Version returns the field of the same name.
 //
-// Version number that the operators gave to the configuration; for information only.
+// Version number that the operators gave to the configuration; of two configurations, the one with
+// the higher version is newer.
 func (v RoutingRules) Version() uint64 {
 	return v.version
 }
@@ -94,8 +128,8 @@
 
 // Revision returns the field of the same name.
 //
-// Revision of the object in the platform; of two configurations, the one with the higher revision
-// is newer. 0 when no configuration has been read.
+// Revision of the object in the platform, which orders configurations of the same version and era. 0
+// when no configuration has been read.
 func (v RoutingRules) Revision() uint64 {
 	return v.revision
 }
@@ -664,6 +698,8 @@
 	subscriberCount           uint32
 	ejected                   bool
 	subscriberRank            uint32
+	storeEra                  uint64
+	rulesVersion              uint64
 }
 
 func (SidecarStatus) isDatagram() {}
@@ -867,6 +903,32 @@
 	return v
 }
 
+// StoreEra returns the field of the same name.
+//
+// Era of the platform to which the revision of the exclusions belongs.
+func (v SidecarStatus) StoreEra() uint64 {
+	return v.storeEra
+}
+
+// WithStoreEra returns a copy of v with the given storeEra.
+func (v SidecarStatus) WithStoreEra(storeEra uint64) SidecarStatus {
+	v.storeEra = storeEra
+	return v
+}
+
+// RulesVersion returns the field of the same name.
+//
+// Version of the routing rules that the sidecar has in force.
+func (v SidecarStatus) RulesVersion() uint64 {
+	return v.rulesVersion
+}
+
+// WithRulesVersion returns a copy of v with the given rulesVersion.
+func (v SidecarStatus) WithRulesVersion(rulesVersion uint64) SidecarStatus {
+	v.rulesVersion = rulesVersion
+	return v
+}
+
 // StatusSubscription is sent periodically by a balancer to a sidecar to receive the sidecar's
 // status. The subscription expires unless it is repeated.
 type StatusSubscription struct {
@@ -877,6 +939,8 @@
 	sidecarCount              uint32
 	statusIncarnation         uint64
 	statusSequenceNumber      uint64
+	storeEra                  uint64
+	rulesVersion              uint64
 }
 
 func (StatusSubscription) isDatagram() {}
@@ -975,6 +1039,32 @@
 	return v
 }
 
+// StoreEra returns the field of the same name.
+//
+// Era of the platform to which the revision of the exclusions belongs.
+func (v StatusSubscription) StoreEra() uint64 {
+	return v.storeEra
+}
+
+// WithStoreEra returns a copy of v with the given storeEra.
+func (v StatusSubscription) WithStoreEra(storeEra uint64) StatusSubscription {
+	v.storeEra = storeEra
+	return v
+}
+
+// RulesVersion returns the field of the same name.
+//
+// Version of the routing rules that the balancer has in force.
+func (v StatusSubscription) RulesVersion() uint64 {
+	return v.rulesVersion
+}
+
+// WithRulesVersion returns a copy of v with the given rulesVersion.
+func (v StatusSubscription) WithRulesVersion(rulesVersion uint64) StatusSubscription {
+	v.rulesVersion = rulesVersion
+	return v
+}
+
 // FlowClaim reports to a balancer that the upstream of the sending sidecar holds a flow, that is,
 // has the TCP state of the flow.
 type FlowClaim struct {
@@ -1028,6 +1118,8 @@
 	askedSidecars              []byte
 	searchNumber               uint32
 	expectedResponseMicros     uint32
+	storeEra                   uint64
+	rulesVersion               uint64
 }
 
 func (ForwardedPacket) isDatagram() {}
@@ -1233,6 +1325,33 @@
 	return v
 }
 
+// StoreEra returns the field of the same name.
+//
+// Era of the platform to which the revision of the exclusions belongs. It is raised like the
+// revisions.
+func (v ForwardedPacket) StoreEra() uint64 {
+	return v.storeEra
+}
+
+// WithStoreEra returns a copy of v with the given storeEra.
+func (v ForwardedPacket) WithStoreEra(storeEra uint64) ForwardedPacket {
+	v.storeEra = storeEra
+	return v
+}
+
+// RulesVersion returns the field of the same name.
+//
+// Version of the routing rules that the balancer had in force. It is raised like the revisions.
+func (v ForwardedPacket) RulesVersion() uint64 {
+	return v.rulesVersion
+}
+
+// WithRulesVersion returns a copy of v with the given rulesVersion.
+func (v ForwardedPacket) WithRulesVersion(rulesVersion uint64) ForwardedPacket {
+	v.rulesVersion = rulesVersion
+	return v
+}
+
 // Datagram is any message that processes of the fleet send each other over UDP on the relay path.
 //
 //sumtype:decl
@@ -2071,8 +2190,10 @@
 // PolicyRevisions are the revisions of the policy (routing rules and zone exclusions) that a
 // process has in force or that other processes have named.
 type PolicyRevisions struct {
-	rules      uint64
-	exclusions uint64
+	rules        uint64
+	rulesVersion uint64
+	era          uint64
+	exclusions   uint64
 }
 
 // Rules returns the field of the same name.
@@ -2088,6 +2209,32 @@
 	return v
 }
 
+// RulesVersion returns the field of the same name.
+//
+// Version of the routing rules; 0 when a process of the previous version has named the revision.
+func (v PolicyRevisions) RulesVersion() uint64 {
+	return v.rulesVersion
+}
+
+// WithRulesVersion returns a copy of v with the given rulesVersion.
+func (v PolicyRevisions) WithRulesVersion(rulesVersion uint64) PolicyRevisions {
+	v.rulesVersion = rulesVersion
+	return v
+}
+
+// Era returns the field of the same name.
+//
+// Era of the platform to which the revision of the exclusions belongs.
+func (v PolicyRevisions) Era() uint64 {
+	return v.era
+}
+
+// WithEra returns a copy of v with the given era.
+func (v PolicyRevisions) WithEra(era uint64) PolicyRevisions {
+	v.era = era
+	return v
+}
+
 // Exclusions returns the field of the same name.
 //
 // Revision of the zone exclusions. For the process itself, it is the revision up to which the
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -306,6 +306,8 @@
 	b = field.AppendUint(b, 14, uint64(v.SubscriberCount()))
 	b = field.AppendBool(b, 15, v.Ejected())
 	b = field.AppendUint(b, 16, uint64(v.SubscriberRank()))
+	b = field.AppendUint(b, 17, v.StoreEra())
+	b = field.AppendUint(b, 18, v.RulesVersion())
 	return b
 }
 
@@ -345,6 +347,10 @@
 			v = v.WithEjected(r.Bool())
 		case 16:
 			v = v.WithSubscriberRank(uint32(r.Uint()))
+		case 17:
+			v = v.WithStoreEra(r.Uint())
+		case 18:
+			v = v.WithRulesVersion(r.Uint())
 		}
 	}
 	return v, r.Err()
@@ -359,6 +365,8 @@
 	b = field.AppendUint(b, 5, uint64(v.SidecarCount()))
 	b = field.AppendUint(b, 6, v.StatusIncarnation())
 	b = field.AppendUint(b, 7, v.StatusSequenceNumber())
+	b = field.AppendUint(b, 8, v.StoreEra())
+	b = field.AppendUint(b, 9, v.RulesVersion())
 	return b
 }
 
@@ -382,6 +390,10 @@
 			v = v.WithStatusIncarnation(r.Uint())
 		case 7:
 			v = v.WithStatusSequenceNumber(r.Uint())
+		case 8:
+			v = v.WithStoreEra(r.Uint())
+		case 9:
+			v = v.WithRulesVersion(r.Uint())
 		}
 	}
 	return v, r.Err()
@@ -431,6 +443,8 @@
 	b = field.AppendBytes(b, 12, v.AskedSidecars())
 	b = field.AppendUint(b, 13, uint64(v.SearchNumber()))
 	b = field.AppendUint(b, 14, uint64(v.ExpectedResponseMicros()))
+	b = field.AppendUint(b, 15, v.StoreEra())
+	b = field.AppendUint(b, 16, v.RulesVersion())
 	return b
 }
 
@@ -469,6 +483,10 @@
 			v = v.WithSearchNumber(uint32(r.Uint()))
 		case 14:
 			v = v.WithExpectedResponseMicros(uint32(r.Uint()))
+		case 15:
+			v = v.WithStoreEra(r.Uint())
+		case 16:
+			v = v.WithRulesVersion(r.Uint())
 		}
 	}
 	v = v.WithHopAddresses(hopAddresses...)
--- a/core/pkg/catchup/catchup.go
+++ b/core/pkg/catchup/catchup.go
@@ -10,15 +10,15 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 )
 
 // Store reads from the platform.
 type Store interface {
-	// ReadRules returns the rules and the platform revision up to which they are known to be
-	// current.
-	ReadRules(ctx context.Context, freshness landing.Freshness) (landing.RoutingRules, uint64, error)
+	// ReadRules returns the rules and the position up to which they are known to be current.
+	ReadRules(ctx context.Context, freshness landing.Freshness) (landing.RoutingRules, landing.StorePosition, error)
 	// ReadExclusions returns the exclusions. It compares them with the known ones to find out
 	// whether they have changed.
 	ReadExclusions(ctx context.Context, known landing.ZoneExclusions, freshness landing.Freshness) (landing.ZoneExclusions, error)
@@ -62,7 +62,7 @@
 // other process advertises its revisions, reads everything. CatchUp returns false when ctx is done,
 // no source responds, or the process is still behind.
 func (r Reader) CatchUp(ctx context.Context, isIsolated bool) bool {
-	for _, source := range policy.ReadSources() {
+	for _, source := range r.control.Policy().ReadSources(clock.Now()) {
 		before := r.control.Policy()
 		err := r.readFrom(ctx, source, before, isIsolated)
 		if ctx.Err() != nil {
@@ -139,14 +139,14 @@
 // readStore reads objects from the platform and posts them: those of which the policy before the
 // read wants a newer revision than it knows, or all objects if the process is isolated.
 func (r Reader) readStore(ctx context.Context, freshness landing.Freshness, before policy.Policy, isIsolated bool) error {
-	if isIsolated || before.WantedRevisions().Rules() > before.KnownRevisions().Rules() {
+	if isIsolated || before.LacksRules() {
 		rules, _, err := r.store.ReadRules(ctx, freshness)
 		if err != nil {
 			return err
 		}
 		r.control.Post(landing.RulesReceived{}.WithRules(rules).WithSource(storeSource(freshness)))
 	}
-	if isIsolated || before.WantedRevisions().Exclusions() > before.KnownRevisions().Exclusions() {
+	if isIsolated || before.LacksExclusions() {
 		exclusions, err := r.store.ReadExclusions(ctx, before.Exclusions(), freshness)
 		if err != nil {
 			return err
--- a/core/pkg/catchup/catchup_test.go
+++ b/core/pkg/catchup/catchup_test.go
@@ -14,6 +14,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/counter"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
+	"github.com/crocuslanding/crocuslanding/core/pkg/position"
 )
 
 // fakePlatform is a store whose stale reads may lag behind its newest state and which may be
@@ -36,9 +37,9 @@
 	return p.newest, nil
 }
 
-func (p *fakePlatform) ReadRules(_ context.Context, f landing.Freshness) (landing.RoutingRules, uint64, error) {
+func (p *fakePlatform) ReadRules(_ context.Context, f landing.Freshness) (landing.RoutingRules, landing.StorePosition, error) {
 	r, err := p.read(f)
-	return landing.RoutingRules{}.WithRevision(r.Rules()), r.Rules(), err
+	return landing.RoutingRules{}.WithRevision(r.Rules()), position.New(0, r.Rules()), err
 }
 
 func (p *fakePlatform) ReadExclusions(_ context.Context, _ landing.ZoneExclusions, f landing.Freshness) (landing.ZoneExclusions, error) {
@@ -63,7 +64,7 @@
 	case landing.RulesReceived:
 		p.policy = p.policy.WithRules(event.Rules())
 	case landing.ExclusionsReceived:
-		p.policy = p.policy.WithExclusions(event.Exclusions())
+		p.policy = p.policy.WithExclusions(event.Exclusions(), time.Time{})
 	case landing.ConsistentReadEnded:
 		p.policy = p.policy.WithConsistentRead(event.WantedAtStart())
 	case landing.SubscriptionReceived, landing.ProbesSent, landing.RevisionsSeen, landing.EnrollmentsReceived, landing.UpstreamEventObserved,
@@ -82,14 +83,14 @@
 
 // revisions returns this revision of both rules and exclusions.
 func revisions(revision uint64) landing.PolicyRevisions {
-	return policy.NewRevisions(revision, revision)
+	return landing.PolicyRevisions{}.WithRules(revision).WithExclusions(revision)
 }
 
 // policyAt returns a policy with rules and exclusions of this revision.
 func policyAt(revision uint64) policy.Policy {
 	return policy.Policy{}.
 		WithRules(landing.RoutingRules{}.WithRevision(revision)).
-		WithExclusions(landing.ZoneExclusions{}.WithRevision(revision))
+		WithExclusions(landing.ZoneExclusions{}.WithRevision(revision), time.Time{})
 }
 
 func catchUp(process *fakeProcess, platform *fakePlatform, isIsolated bool) bool {
@@ -168,9 +169,9 @@
 // silentPlatform never responds.
 type silentPlatform struct{}
 
-func (silentPlatform) ReadRules(ctx context.Context, _ landing.Freshness) (landing.RoutingRules, uint64, error) {
+func (silentPlatform) ReadRules(ctx context.Context, _ landing.Freshness) (landing.RoutingRules, landing.StorePosition, error) {
 	<-ctx.Done()
-	return landing.RoutingRules{}, 0, ctx.Err()
+	return landing.RoutingRules{}, landing.StorePosition{}, ctx.Err()
 }
 
 func (silentPlatform) ReadExclusions(ctx context.Context, _ landing.ZoneExclusions, _ landing.Freshness) (landing.ZoneExclusions, error) {
@@ -184,7 +185,7 @@
 	failures int
 }
 
-func (p *returningPlatform) ReadRules(ctx context.Context, f landing.Freshness) (landing.RoutingRules, uint64, error) {
+func (p *returningPlatform) ReadRules(ctx context.Context, f landing.Freshness) (landing.RoutingRules, landing.StorePosition, error) {
 	p.failures--
 	p.isUnavailable = p.failures >= 0
 	return p.fakePlatform.ReadRules(ctx, f)
--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -13,16 +13,24 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/position"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 )
 
+// maxStaleness is the age that the response to a stale read may have.
+const maxStaleness = 20 * time.Second
+
 // Policy holds the rules and exclusions in force and the newest revisions that other processes have
 // advertised. It is immutable. The zero value has neither rules nor exclusions.
 type Policy struct {
 	rules      *rules.Index
 	exclusions landing.ZoneExclusions
+	// eraChangedAt is the time at which the process last saw the platform in a later era than before; the
+	// zero time if it never did.
+	eraChangedAt time.Time
 	// wantedRevisions are the newest revisions that other processes have advertised.
 	wantedRevisions landing.PolicyRevisions
 }
@@ -32,7 +40,8 @@
 	return p.rules
 }
 
-// Exclusions returns the availability zones that operators have taken out of service.
+// Exclusions returns the availability zones that operators have taken out of service, as the platform
+// lists them.
 func (p Policy) Exclusions() landing.ZoneExclusions {
 	return p.exclusions
 }
@@ -58,10 +67,14 @@
 
 // WithExclusions returns a copy with these exclusions in force. Exclusions that are not newer than
 // those in force are ignored.
-func (p Policy) WithExclusions(newer landing.ZoneExclusions) Policy {
-	if newer.Revision() > p.exclusions.Revision() {
-		p.exclusions = newer
+func (p Policy) WithExclusions(newer landing.ZoneExclusions, now time.Time) Policy {
+	if !position.IsLater(position.OfExclusions(newer), position.OfExclusions(p.exclusions)) {
+		return p
+	}
+	if newer.Era() > p.exclusions.Era() && p.exclusions.Revision() > 0 {
+		p.eraChangedAt = now
 	}
+	p.exclusions = newer
 	return p
 }
 
@@ -70,7 +83,9 @@
 func (p Policy) KnownRevisions() landing.PolicyRevisions {
 	return landing.PolicyRevisions{}.
 		WithRules(p.rules.Rules().Revision()).
-		WithExclusions(p.exclusions.Revision())
+		WithRulesVersion(p.rules.Rules().Version()).
+		WithExclusions(p.exclusions.Revision()).
+		WithEra(p.exclusions.Era())
 }
 
 // AdvertisedRevisions returns the revisions that the process advertises to others: the revision of
@@ -87,9 +102,7 @@
 // WithRevisionsSeen returns a copy that takes account of the revisions that another process has
 // advertised.
 func (p Policy) WithRevisionsSeen(seen landing.PolicyRevisions) Policy {
-	p.wantedRevisions = landing.PolicyRevisions{}.
-		WithRules(max(p.wantedRevisions.Rules(), seen.Rules())).
-		WithExclusions(max(p.wantedRevisions.Exclusions(), seen.Exclusions()))
+	p.wantedRevisions = Newest(p.wantedRevisions, seen)
 	return p
 }
 
@@ -118,21 +131,30 @@
 // this process.
 func (p Policy) IsOlderThan(other landing.PolicyRevisions) bool {
 	known := p.KnownRevisions()
-	return other.Rules() > known.Rules() || other.Exclusions() > known.Exclusions()
+	return AreRulesNewer(other, known) || AreExclusionsNewer(other, known)
 }
 
-// ReadSources returns the sources from which a process reads, one after the other, until it is no
-// longer behind. A stale read from the platform costs a tenth of a consistent one and may be
-// seconds old. A peer that has advertised the newer revisions has the objects. A consistent read,
-// which returns the platform's current state, is the most expensive and comes last.
-func ReadSources() []landing.ReadSource {
-	return []landing.ReadSource{landing.StaleRead{}, landing.PeerRead{}, landing.ConsistentRead{}}
+// LacksRules reports whether other processes have advertised newer rules.
+func (p Policy) LacksRules() bool {
+	return AreRulesNewer(p.wantedRevisions, p.KnownRevisions())
 }
 
-// NewRevisions returns the revisions that a datagram advertises: the revision of the sender's
-// rules, and the one at which the sender's exclusions last changed.
-func NewRevisions(rulesRevision, exclusionsChangedRevision uint64) landing.PolicyRevisions {
-	return landing.PolicyRevisions{}.WithRules(rulesRevision).WithExclusions(exclusionsChangedRevision)
+// LacksExclusions reports whether other processes have advertised newer exclusions.
+func (p Policy) LacksExclusions() bool {
+	return AreExclusionsNewer(p.wantedRevisions, p.KnownRevisions())
+}
+
+// ReadSources returns the sources from which the process reads, one after the other, until it is no
+// longer behind. A stale read from the platform costs a tenth of a consistent one and may be
+// seconds old. It is left out when the platform has just come back from an older copy, since its
+// response may be from before. A peer that has advertised the newer revisions has the objects. A
+// consistent read, which returns the platform's current state, is the most expensive and comes last.
+func (p Policy) ReadSources(now time.Time) []landing.ReadSource {
+	sources := []landing.ReadSource{landing.PeerRead{}, landing.ConsistentRead{}}
+	if p.wantedRevisions.Era() > p.exclusions.Era() || now.Sub(p.eraChangedAt) < maxStaleness {
+		return sources
+	}
+	return slices.Insert(sources, 0, landing.ReadSource(landing.StaleRead{}))
 }
 
 // SourceLabel returns the name of the source in logs and counters, or "" for nil.
--- a/core/pkg/policy/policy_test.go
+++ b/core/pkg/policy/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -13,7 +14,7 @@
 func ExamplePolicy() {
 	p := Policy{}.
 		WithRules(landing.RoutingRules{}.WithRevision(7)).
-		WithExclusions(landing.ZoneExclusions{}.WithRevision(9).WithZones("east"))
+		WithExclusions(landing.ZoneExclusions{}.WithRevision(9).WithZones("east"), time.Unix(1000, 0))
 	fmt.Println(p.IsExcluded("east"), p.IsBehind())
 	p = p.WithRevisionsSeen(landing.PolicyRevisions{}.WithRules(8))
 	fmt.Println(p.IsBehind(), p.WithRules(landing.RoutingRules{}.WithRevision(8)).IsBehind())
@@ -30,7 +31,7 @@
 			if rapid.Bool().Draw(t, "isRules") {
 				p = p.WithRules(landing.RoutingRules{}.WithRevision(revision))
 			} else {
-				p = p.WithExclusions(landing.ZoneExclusions{}.WithRevision(revision))
+				p = p.WithExclusions(landing.ZoneExclusions{}.WithRevision(revision), time.Time{})
 			}
 			after := p.KnownRevisions()
 			if after.Rules() < before.Rules() || after.Exclusions() < before.Exclusions() {
@@ -43,7 +44,7 @@
 // A process outside the fleet advertises a revision that the platform does not have.
 func TestWithConsistentRead_ClearsRevisionThatDoesNotExist(t *testing.T) {
 	is := is.New(t)
-	known := Policy{}.WithRules(landing.RoutingRules{}.WithRevision(7)).WithExclusions(landing.ZoneExclusions{}.WithRevision(9))
+	known := Policy{}.WithRules(landing.RoutingRules{}.WithRevision(7)).WithExclusions(landing.ZoneExclusions{}.WithRevision(9), time.Time{})
 	p := known.WithRevisionsSeen(landing.PolicyRevisions{}.WithRules(1 << 60))
 	is.True(p.IsBehind())
 	is.True(!p.WithConsistentRead(p.WantedRevisions()).IsBehind())
--- /dev/null
+++ b/core/pkg/policy/revisions.go
@@ -0,0 +1,55 @@
+package policy
+
+import (
+	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/position"
+)
+
+// RevisionsOfStatus returns the revisions that the sidecar advertises with the status.
+func RevisionsOfStatus(s landing.SidecarStatus) landing.PolicyRevisions {
+	return landing.PolicyRevisions{}.WithRules(s.RulesRevision()).WithRulesVersion(s.RulesVersion()).
+		WithExclusions(s.ExclusionsChangedRevision()).WithEra(s.StoreEra())
+}
+
+// RevisionsOfSubscription returns the revisions that the balancer advertises with the subscription.
+func RevisionsOfSubscription(s landing.StatusSubscription) landing.PolicyRevisions {
+	return landing.PolicyRevisions{}.WithRules(s.RulesRevision()).WithRulesVersion(s.RulesVersion()).
+		WithExclusions(s.ExclusionsChangedRevision()).WithEra(s.StoreEra())
+}
+
+// RevisionsOfPacket returns the newest revisions of the processes that have forwarded the packet.
+func RevisionsOfPacket(p landing.ForwardedPacket) landing.PolicyRevisions {
+	return landing.PolicyRevisions{}.WithRules(p.RulesRevision()).WithRulesVersion(p.RulesVersion()).
+		WithExclusions(p.ExclusionsChangedRevision()).WithEra(p.StoreEra())
+}
+
+// PacketWithRevisions returns the packet with the given revisions.
+func PacketWithRevisions(p landing.ForwardedPacket, r landing.PolicyRevisions) landing.ForwardedPacket {
+	return p.WithRulesRevision(r.Rules()).WithRulesVersion(r.RulesVersion()).
+		WithExclusionsChangedRevision(r.Exclusions()).WithStoreEra(r.Era())
+}
+
+// AreRulesNewer reports whether the rules with the revisions a are newer than those with b. A process of
+// the previous version states no version of its rules, which then count by their revision.
+func AreRulesNewer(a, b landing.PolicyRevisions) bool {
+	if a.RulesVersion() == 0 {
+		return a.Rules() > b.Rules()
+	}
+	return a.RulesVersion() > b.RulesVersion()
+}
+
+// AreExclusionsNewer reports whether the exclusions with the revisions a are newer than those with b.
+func AreExclusionsNewer(a, b landing.PolicyRevisions) bool {
+	return position.IsLater(position.New(a.Era(), a.Exclusions()), position.New(b.Era(), b.Exclusions()))
+}
+
+// Newest returns the newer revisions of the rules and the newer ones of the exclusions.
+func Newest(a, b landing.PolicyRevisions) landing.PolicyRevisions {
+	if AreRulesNewer(b, a) {
+		a = a.WithRules(b.Rules()).WithRulesVersion(b.RulesVersion())
+	}
+	if AreExclusionsNewer(b, a) {
+		a = a.WithExclusions(b.Exclusions()).WithEra(b.Era())
+	}
+	return a
+}
--- a/core/pkg/policylog/policylog.go
+++ b/core/pkg/policylog/policylog.go
@@ -4,11 +4,10 @@
 package policylog
 
 import (
-	"cmp"
-
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
+	"github.com/crocuslanding/crocuslanding/core/pkg/position"
 )
 
 // Rules logs the routing rules that were received from this source: that they are in force after the event, or that they
@@ -20,7 +19,7 @@
 	case after.Rules() != before.Rules():
 		telemetry.Log().Info("rules in force", "version", inForce.Version(), "before", previous.Version(), "revision", inForce.Revision(), "era", inForce.Era(),
 			"listeners", inForce.ListenersLen(), "source", policy.SourceLabel(source))
-	case received.Revision() > 0 && (received.Version() > inForce.Version() || compareAcceptance(received, inForce) > 0):
+	case received.Revision() > 0 && (received.Version() > inForce.Version() || position.IsLater(position.OfRules(received), position.OfRules(inForce))):
 		telemetry.Counters().Counter("rules_ignored").Inc(1)
 		telemetry.Log().Info("rules ignored", "version", received.Version(), "revision", received.Revision(), "era", received.Era(),
 			"kept", inForce.Version(), "since", inForce.Revision(), "source", policy.SourceLabel(source))
@@ -40,8 +39,3 @@
 			"kept", inForce.Zones(), "since", inForce.Revision())
 	}
 }
-
-// compareAcceptance compares the times at which the platform accepted two configurations.
-func compareAcceptance(a, b landing.RoutingRules) int {
-	return cmp.Or(cmp.Compare(a.Era(), b.Era()), cmp.Compare(a.Revision(), b.Revision()))
-}
--- a/core/pkg/rules/rules.go
+++ b/core/pkg/rules/rules.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
+	"github.com/crocuslanding/crocuslanding/core/pkg/position"
 )
 
 // Index finds listeners and upstream pools (the limits for the upstreams of a service) in routing
@@ -107,9 +108,13 @@
 	return 0
 }
 
-// IsNewer reports whether a has a higher revision than b. Revisions are values of a counter of the
-// platform (the service outside the fleet that stores the rules), so the platform then accepted a
-// after b.
+// IsNewer reports whether a has a higher version than b or, if both have the same one, was accepted
+// later by the platform, the service outside the fleet that stores the rules. Operators only increase
+// versions. The platform can come back from an older copy, whose rules were accepted later by the count
+// of its eras and have a lower version.
 func IsNewer(a, b landing.RoutingRules) bool {
-	return a.Revision() > b.Revision()
+	if a.Version() != b.Version() {
+		return a.Version() > b.Version()
+	}
+	return position.IsLater(position.OfRules(a), position.OfRules(b))
 }
--- a/sidecar/pkg/relay/admission.go
+++ b/sidecar/pkg/relay/admission.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/entry"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
@@ -48,7 +49,7 @@
 func (f *Forwarder) refusalReason(s Snapshot, forwarded landing.ForwardedPacket, segment landing.Segment, l upstreamLoad, now time.Time) landing.Refusal {
 	listener, found := s.policy.Rules().FindListener(segment.Key())
 	// If the balancer has newer rules than this sidecar, its choice of the service is accepted.
-	isAllowed := forwarded.RulesRevision() > s.policy.Rules().Rules().Revision() || found && rules.Allows(listener, f.settings.Service())
+	isAllowed := policy.AreRulesNewer(policy.RevisionsOfPacket(forwarded), s.policy.KnownRevisions()) || found && rules.Allows(listener, f.settings.Service())
 	return entry.RefusalReason(entry.Conditions{
 		IsForOtherService: forwarded.ServiceTag() != f.serviceTag,
 		IsEnrolled:        s.IsEnrolled(now),
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -120,7 +120,7 @@
 		return t.applyUpstreamEvent(s, e.Event())
 	case landing.SubscriptionReceived:
 		subscription := e.Subscription()
-		s = t.recordRevisions(s, policy.NewRevisions(subscription.RulesRevision(), subscription.ExclusionsChangedRevision()))
+		s = t.recordRevisions(s, policy.RevisionsOfSubscription(subscription))
 		if subscription.Instance() == t.instance {
 			s = s.WithConfirmation(s.confirmation.WithSubscription(e.AcknowledgedAt(), e.ReceivedAt()))
 		}
@@ -134,11 +134,15 @@
 	return s
 }
 
-// applyExclusions puts newer zone exclusions in force and logs when they have changed. When the upstream's zone is put
-// back into service, the upstream counts as cold.
+// applyExclusions puts newer zone exclusions in force and logs when they have changed.
 func (t *ControlThread) applyExclusions(s Snapshot, received landing.ZoneExclusions) Snapshot {
-	next := s.policy.WithExclusions(received)
+	next := s.policy.WithExclusions(received, clock.Now())
 	policylog.Exclusions(t.telemetry, s.policy, next, received)
+	return t.applyPolicy(s, next)
+}
+
+// applyPolicy puts a policy in force. When the upstream's zone is put back into service, the upstream counts as cold.
+func (t *ControlThread) applyPolicy(s Snapshot, next policy.Policy) Snapshot {
 	wasExcluded, isExcluded := s.policy.IsExcluded(t.zone), next.IsExcluded(t.zone)
 	s = s.WithPolicy(next)
 	if wasExcluded && !isExcluded {
--- a/sidecar/pkg/relay/execute.go
+++ b/sidecar/pkg/relay/execute.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
 	"github.com/crocuslanding/crocuslanding/core/pkg/selection"
 	"github.com/crocuslanding/crocuslanding/platform"
@@ -85,8 +86,7 @@
 // revisions of rules and exclusions: those that it already carried or those of this sidecar.
 func (f *Forwarder) returnToBalancer(forwarded landing.ForwardedPacket, reason landing.Refusal) {
 	s := f.controlThread.Snapshot()
-	advertised := s.policy.AdvertisedRevisions()
-	forwarded = forwarded.WithRulesRevision(max(forwarded.RulesRevision(), advertised.Rules())).WithExclusionsChangedRevision(max(forwarded.ExclusionsChangedRevision(), advertised.Exclusions()))
+	forwarded = policy.PacketWithRevisions(forwarded, policy.Newest(policy.RevisionsOfPacket(forwarded), s.policy.AdvertisedRevisions()))
 	f.link.Send(landing.ReturnedPacket{}.WithForwardedPacket(forwarded).WithReason(reason), forwarded.BalancerAddress())
 }
 
--- a/sidecar/pkg/relay/forwarder.go
+++ b/sidecar/pkg/relay/forwarder.go
@@ -115,6 +115,7 @@
 	f.registerLoadGauges()
 	c.RegisterGauge("revision.rules", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Rules()) })
 	c.RegisterGauge("revision.exclusions", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Exclusions()) })
+	c.RegisterGauge("revision.era", func() int64 { return int64(f.controlThread.Policy().Exclusions().Era()) })
 	c.RegisterGauge("heartbeat_age_ms", func() int64 {
 		lastHeartbeat := f.controlThread.Snapshot().upstream.LastHeartbeat()
 		if lastHeartbeat.IsZero() {
@@ -217,7 +218,7 @@
 		return
 	}
 	s := f.controlThread.Snapshot()
-	if seen := policy.NewRevisions(forwarded.RulesRevision(), forwarded.ExclusionsChangedRevision()); s.policy.IsOlderThan(seen) {
+	if seen := policy.RevisionsOfPacket(forwarded); s.policy.IsOlderThan(seen) {
 		f.controlThread.Post(landing.RevisionsSeen{}.WithRevisions(seen))
 	}
 	now := clock.Now()
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -177,7 +177,7 @@
 func (s *PlatformSync) tryEnroll() error {
 	wanted := s.enrollment()
 	stored, err := s.store.CreateEnrollment(s.stopper.Context(), wanted)
-	if trace.IsAlreadyExists(err) && stored.WithRevision(0) != wanted {
+	if trace.IsAlreadyExists(err) && stored.WithEra(0).WithRevision(0) != wanted {
 		stored, err = s.store.ReplaceEnrollment(s.stopper.Context(), wanted.WithRevision(stored.Revision()))
 	}
 	if err != nil && !trace.IsAlreadyExists(err) {
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -92,7 +92,7 @@
 	s.subscribers = slices.DeleteFunc(slices.Clone(s.subscribers), func(b subscriber) bool {
 		return b.address == subscription.BalancerAddress() || now.Sub(b.renewedAt) > subscriberRetention
 	})
-	s.subscribers = append(s.subscribers, subscriber{address: subscription.BalancerAddress(), renewedAt: now, revisions: policy.NewRevisions(subscription.RulesRevision(), subscription.ExclusionsChangedRevision())})
+	s.subscribers = append(s.subscribers, subscriber{address: subscription.BalancerAddress(), renewedAt: now, revisions: policy.RevisionsOfSubscription(subscription)})
 	return s
 }
 
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -80,7 +80,9 @@
 		WithRequestsPerSecond(requestsPerSecond).
 		WithAdmissibleFlows(uint32(max(f.admissibleFlows(s, l, now), 0))).
 		WithRulesRevision(advertised.Rules()).
+		WithRulesVersion(advertised.RulesVersion()).
 		WithExclusionsChangedRevision(advertised.Exclusions()).
+		WithStoreEra(advertised.Era()).
 		WithUpstreamStartMillis(upstreamStartMillis(s.upstream)).
 		WithSubscriberCount(uint32(s.SubscriberCount(now))).
 		WithEjected(l.isEjected(now))
