Keep exclusions in force that the store may have lost

What callers would see: flows opened in a zone whose exclusion was acknowledged and lost with the store, between the return of the store and the moment in which the operator writes it again.

Cause: a zone that a list of exclusions does not contain counted as put back into service. In the list of a later era it may be one that is still to be written again.

Evidence: unit tests of the policy (retained until the time is over, ends with its removal once rewritten, a second return, nothing retained within an era) pass.

--- a/balancer/pkg/relay/app.go
+++ b/balancer/pkg/relay/app.go
@@ -28,6 +28,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/finding"
 	"github.com/crocuslanding/crocuslanding/core/pkg/launch"
+	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
 	"github.com/crocuslanding/crocuslanding/core/pkg/peer"
 	"github.com/crocuslanding/crocuslanding/core/pkg/reader"
 	"github.com/crocuslanding/crocuslanding/core/pkg/scrape"
@@ -125,7 +126,7 @@
 		return nil, trace.Wrap(err)
 	}
 	b := &Balancer{telemetry: telemetry}
-	b.control = NewControlThread(telemetry, address.PackAddrPort(fleet), func(sidecarAddress, startMillis uint64) {
+	b.control = NewControlThread(telemetry, address.PackAddrPort(fleet), pace.Retention(s.Stretch()), func(sidecarAddress, startMillis uint64) {
 		b.forwarder.resetFlowsOfEndedProcesses(sidecarAddress, startMillis)
 	})
 	orphanCandidates := make(chan orphanCandidate, maxOrphanCandidates)
--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
@@ -28,10 +29,10 @@
 }
 
 // NewControlThread returns the control thread of the balancer at this address, without any state from the platform. It
-// handles no events before Start is called. When a sidecar reports another start time of its upstream than before, the
+// handles no events before Start is called. What the platform may have lost is kept for the time retention. When a sidecar reports another start time of its upstream than before, the
 // control thread calls onUpstreamRestart with the address of the sidecar and the new start time, in milliseconds since
 // 1970 by the upstream's clock.
-func NewControlThread(telemetry common.Telemetry, balancerAddress uint64, onUpstreamRestart func(sidecarAddress, startMillis uint64)) *ControlThread {
+func NewControlThread(telemetry common.Telemetry, balancerAddress uint64, retention time.Duration, onUpstreamRestart func(sidecarAddress, startMillis uint64)) *ControlThread {
 	control := &ControlThread{
 		telemetry:         telemetry,
 		thread:            common.NewControlThread(eventBuffer),
@@ -40,7 +41,7 @@
 		onUpstreamRestart: onUpstreamRestart,
 		eras:              newEraSignal(),
 	}
-	s := NewSnapshot(balancerAddress)
+	s := NewSnapshot(balancerAddress, retention)
 	control.snapshot.Store(&s)
 	return control
 }
@@ -87,6 +88,18 @@
 	return c.eras.after(era)
 }
 
+// RemoveExpired removes the retained exclusions whose time is over.
+func (c *ControlThread) RemoveExpired() {
+	if !c.Snapshot().HasExpired(clock.Now()) {
+		return
+	}
+	c.Update(func(s Snapshot) Snapshot {
+		next := s.WithoutExpired(clock.Now())
+		c.telemetry.Log().Info("lost objects are given up", "zones", len(s.policy.RetainedZones())-len(next.policy.RetainedZones()))
+		return next
+	})
+}
+
 // AwaitPosted returns when all events posted before have been handled, or when the thread stops.
 func (c *ControlThread) AwaitPosted() {
 	c.thread.AwaitPosted()
--- a/balancer/pkg/relay/opening_test.go
+++ b/balancer/pkg/relay/opening_test.go
@@ -29,7 +29,7 @@
 		WithFront(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port).String()).
 		WithFleet("127.0.0.1:0")
 	telemetry := common.New(logr.Discard(), counter.New())
-	f, err := NewForwarder(telemetry, settings, NewControlThread(telemetry, 1, func(uint64, uint64) {}), make(chan orphanCandidate, 1))
+	f, err := NewForwarder(telemetry, settings, NewControlThread(telemetry, 1, 0, func(uint64, uint64) {}), make(chan orphanCandidate, 1))
 	is.NoErr(err)
 	t.Cleanup(f.Stop)
 	return f, caller
--- a/balancer/pkg/relay/platform_sync_test.go
+++ b/balancer/pkg/relay/platform_sync_test.go
@@ -48,7 +48,7 @@
 		status := landing.SidecarStatus{}.WithInstance(s.Enrollment().Instance()).WithIncarnation(1).WithSequenceNumber(1).WithRulesRevision(7)
 		d = d.WithStatuses(landing.ReceivedStatus{}.WithStatus(status).WithSourceAddress(s.Address()).WithReceivedAt(now))
 	}
-	same := NewSnapshot(1).WithDirectory(d).WithPolicy(policy.Policy{}.WithRules(landing.RoutingRules{}.WithRevision(7)))
+	same := NewSnapshot(1, 0).WithDirectory(d).WithPolicy(policy.Policy{}.WithRules(landing.RoutingRules{}.WithRevision(7)))
 	f.sendSubscriptions(same, false, maxToldSidecars)
 	is.Equal(countReceived(t, sidecars), 0)
 	changed := same.WithPolicy(policy.Policy{}.WithRules(landing.RoutingRules{}.WithRevision(8)))
--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -16,9 +16,10 @@
 	isDraining bool
 }
 
-// NewSnapshot returns a snapshot for the balancer at this address, without rules, exclusions or sidecars.
-func NewSnapshot(balancerAddress uint64) Snapshot {
-	return Snapshot{directory: directory.New(balancerAddress)}
+// NewSnapshot returns a snapshot for the balancer at this address, without rules, exclusions or sidecars. What the platform
+// may have lost is kept for the time retention.
+func NewSnapshot(balancerAddress uint64, retention time.Duration) Snapshot {
+	return Snapshot{policy: policy.New(retention), directory: directory.New(balancerAddress)}
 }
 
 // WithPolicy returns a copy with the given policy in force.
@@ -44,6 +45,16 @@
 	return max(s.policy.Rules().Rules().Era(), s.policy.Exclusions().Era(), s.directory.EnrollmentList().Era())
 }
 
+// HasExpired reports whether an exclusion is retained whose time is over.
+func (s Snapshot) HasExpired(now time.Time) bool {
+	return s.policy.HasExpired(now)
+}
+
+// WithoutExpired returns a copy without the retained exclusions whose time is over.
+func (s Snapshot) WithoutExpired(now time.Time) Snapshot {
+	return s.WithPolicy(s.policy.WithoutExpired(now))
+}
+
 // HasInitialState reports whether rules, exclusions and enrolled sidecars have been read at least once. Before that the
 // balancer cannot forward packets.
 func (s Snapshot) HasInitialState() bool {
--- a/balancer/pkg/relay/snapshot_test.go
+++ b/balancer/pkg/relay/snapshot_test.go
@@ -12,7 +12,7 @@
 // Guards against a rank and a number of balancers that come from different sidecars, which may have different subscribers.
 func TestBalancerRank_OfSidecarWithMostSubscribers(t *testing.T) {
 	is := is.New(t)
-	s := NewSnapshot(1)
+	s := NewSnapshot(1, 0)
 	rank, count := s.BalancerRank()
 	is.Equal(rank, 0)
 	is.Equal(count, 1)
--- a/core/gen/codec/settings.go
+++ b/core/gen/codec/settings.go
@@ -255,6 +255,7 @@
 	m.Verbosity = v.Verbosity()
 	m.Apply = durationpb.New(v.Apply())
 	m.Exclude = durationpb.New(v.Exclude())
+	m.Stretch = durationpb.New(v.Stretch())
 	return m
 }
 
@@ -278,6 +279,7 @@
 	v = v.WithVerbosity(m.GetVerbosity())
 	v = v.WithApply(m.GetApply().AsDuration())
 	v = v.WithExclude(m.GetExclude().AsDuration())
+	v = v.WithStretch(m.GetStretch().AsDuration())
 	return v
 }
 
@@ -302,6 +304,7 @@
 	m.Verbosity = v.Verbosity()
 	m.Grace = durationpb.New(v.Grace())
 	m.Writes = v.Writes()
+	m.Stretch = durationpb.New(v.Stretch())
 	return m
 }
 
@@ -328,5 +331,6 @@
 	v = v.WithVerbosity(m.GetVerbosity())
 	v = v.WithGrace(m.GetGrace().AsDuration())
 	v = v.WithWrites(m.GetWrites())
+	v = v.WithStretch(m.GetStretch().AsDuration())
 	return v
 }
--- a/core/gen/form/settings.go
+++ b/core/gen/form/settings.go
@@ -24,6 +24,7 @@
 	v = v.WithVerbosity(r.Uint32("verbosity"))
 	v = v.WithApply(r.Duration("apply"))
 	v = v.WithExclude(r.Duration("exclude"))
+	v = v.WithStretch(r.Duration("stretch"))
 	return v
 }
 
@@ -46,5 +47,6 @@
 	v = v.WithVerbosity(r.Uint32("verbosity"))
 	v = v.WithGrace(r.Duration("grace"))
 	v = v.WithWrites(r.Uint32("writes"))
+	v = v.WithStretch(r.Duration("stretch"))
 	return v
 }
--- a/core/gen/landing/settings.go
+++ b/core/gen/landing/settings.go
@@ -864,6 +864,7 @@
 	verbosity uint32
 	apply     time.Duration
 	exclude   time.Duration
+	stretch   time.Duration
 }
 
 // Instance returns the field of the same name.
@@ -1048,6 +1049,20 @@
 	return v
 }
 
+// Stretch returns the field of the same name.
+//
+// Time by which a change may be late while the platform is unstable. What the platform has lost is
+// kept in force for this time, since it may be written again. 0: not known, 15 s are assumed.
+func (v RelayBalancerSettings) Stretch() time.Duration {
+	return v.stretch
+}
+
+// WithStretch returns a copy of v with the given stretch.
+func (v RelayBalancerSettings) WithStretch(stretch time.Duration) RelayBalancerSettings {
+	v.stretch = stretch
+	return v
+}
+
 // RelaySidecarSettings configure one sidecar process on the relay path, which forwards whole
 // packets to its upstream.
 type RelaySidecarSettings struct {
@@ -1067,6 +1082,7 @@
 	verbosity uint32
 	grace     time.Duration
 	writes    uint32
+	stretch   time.Duration
 }
 
 // Instance returns the field of the same name.
@@ -1294,3 +1310,17 @@
 	v.writes = writes
 	return v
 }
+
+// Stretch returns the field of the same name.
+//
+// Time by which a change may be late while the platform is unstable. What the platform has lost is
+// kept in force for this time, since it may be written again. 0: not known, 15 s are assumed.
+func (v RelaySidecarSettings) Stretch() time.Duration {
+	return v.stretch
+}
+
+// WithStretch returns a copy of v with the given stretch.
+func (v RelaySidecarSettings) WithStretch(stretch time.Duration) RelaySidecarSettings {
+	v.stretch = stretch
+	return v
+}
--- a/core/pkg/pace/pace.go
+++ b/core/pkg/pace/pace.go
@@ -47,6 +47,9 @@
 	// maxRecordInterval is the interval beyond which records would be too old to be useful, so that
 	// none are written.
 	maxRecordInterval = time.Minute
+	// assumedStretch is the time by which a change may be late while the platform is unstable, when the
+	// settings state none.
+	assumedStretch = 15 * time.Second
 	// fleetEnrollmentWatchInterval is the time between two watches of the enrolled sidecars that
 	// end with a change, anywhere in the fleet. A change ends the watches of all balancers at once,
 	// and each replaced upstream changes the enrollments twice.
@@ -114,6 +117,15 @@
 	return rand.N(max(time.Duration(balancers)*removalInterval, minRemovalDelayRange))
 }
 
+// Retention returns the time for which a process keeps what the platform has lost, when a change may be late by
+// this time while the platform is unstable; 0 when that is not known.
+func Retention(stretch time.Duration) time.Duration {
+	if stretch == 0 {
+		return assumedStretch
+	}
+	return stretch
+}
+
 // RecordInterval returns the time until the flows of an upstream are recorded again, in a fleet of
 // this many sidecars to which the platform allows this many writes per second, and whether flows are
 // recorded at all. The time varies randomly by a quarter in both directions.
--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -24,10 +24,14 @@
 const maxStaleness = 20 * time.Second
 
 // Policy holds the rules and exclusions in force and the newest revisions that other processes have
-// advertised. It is immutable. The zero value has neither rules nor exclusions.
+// advertised. It is immutable. The zero value has neither rules nor exclusions, and retains none.
 type Policy struct {
+	// retention is the time for which exclusions are kept that the platform may have lost.
+	retention  time.Duration
 	rules      *rules.Index
 	exclusions landing.ZoneExclusions
+	// retained are exclusions that the platform may have lost, ordered by name.
+	retained []retainedZone
 	// eraChangedAt is the time at which the process last saw the platform in a later era than before; the
 	// zero time if it never did.
 	eraChangedAt time.Time
@@ -35,6 +39,12 @@
 	wantedRevisions landing.PolicyRevisions
 }
 
+// New returns a policy without rules and exclusions. Exclusions that the platform may have lost are kept
+// for the given time.
+func New(retention time.Duration) Policy {
+	return Policy{retention: retention}
+}
+
 // Rules returns the index of the rules, or nil when no rules have been read.
 func (p Policy) Rules() *rules.Index {
 	return p.rules
@@ -46,9 +56,10 @@
 	return p.exclusions
 }
 
-// IsExcluded reports whether operators have taken the zone out of service.
+// IsExcluded reports whether operators have taken the zone out of service. An exclusion that was in force
+// before the platform came back from an older copy stays in force while it may be written again.
 func (p Policy) IsExcluded(zone string) bool {
-	return slices.Contains(p.exclusions.Zones(), zone)
+	return slices.Contains(p.exclusions.Zones(), zone) || slices.ContainsFunc(p.retained, func(z retainedZone) bool { return z.name == zone })
 }
 
 // IsComplete reports whether both rules and exclusions have been read.
@@ -66,11 +77,13 @@
 }
 
 // WithExclusions returns a copy with these exclusions in force. Exclusions that are not newer than
-// those in force are ignored.
+// those in force are ignored. In a later era of the platform, those that were in force before are
+// retained for some time.
 func (p Policy) WithExclusions(newer landing.ZoneExclusions, now time.Time) Policy {
 	if !position.IsLater(position.OfExclusions(newer), position.OfExclusions(p.exclusions)) {
 		return p
 	}
+	p.retained = p.retainedAfter(newer, now.Add(p.retention))
 	if newer.Era() > p.exclusions.Era() && p.exclusions.Revision() > 0 {
 		p.eraChangedAt = now
 	}
--- a/core/pkg/policy/policy_test.go
+++ b/core/pkg/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,11 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
+// retention is the time for which exclusions are kept that the platform may have lost.
+const retention = 12 * time.Second
+
+var now = time.Unix(1000, 0)
+
 func ExamplePolicy() {
 	p := Policy{}.
 		WithRules(landing.RoutingRules{}.WithRevision(7)).
@@ -58,3 +64,118 @@
 	p = p.WithRules(landing.RoutingRules{}.WithRevision(8)).WithRevisionsSeen(landing.PolicyRevisions{}.WithRules(9)).WithConsistentRead(before)
 	is.True(p.IsBehind())
 }
+
+// exclusionsAt returns the exclusions of the zones that were read at this position.
+func exclusionsAt(era, revision uint64, zones ...string) landing.ZoneExclusions {
+	return landing.ZoneExclusions{}.WithEra(era).WithRevision(revision).WithZones(zones...)
+}
+
+// Guards against a process that ignores all exclusions until the platform, which has come back from an older copy, has
+// passed the revision that the process had read before.
+func TestWithExclusions_LaterEraReplacesHigherRevision(t *testing.T) {
+	is := is.New(t)
+	p := New(retention).WithExclusions(exclusionsAt(1, 100), now).WithExclusions(exclusionsAt(2, 80, "east"), now)
+	is.True(p.IsExcluded("east"))
+	is.Equal(p.WithExclusions(exclusionsAt(1, 120), now).Exclusions(), p.Exclusions()) // a late response of the earlier era
+}
+
+// Guards against flows that are opened in a zone between the return of the platform and the rewriting of its exclusion,
+// and against a zone that stays out of service when nobody writes the exclusion again.
+func TestWithExclusions_LostExclusionIsRetainedUntilItsTimeIsOver(t *testing.T) {
+	is := is.New(t)
+	p := New(retention).WithExclusions(exclusionsAt(1, 100, "east", "west"), now).WithExclusions(exclusionsAt(2, 80, "west"), now)
+	is.True(p.IsExcluded("east"))
+	is.Equal(p.RetainedZones(), []string{"east"})
+	p = p.WithExclusions(exclusionsAt(2, 85, "west"), now.Add(time.Second)) // a later list of the same era prolongs nothing
+	is.True(!p.HasExpired(now.Add(retention)))
+	is.True(p.WithoutExpired(now.Add(retention)).IsExcluded("east"))
+	is.True(p.HasExpired(now.Add(retention + 1)))
+	p = p.WithoutExpired(now.Add(retention + 1))
+	is.True(!p.IsExcluded("east"))
+	is.True(p.IsExcluded("west"))
+}
+
+// Guards against a removal that is not in force before the retention is over, although the exclusion was written again.
+func TestWithExclusions_RewrittenExclusionEndsWithItsRemoval(t *testing.T) {
+	is := is.New(t)
+	p := New(retention).WithExclusions(exclusionsAt(1, 100, "east"), now).WithExclusions(exclusionsAt(2, 80), now)
+	p = p.WithExclusions(exclusionsAt(2, 81, "east"), now)
+	is.Equal(len(p.RetainedZones()), 0)
+	is.True(p.IsExcluded("east"))
+	is.True(!p.WithExclusions(exclusionsAt(2, 82), now).IsExcluded("east"))
+}
+
+// Guards against a second return that ends what is retained since the first one.
+func TestWithExclusions_SecondReturnRetainsAnew(t *testing.T) {
+	is := is.New(t)
+	p := New(retention).WithExclusions(exclusionsAt(1, 100, "east"), now).WithExclusions(exclusionsAt(2, 80), now)
+	second := now.Add(retention - time.Second)
+	p = p.WithExclusions(exclusionsAt(3, 70), second)
+	is.True(p.WithoutExpired(second.Add(retention)).IsExcluded("east"))
+	is.True(!p.WithoutExpired(second.Add(retention + 1)).IsExcluded("east"))
+}
+
+// Guards against a store without eras, whose removals would be in force late.
+func TestWithExclusions_NothingIsRetainedInSameEra(t *testing.T) {
+	is := is.New(t)
+	for _, era := range []uint64{0, 1} {
+		p := New(retention).WithExclusions(exclusionsAt(era, 100, "east"), now).WithExclusions(exclusionsAt(era, 101), now)
+		is.True(!p.IsExcluded("east"))
+	}
+}
+
+// Guards against a configuration that is taken out of force by the older one in the copy from which the platform has come back.
+func TestWithRules_NoLowerVersionInLaterEra(t *testing.T) {
+	is := is.New(t)
+	p := Policy{}.WithRules(landing.RoutingRules{}.WithEra(1).WithRevision(100).WithVersion(5))
+	is.Equal(p.WithRules(landing.RoutingRules{}.WithEra(2).WithRevision(110).WithVersion(4)).Rules().Rules().Version(), uint64(5))
+	p = p.WithRules(landing.RoutingRules{}.WithEra(2).WithRevision(82).WithVersion(6))
+	is.Equal(p.Rules().Rules().Version(), uint64(6))
+	is.Equal(p.WithRules(landing.RoutingRules{}.WithEra(1).WithRevision(120).WithVersion(5)).Rules().Rules().Version(), uint64(6))
+}
+
+// Guards against a process that does not ask a peer with a higher version because that peer has read it at a lower revision.
+func TestLacksRules_VersionCountsBeforeRevision(t *testing.T) {
+	is := is.New(t)
+	p := Policy{}.WithRules(landing.RoutingRules{}.WithEra(1).WithRevision(100).WithVersion(5))
+	is.True(p.WithRevisionsSeen(landing.PolicyRevisions{}.WithRules(82).WithRulesVersion(6)).LacksRules())
+	is.True(!p.WithRevisionsSeen(landing.PolicyRevisions{}.WithRules(120).WithRulesVersion(5)).LacksRules())
+}
+
+// Guards against a rollout in which processes do not follow those of the previous version, which state no version of rules.
+func TestLacksRules_ProcessWithoutVersionIsFollowedByRevision(t *testing.T) {
+	is := is.New(t)
+	p := Policy{}.WithRules(landing.RoutingRules{}.WithRevision(100).WithVersion(5))
+	is.True(p.WithRevisionsSeen(landing.PolicyRevisions{}.WithRules(101)).LacksRules())
+	is.True(!p.WithRevisionsSeen(landing.PolicyRevisions{}.WithRules(100)).LacksRules())
+}
+
+// Guards against a stale response from before the return that is read after it.
+func TestReadSources_NoStaleReadAfterReturn(t *testing.T) {
+	is := is.New(t)
+	hasStaleRead := func(p Policy, at time.Time) bool {
+		return slices.Contains(p.ReadSources(at), landing.ReadSource(landing.StaleRead{}))
+	}
+	before := New(retention).WithExclusions(exclusionsAt(1, 100), now)
+	is.True(hasStaleRead(before, now))
+	is.True(!hasStaleRead(before.WithRevisionsSeen(landing.PolicyRevisions{}.WithEra(2)), now)) // another process states a later era
+	after := before.WithExclusions(exclusionsAt(2, 80), now)
+	is.True(!hasStaleRead(after, now.Add(maxStaleness-1)))
+	is.True(hasStaleRead(after, now.Add(maxStaleness)))
+}
+
+// Guards against processes that go on reading because one of them states an era that the platform is not in.
+func TestWithConsistentRead_ClearsEraThatDoesNotExist(t *testing.T) {
+	is := is.New(t)
+	p := New(retention).WithExclusions(exclusionsAt(1, 100), now).WithRevisionsSeen(landing.PolicyRevisions{}.WithEra(9))
+	is.True(p.LacksExclusions())
+	is.True(!p.WithConsistentRead(p.WantedRevisions()).IsBehind())
+}
+
+// Guards against a wanted era that is lost when a process of an earlier era advertises a higher revision.
+func TestNewest_EraCountsBeforeRevision(t *testing.T) {
+	is := is.New(t)
+	later, higher := landing.PolicyRevisions{}.WithEra(2).WithExclusions(80), landing.PolicyRevisions{}.WithEra(1).WithExclusions(100)
+	is.Equal(Newest(later, higher), later)
+	is.Equal(Newest(higher, later), later)
+}
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -7,6 +7,7 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
+	"github.com/crocuslanding/crocuslanding/core/pkg/pace"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policylog"
 	"github.com/crocuslanding/crocuslanding/core/pkg/presence"
@@ -45,7 +46,7 @@
 		onUpstreamEnded: onUpstreamEnded,
 		onHeartbeat:     onHeartbeat,
 	}
-	t.snapshot.Store(&Snapshot{})
+	t.snapshot.Store(&Snapshot{policy: policy.New(pace.Retention(s.Stretch()))})
 	return t
 }
 
@@ -141,6 +142,18 @@
 	return t.applyPolicy(s, next)
 }
 
+// RemoveExpired removes the retained exclusions whose time is over.
+func (t *ControlThread) RemoveExpired() {
+	if !t.Policy().HasExpired(clock.Now()) {
+		return
+	}
+	t.Update(func(s Snapshot) Snapshot {
+		next := s.policy.WithoutExpired(clock.Now())
+		t.telemetry.Log().Info("lost objects are given up", "zones", len(s.policy.RetainedZones())-len(next.RetainedZones()))
+		return t.applyPolicy(s, next)
+	})
+}
+
 // applyPolicy puts a policy in force. When the upstream's zone is put back into service, the upstream counts as cold.
 func (t *ControlThread) applyPolicy(s Snapshot, next policy.Policy) Snapshot {
 	wasExcluded, isExcluded := s.policy.IsExcluded(t.zone), next.IsExcluded(t.zone)
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -97,6 +97,7 @@
 		case <-s.controlThread.PolicyOutdated():
 			return true
 		case <-ticker.C:
+			s.controlThread.RemoveExpired()
 			if snapshot := s.controlThread.Snapshot(); !snapshot.policy.IsComplete() || !snapshot.HasSubscriber(clock.Now()) {
 				return true
 			}
