--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -10,6 +10,7 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/directory"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policylog"
+	"github.com/crocuslanding/crocuslanding/core/pkg/position"
 )
 
 // eventBuffer is the number of events that can wait before Post blocks.
@@ -88,14 +89,15 @@
 	return c.eras.after(era)
 }
 
-// RemoveExpired removes the retained exclusions whose time is over.
+// RemoveExpired removes the retained exclusions and sidecars whose time is over.
 func (c *ControlThread) RemoveExpired() {
 	if !c.Snapshot().HasExpired(clock.Now()) {
 		return
 	}
 	c.Update(func(s Snapshot) Snapshot {
 		next := s.WithoutExpired(clock.Now())
-		c.telemetry.Log().Info("lost objects are given up", "zones", len(s.policy.RetainedZones())-len(next.policy.RetainedZones()))
+		c.telemetry.Log().Info("lost objects are given up", "zones", len(s.policy.RetainedZones())-len(next.policy.RetainedZones()),
+			"sidecars", len(s.directory.Sidecars())-len(next.directory.Sidecars()))
 		return next
 	})
 }
@@ -160,19 +162,18 @@
 	return s.WithPolicy(next)
 }
 
-// applyEnrollments puts a newer list of enrolled sidecars in force. A list with the same or a lower revision is ignored.
+// applyEnrollments puts a newer list of enrolled sidecars in force. A list that is not newer is ignored.
 func (c *ControlThread) applyEnrollments(s Snapshot, list landing.EnrollmentList) Snapshot {
-	if inForce := s.directory.EnrollmentList(); list.Revision() <= inForce.Revision() {
-		if list.Era() > inForce.Era() {
-			c.telemetry.Log().Info("sidecars ignored", "revision", list.Revision(), "era", list.Era(), "sidecars", list.EnrollmentsLen(), "since", inForce.Revision())
-		}
+	inForce := s.directory.EnrollmentList()
+	if !position.IsLater(position.OfEnrollments(list), position.OfEnrollments(inForce)) {
 		return s
 	}
-	if !directory.SameSidecars(list, s.directory.EnrollmentList()) {
-		c.telemetry.Log().Info("sidecars enrolled", "revision", list.Revision(), "era", list.Era(), "sidecars", list.EnrollmentsLen())
+	next := s.directory.WithEnrollmentList(list, clock.Now())
+	if !directory.SameSidecars(list, inForce) {
+		c.telemetry.Log().Info("sidecars enrolled", "revision", list.Revision(), "era", list.Era(), "sidecars", list.EnrollmentsLen(), "known", len(next.Sidecars()))
 		common.Notify(c.sidecarsChanged)
 	}
-	return s.WithDirectory(s.directory.WithEnrollmentList(list, clock.Now()))
+	return s.WithDirectory(next)
 }
 
 // noteEra ends the watches of an earlier era, and logs it, when the next snapshot is of a later era of the platform.
--- a/balancer/pkg/relay/forwarder.go
+++ b/balancer/pkg/relay/forwarder.go
@@ -125,7 +125,7 @@
 // newForwardedPacket wraps a packet for its way along a chain, together with the revisions that this balancer has in
 // force. The hops are still to be set by the caller of this function.
 func (f *Forwarder) newForwardedPacket(s Snapshot, packet platform.Packet) landing.ForwardedPacket {
-	p := landing.ForwardedPacket{}.WithBalancerAddress(f.link.LocalAddress()).WithEnrollmentsChangedRevision(s.directory.ChangedRevision()).WithPacket(packet.Bytes())
+	p := landing.ForwardedPacket{}.WithBalancerAddress(f.link.LocalAddress()).WithPacket(packet.Bytes())
 	return policy.PacketWithRevisions(p, s.policy.AdvertisedRevisions())
 }
 
--- a/balancer/pkg/relay/orphan_resetter.go
+++ b/balancer/pkg/relay/orphan_resetter.go
@@ -95,35 +95,48 @@
 		return
 	}
 	r.control.Post(landing.EnrollmentsReceived{}.WithEnrollmentList(current))
-	if !directory.SameSidecars(before, current) {
-		r.telemetry.Log().Info("flows not reset", "reason", "other sidecars have enrolled", "flows", len(pending))
-		return
-	}
+	r.control.AwaitPosted()
 	now := clock.Now()
 	latest := r.control.Snapshot().directory
-	if latest.HasUnlisted(now) {
-		r.telemetry.Log().Info("flows not reset", "reason", "a sidecar that is not enrolled runs", "flows", len(pending))
+	if reason := reasonAgainstProof(before, current, latest, now); reason != "" {
+		r.telemetry.Counters().Counter("proofs_withheld").Inc(int64(len(pending)))
+		r.telemetry.Log().Info("flows not reset", "reason", reason, "flows", len(pending))
 		return
 	}
 	unreachable := absence.UnreachableSidecars(latest.Sidecars(), now)
 	for _, candidate := range pending {
 		// The walk must have covered the sidecars that are enrolled now, and those that it left out must still be
 		// unreachable.
-		if candidate.enrollmentsRevision != snapshot.directory.ChangedRevision() || !isSubset(candidate.unreachable, unreachable) {
+		if candidate.generation != snapshot.directory.Generation() || !isSubset(candidate.unreachable, unreachable) {
 			continue
 		}
 		if now.Sub(candidate.foundAt) > maxCandidateAge {
 			continue
 		}
 		r.telemetry.Counters().Counter("reset.nobody").Inc(1)
-		// The key roll holds the revision that identifies the set of enrolled sidecars, and the key dark the number of
-		// unreachable sidecars.
-		r.telemetry.Log().Info("flow reset", "flow", address.FormatFlow(candidate.key), "request", candidate.requestID, "reason", "nobody holds it", "roll", candidate.enrollmentsRevision,
+		// The key generation identifies the set of sidecars, and the key dark holds the number of unreachable ones.
+		r.telemetry.Log().Info("flow reset", "flow", address.FormatFlow(candidate.key), "request", candidate.requestID, "reason", "nobody holds it", "generation", candidate.generation,
 			"sidecars", before.EnrollmentsLen(), "dark", len(candidate.unreachable))
 		r.forwarder.sendReset(candidate.key, candidate.lastAcknowledged)
 	}
 }
 
+// reasonAgainstProof returns the reason why the enrollment lists read before and after the walk do not show that the walk
+// has covered all sidecars that run, or "" if they do.
+func reasonAgainstProof(before, current landing.EnrollmentList, latest *directory.Directory, now time.Time) string {
+	switch {
+	case before.Era() != current.Era():
+		return "the store has come back from an older copy"
+	case !directory.SameSidecars(before, current):
+		return "other sidecars have enrolled"
+	case latest.HasUnlisted(now):
+		return "a sidecar that is not enrolled runs"
+	case !latest.IsSettled(now):
+		return "enrollments are not confirmed since the store came back"
+	}
+	return ""
+}
+
 // isSubset reports whether superset contains all of the addresses.
 func isSubset(addresses, superset map[uint64]time.Time) bool {
 	for sidecarAddress := range addresses {
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -299,7 +299,7 @@
 // subscribe renews the subscriptions to overdue statuses at each interval, and at once when the enrolled sidecars have
 // changed. When this balancer's policy has changed, it also renews some of those to statuses with another policy. At every
 // subscribeAllTicks-th time it renews all subscriptions. It also removes idle flows from the cache, and retained exclusions
-// whose time is over.
+// and sidecars whose time is over.
 func (s *PlatformSync) subscribe() {
 	ticker := time.NewTicker(subscribeInterval)
 	defer ticker.Stop()
--- a/balancer/pkg/relay/platform_sync_test.go
+++ b/balancer/pkg/relay/platform_sync_test.go
@@ -43,7 +43,7 @@
 		sidecars = append(sidecars, sidecar)
 		enrollments = append(enrollments, landing.Enrollment{}.WithInstance(fmt.Sprintf("side-%d", i)).WithService("desk").WithZone("a").WithFleetAddress(sidecar.LocalAddr().String()))
 	}
-	d := directory.New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(1).WithEnrollments(enrollments...), now)
+	d := directory.New(1, 0).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(1).WithEnrollments(enrollments...), now)
 	for _, s := range d.Sidecars() {
 		status := landing.SidecarStatus{}.WithInstance(s.Enrollment().Instance()).WithIncarnation(1).WithSequenceNumber(1).WithRulesRevision(7)
 		d = d.WithStatuses(landing.ReceivedStatus{}.WithStatus(status).WithSourceAddress(s.Address()).WithReceivedAt(now))
--- a/balancer/pkg/relay/reaper.go
+++ b/balancer/pkg/relay/reaper.go
@@ -94,14 +94,16 @@
 }
 
 // removableSidecars returns the sidecars whose enrollments this balancer must remove, without those that it has already
-// removed.
+// removed. An enrollment that was read in an earlier era of the platform is left alone, since its revision may now be that
+// of another state.
 func (r *Reaper) removableSidecars() []landing.KnownSidecar {
-	sidecars := r.control.Snapshot().directory.Sidecars()
+	s := r.control.Snapshot()
+	sidecars := s.directory.Sidecars()
 	maps.DeleteFunc(r.removed, func(enrollment landing.Enrollment, _ bool) bool {
 		return !slices.ContainsFunc(sidecars, func(sidecar landing.KnownSidecar) bool { return sidecar.Enrollment() == enrollment })
 	})
 	return slices.DeleteFunc(absence.RemovableSidecars(sidecars, clock.Now()), func(sidecar landing.KnownSidecar) bool {
-		return r.removed[sidecar.Enrollment()]
+		return r.removed[sidecar.Enrollment()] || sidecar.Enrollment().Era() < s.StoreEra()
 	})
 }
 
--- a/balancer/pkg/relay/search.go
+++ b/balancer/pkg/relay/search.go
@@ -19,8 +19,8 @@
 	key landing.FlowKey
 	// lastAcknowledged is the last TCP acknowledgement number from the caller.
 	lastAcknowledged uint32
-	// enrollmentsRevision identifies the set of enrolled sidecars that the walk covered.
-	enrollmentsRevision uint64
+	// generation identifies the set of sidecars that the walk covered.
+	generation uint64
 	// requestID identifies the request in the packet, for the log; empty when there is none.
 	requestID string
 	// unreachable are the addresses of the sidecars that were not asked, with the time since which each is silent.
@@ -94,7 +94,7 @@
 
 // findHolder begins a search over all sidecars for the one that holds the flow of a packet.
 func (f *Forwarder) findHolder(s Snapshot, listener landing.Listener, segment landing.Segment, p landing.ForwardedPacket) {
-	number, isBegun := f.searches.begin(segment.Key(), p, s.directory.ChangedRevision(), clock.Now())
+	number, isBegun := f.searches.begin(segment.Key(), p, s.directory.Generation(), clock.Now())
 	if !isBegun {
 		// searches_left_out counts packets whose holder was not searched because too many searches are in progress.
 		f.telemetry.Counters().Counter("searches_left_out").Inc(1)
@@ -117,8 +117,8 @@
 	var parts [][]uint64
 	var silent []uint64
 	current, found := f.searches.update(number, segment.Key(), func(p packetSearch, mayWiden bool) packetSearch {
-		if p.enrollmentsRevision != s.directory.ChangedRevision() {
-			p.enrollmentsRevision, p.search = s.directory.ChangedRevision(), walk.Search{}
+		if p.generation != s.directory.Generation() {
+			p.generation, p.search = s.directory.Generation(), walk.Search{}
 		}
 		p.search, parts, silent = p.search.WithReturned(candidates, returned).Next(candidates, skipped, chain.HashKey(segment.Key()), mayWiden, now)
 		p.isEnded = p.search.IsEnded(candidates, skipped)
@@ -227,7 +227,7 @@
 	if segment.IsReset() {
 		return
 	}
-	candidate := orphanCandidate{key: segment.Key(), lastAcknowledged: segment.AcknowledgementNumber(), enrollmentsRevision: p.enrollmentsRevision, requestID: requestIDOf(p.forwarded), unreachable: unreachable, foundAt: clock.Now()}
+	candidate := orphanCandidate{key: segment.Key(), lastAcknowledged: segment.AcknowledgementNumber(), generation: p.generation, requestID: requestIDOf(p.forwarded), unreachable: unreachable, foundAt: clock.Now()}
 	select {
 	case f.orphanCandidates <- candidate:
 	default:
--- a/balancer/pkg/relay/search_table.go
+++ b/balancer/pkg/relay/search_table.go
@@ -31,8 +31,8 @@
 	forwarded landing.ForwardedPacket
 	search    walk.Search
 	startedAt time.Time
-	// enrollmentsRevision identifies the set of enrolled sidecars to which the search applies.
-	enrollmentsRevision uint64
+	// generation identifies the set of sidecars to which the search applies.
+	generation uint64
 	// isEnded reports whether the search has ended. It is kept for the next copy of the packet.
 	isEnded bool
 }
@@ -61,7 +61,7 @@
 
 // begin adds a search for a packet and returns its number; false when the table is full. The search of a packet of the
 // same flow is continued if it applies to the same set of sidecars.
-func (t *searchTable) begin(key landing.FlowKey, forwarded landing.ForwardedPacket, enrollmentsRevision uint64, now time.Time) (uint32, bool) {
+func (t *searchTable) begin(key landing.FlowKey, forwarded landing.ForwardedPacket, generation uint64, now time.Time) (uint32, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.searches) >= maxSearches {
@@ -70,8 +70,8 @@
 	if len(t.searches) >= maxSearches {
 		return 0, false
 	}
-	p := packetSearch{key: key, startedAt: now, enrollmentsRevision: enrollmentsRevision}
-	if previous, found := t.searches[t.latest(key)]; found && previous.enrollmentsRevision == enrollmentsRevision && now.Sub(previous.startedAt) <= searchLifetime {
+	p := packetSearch{key: key, startedAt: now, generation: generation}
+	if previous, found := t.searches[t.latest(key)]; found && previous.generation == generation && now.Sub(previous.startedAt) <= searchLifetime {
 		p.search = previous.search.ForNextCopy()
 	}
 	t.lastNumber++
--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -19,7 +19,7 @@
 // NewSnapshot returns a snapshot for the balancer at this address, without rules, exclusions or sidecars. What the platform
 // may have lost is kept for the time retention.
 func NewSnapshot(balancerAddress uint64, retention time.Duration) Snapshot {
-	return Snapshot{policy: policy.New(retention), directory: directory.New(balancerAddress)}
+	return Snapshot{policy: policy.New(retention), directory: directory.New(balancerAddress, retention)}
 }
 
 // WithPolicy returns a copy with the given policy in force.
@@ -45,14 +45,14 @@
 	return max(s.policy.Rules().Rules().Era(), s.policy.Exclusions().Era(), s.directory.EnrollmentList().Era())
 }
 
-// HasExpired reports whether an exclusion is retained whose time is over.
+// HasExpired reports whether an exclusion or a sidecar is retained whose time is over.
 func (s Snapshot) HasExpired(now time.Time) bool {
-	return s.policy.HasExpired(now)
+	return s.policy.HasExpired(now) || s.directory.HasExpired(now)
 }
 
-// WithoutExpired returns a copy without the retained exclusions whose time is over.
+// WithoutExpired returns a copy without the retained exclusions and sidecars whose time is over.
 func (s Snapshot) WithoutExpired(now time.Time) Snapshot {
-	return s.WithPolicy(s.policy.WithoutExpired(now))
+	return s.WithPolicy(s.policy.WithoutExpired(now)).WithDirectory(s.directory.WithoutExpired(now))
 }
 
 // HasInitialState reports whether rules, exclusions and enrolled sidecars have been read at least once. Before that the
--- a/balancer/pkg/relay/snapshot_test.go
+++ b/balancer/pkg/relay/snapshot_test.go
@@ -21,7 +21,7 @@
 	for fleetAddress := range reports {
 		enrollments = append(enrollments, landing.Enrollment{}.WithInstance(fleetAddress).WithService("desk").WithZone("a").WithFleetAddress(fleetAddress))
 	}
-	d := directory.New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(1).WithEnrollments(enrollments...), now)
+	d := directory.New(1, 0).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(1).WithEnrollments(enrollments...), now)
 	for _, sidecar := range d.Sidecars() {
 		report := reports[sidecar.Enrollment().FleetAddress()]
 		status := landing.SidecarStatus{}.WithInstance(sidecar.Enrollment().Instance()).WithIncarnation(1).WithSequenceNumber(1).
--- a/balancer/pkg/relay/unreachable_test.go
+++ b/balancer/pkg/relay/unreachable_test.go
@@ -25,7 +25,7 @@
 		enrollments = append(enrollments, landing.Enrollment{}.WithInstance(fmt.Sprintf("side-%02d", i)).WithService("desk").
 			WithZone(string(rune('a'+i%4))).WithFleetAddress(fmt.Sprintf("127.0.1.%d:7000", i+1)))
 	}
-	d = directory.New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(1).WithEnrollments(enrollments...), now.Add(-10*time.Second))
+	d = directory.New(1, 0).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(1).WithEnrollments(enrollments...), now.Add(-10*time.Second))
 	subscribed := d.Subscribed()
 	isSubscribed := map[uint64]bool{}
 	for _, s := range subscribed {
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -242,6 +242,7 @@
 	m.SubscriberRank = v.SubscriberRank()
 	m.StoreEra = v.StoreEra()
 	m.RulesVersion = v.RulesVersion()
+	m.EnrollmentEra = v.EnrollmentEra()
 	return m
 }
 
@@ -265,6 +266,7 @@
 	v = v.WithSubscriberRank(m.GetSubscriberRank())
 	v = v.WithStoreEra(m.GetStoreEra())
 	v = v.WithRulesVersion(m.GetRulesVersion())
+	v = v.WithEnrollmentEra(m.GetEnrollmentEra())
 	return v
 }
 
@@ -992,6 +994,7 @@
 	m.UnansweredLocalProbes = v.UnansweredLocalProbes()
 	m.ProbeAckProxy = v.ProbeAckProxy()
 	m.UnansweredRemoteProbes = v.UnansweredRemoteProbes()
+	m.RetainedUntil = timestamppb.New(v.RetainedUntil())
 	return m
 }
 
@@ -1007,6 +1010,7 @@
 	v = v.WithUnansweredLocalProbes(m.GetUnansweredLocalProbes())
 	v = v.WithProbeAckProxy(m.GetProbeAckProxy())
 	v = v.WithUnansweredRemoteProbes(m.GetUnansweredRemoteProbes())
+	v = v.WithRetainedUntil(m.GetRetainedUntil().AsTime())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -700,6 +700,7 @@
 	subscriberRank            uint32
 	storeEra                  uint64
 	rulesVersion              uint64
+	enrollmentEra             uint64
 }
 
 func (SidecarStatus) isDatagram() {}
@@ -929,6 +930,19 @@
 	return v
 }
 
+// EnrollmentEra returns the field of the same name.
+//
+// Latest era in which the platform has confirmed the sidecar's enrollment.
+func (v SidecarStatus) EnrollmentEra() uint64 {
+	return v.enrollmentEra
+}
+
+// WithEnrollmentEra returns a copy of v with the given enrollmentEra.
+func (v SidecarStatus) WithEnrollmentEra(enrollmentEra uint64) SidecarStatus {
+	v.enrollmentEra = enrollmentEra
+	return v
+}
+
 // StatusSubscription is sent periodically by a balancer to a sidecar to receive the sidecar's
 // status. The subscription expires unless it is repeated.
 type StatusSubscription struct {
@@ -2445,6 +2459,7 @@
 	unansweredLocalProbes  uint32
 	probeAckProxy          uint64
 	unansweredRemoteProbes uint32
+	retainedUntil          time.Time
 }
 
 // Enrollment returns the field of the same name.
@@ -2568,6 +2583,20 @@
 	return v
 }
 
+// RetainedUntil returns the field of the same name.
+//
+// Time until which the balancer keeps the sidecar although the enrollment list does not contain it,
+// since the platform may have lost its entry; the zero time when the list contains it.
+func (v KnownSidecar) RetainedUntil() time.Time {
+	return v.retainedUntil
+}
+
+// WithRetainedUntil returns a copy of v with the given retainedUntil.
+func (v KnownSidecar) WithRetainedUntil(retainedUntil time.Time) KnownSidecar {
+	v.retainedUntil = retainedUntil
+	return v
+}
+
 // QueuedPacket is a packet that opens a flow and waits for a free slot of the upstream.
 type QueuedPacket struct {
 	forwardedPacket ForwardedPacket
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -308,6 +308,7 @@
 	b = field.AppendUint(b, 16, uint64(v.SubscriberRank()))
 	b = field.AppendUint(b, 17, v.StoreEra())
 	b = field.AppendUint(b, 18, v.RulesVersion())
+	b = field.AppendUint(b, 19, v.EnrollmentEra())
 	return b
 }
 
@@ -351,6 +352,8 @@
 			v = v.WithStoreEra(r.Uint())
 		case 18:
 			v = v.WithRulesVersion(r.Uint())
+		case 19:
+			v = v.WithEnrollmentEra(r.Uint())
 		}
 	}
 	return v, r.Err()
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -5,6 +5,7 @@
 package directory
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -19,11 +20,13 @@
 type Directory struct {
 	// balancerAddress is the address of the balancer that the directory belongs to.
 	balancerAddress uint64
-	enrollments     landing.EnrollmentList
-	// changedRevision is the platform revision (the value of the platform's counter that orders
-	// changes), and changedAt the time, at which the balancer last saw the set of sidecars change.
-	changedRevision uint64
-	changedAt       time.Time
+	// retention is the time for which sidecars are kept that the platform may have lost.
+	retention   time.Duration
+	enrollments landing.EnrollmentList
+	// generation is the number of changes of the set of sidecars that the balancer has seen, and
+	// changedAt the time of the last one.
+	generation uint64
+	changedAt  time.Time
 	// sidecars are ordered by instance name.
 	sidecars []landing.KnownSidecar
 	// indexByAddress and indexesByService are indexes into sidecars.
@@ -50,9 +53,10 @@
 	maxUnlisted = 1024
 )
 
-// New returns a directory without sidecars for the balancer at this address.
-func New(balancerAddress uint64) *Directory {
-	return &Directory{balancerAddress: balancerAddress}
+// New returns a directory without sidecars for the balancer at this address. Sidecars that the platform may
+// have lost are kept for the given time.
+func New(balancerAddress uint64, retention time.Duration) *Directory {
+	return &Directory{balancerAddress: balancerAddress, retention: retention}
 }
 
 // EnrollmentList returns the enrollment list that the directory was made from.
@@ -68,39 +72,105 @@
 // WithEnrollmentList returns a directory of the sidecars in the list. It keeps what is known about
 // sidecars whose enrollment is unchanged; all other sidecars in the list count as discovered now.
 // Enrollments without a valid IPv4 address and port are left out.
+//
+// A list of a later era of the platform may lack enrollments that the platform has lost and that are written
+// again. Sidecars that are known and not in such a list are retained for some time, or until they are listed.
 func (d *Directory) WithEnrollmentList(list landing.EnrollmentList, now time.Time) *Directory {
-	next := &Directory{
-		balancerAddress:  d.balancerAddress,
-		enrollments:      list,
-		changedRevision:  d.changedRevision,
-		changedAt:        d.changedAt,
-		indexByAddress:   map[uint64]int{},
-		indexesByService: map[string][]int{},
-		lastStatusAt:     d.lastStatusAt,
-		unlisted:         d.unlisted,
-	}
+	sidecars := make([]landing.KnownSidecar, 0, list.EnrollmentsLen())
+	isTaken := map[uint64]bool{}
+	isListed := map[string]bool{}
 	for i := range list.EnrollmentsLen() {
 		enrollment := list.EnrollmentsAt(i)
 		fleetAddress, err := netip.ParseAddrPort(enrollment.FleetAddress())
 		if err != nil || !fleetAddress.Addr().Is4() {
 			continue
 		}
-		sidecar := landing.KnownSidecar{}.WithEnrollment(enrollment).WithAddress(address.PackAddrPort(fleetAddress)).WithDiscoveredAt(now)
-		// A sidecar that has enrolled again is a new process. A status from before does not apply
-		// to it.
-		if before, found := d.Find(sidecar.Address()); found && before.Enrollment() == enrollment {
-			sidecar = before
+		sidecar := d.knownSidecar(enrollment, address.PackAddrPort(fleetAddress), now)
+		sidecars = append(sidecars, sidecar)
+		isTaken[sidecar.Address()], isListed[enrollment.Instance()] = true, true
+	}
+	for _, s := range d.retainedAfter(list, now.Add(d.retention)) {
+		if !isTaken[s.Address()] && !isListed[s.Enrollment().Instance()] {
+			sidecars = append(sidecars, s)
 		}
-		next.indexByAddress[sidecar.Address()] = len(next.sidecars)
-		next.indexesByService[enrollment.Service()] = append(next.indexesByService[enrollment.Service()], len(next.sidecars))
-		next.sidecars = append(next.sidecars, sidecar)
+	}
+	next := d.withSidecars(sidecars, now)
+	next.enrollments = list
+	return next
+}
+
+// knownSidecar returns what is known about the sidecar with this enrollment.
+func (d *Directory) knownSidecar(enrollment landing.Enrollment, sidecarAddress uint64, now time.Time) landing.KnownSidecar {
+	before, found := d.Find(sidecarAddress)
+	if found && isSameProcess(before, enrollment) {
+		return before.WithEnrollment(enrollment).WithRetainedUntil(time.Time{})
+	}
+	return landing.KnownSidecar{}.WithEnrollment(enrollment).WithAddress(sidecarAddress).WithDiscoveredAt(now)
+}
+
+// isSameProcess reports whether the enrollment is that of the known process of the sidecar. A sidecar that has
+// enrolled again is a new process, to which a status from before does not apply. In a later era of the
+// platform, a running sidecar has its enrollment written again, which then has another revision.
+func isSameProcess(known landing.KnownSidecar, enrollment landing.Enrollment) bool {
+	if known.Enrollment().Era() == enrollment.Era() {
+		return known.Enrollment() == enrollment
+	}
+	return isSameSidecar(known.Enrollment(), enrollment) && known.LastStatus().UpstreamPhase() != landing.PhaseLeft
+}
+
+// retainedAfter returns the sidecars that are retained after the list: those that already are and, in a later
+// era, all others until the given time.
+func (d *Directory) retainedAfter(list landing.EnrollmentList, until time.Time) []landing.KnownSidecar {
+	isLaterEra := list.Era() > d.enrollments.Era()
+	var retained []landing.KnownSidecar
+	for _, s := range d.sidecars {
+		switch {
+		case isLaterEra:
+			retained = append(retained, s.WithRetainedUntil(until))
+		case isRetained(s):
+			retained = append(retained, s)
+		}
+	}
+	return retained
+}
+
+// isRetained reports whether the enrollment list does not contain the sidecar.
+func isRetained(s landing.KnownSidecar) bool {
+	return !s.RetainedUntil().IsZero()
+}
+
+// HasExpired reports whether a sidecar is retained whose time is over.
+func (d *Directory) HasExpired(now time.Time) bool {
+	return slices.ContainsFunc(d.sidecars, func(s landing.KnownSidecar) bool { return isRetained(s) && now.After(s.RetainedUntil()) })
+}
+
+// WithoutExpired returns a directory without the retained sidecars whose time is over.
+func (d *Directory) WithoutExpired(now time.Time) *Directory {
+	return d.withSidecars(slices.DeleteFunc(slices.Clone(d.sidecars), func(s landing.KnownSidecar) bool {
+		return isRetained(s) && now.After(s.RetainedUntil())
+	}), now)
+}
+
+// withSidecars returns a directory with these sidecars instead.
+func (d *Directory) withSidecars(sidecars []landing.KnownSidecar, now time.Time) *Directory {
+	next := *d
+	slices.SortStableFunc(sidecars, func(a, b landing.KnownSidecar) int {
+		return cmp.Compare(a.Enrollment().Instance(), b.Enrollment().Instance())
+	})
+	next.sidecars = sidecars
+	next.indexByAddress, next.indexesByService = map[uint64]int{}, map[string][]int{}
+	for i, s := range sidecars {
+		service := s.Enrollment().Service()
+		next.indexByAddress[s.Address()] = i
+		next.indexesByService[service] = append(next.indexesByService[service], i)
 	}
 	next.subscribe()
-	if !SameSidecars(list, d.enrollments) || d.changedAt.IsZero() {
-		next.changedRevision = list.Revision()
+	isUnchanged := slices.EqualFunc(sidecars, d.sidecars, func(a, b landing.KnownSidecar) bool { return isSameSidecar(a.Enrollment(), b.Enrollment()) })
+	if !isUnchanged || d.changedAt.IsZero() {
+		next.generation++
 		next.changedAt = now
 	}
-	return next
+	return &next
 }
 
 // subscribe selects the sidecars whose statuses the balancer subscribes to. The time of the last
@@ -130,10 +200,10 @@
 	return slices.DeleteFunc(slices.Clone(d.sidecars), func(s landing.KnownSidecar) bool { return d.subscribed[s.Address()] })
 }
 
-// ChangedRevision returns the platform revision at which this process last saw the set of sidecars
-// change. While it stays the same, an index into Sidecars denotes the same sidecar.
-func (d *Directory) ChangedRevision() uint64 {
-	return d.changedRevision
+// Generation returns the number of changes of the set of sidecars that this process has seen. While it stays
+// the same, an index into Sidecars denotes the same sidecar.
+func (d *Directory) Generation() uint64 {
+	return d.generation
 }
 
 // ChangedAt returns the time at which this process last saw the set of sidecars change.
@@ -226,6 +296,17 @@
 	return false
 }
 
+// IsSettled reports whether no sidecar that can be heard says that the platform has not confirmed its
+// enrollment in the era of the list. Before that, the list may lack sidecars that have not enrolled again.
+// Sidecars of the previous version state no era.
+func (d *Directory) IsSettled(now time.Time) bool {
+	return !slices.ContainsFunc(d.sidecars, func(s landing.KnownSidecar) bool {
+		status := s.LastStatus()
+		isHeard := !s.LastStatusAt().IsZero() && now.Sub(s.LastStatusAt()) <= interruptionTime
+		return isHeard && status.StoreEra() > 0 && status.EnrollmentEra() < d.enrollments.Era()
+	})
+}
+
 // WithProbeAck returns a directory in which the sidecar at the address subject has answered a probe
 // through the sidecar at the address proxy.
 func (d *Directory) WithProbeAck(subject, proxy uint64, now time.Time) *Directory {
@@ -288,16 +369,13 @@
 	return a.SequenceNumber() > b.SequenceNumber()
 }
 
-// SameSidecars reports whether two lists contain the same sidecars at the same addresses. Revisions
+// SameSidecars reports whether two lists contain the same sidecars at the same addresses. Positions
 // are not compared.
 func SameSidecars(a, b landing.EnrollmentList) bool {
-	if a.EnrollmentsLen() != b.EnrollmentsLen() {
-		return false
-	}
-	for i := range a.EnrollmentsLen() {
-		if a.EnrollmentsAt(i).WithRevision(0) != b.EnrollmentsAt(i).WithRevision(0) {
-			return false
-		}
-	}
-	return true
+	return slices.EqualFunc(a.Enrollments(), b.Enrollments(), isSameSidecar)
+}
+
+// isSameSidecar reports whether two enrollments are equal except for their positions.
+func isSameSidecar(a, b landing.Enrollment) bool {
+	return a.WithEra(0).WithRevision(0) == b.WithEra(0).WithRevision(0)
 }
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -15,15 +15,17 @@
 
 var (
 	now = time.Unix(1000, 0)
-	a   = landing.Enrollment{}.WithInstance("a").WithService("s").WithZone("z").WithFleetAddress("10.0.0.1:7000")
-	b   = a.WithInstance("b").WithFleetAddress("10.0.0.2:7000")
+	// retention is the time for which sidecars are kept that the platform may have lost.
+	retention = 12 * time.Second
+	a         = landing.Enrollment{}.WithInstance("a").WithService("s").WithZone("z").WithFleetAddress("10.0.0.1:7000")
+	b         = a.WithInstance("b").WithFleetAddress("10.0.0.2:7000")
 	// addressA is the address of instance a as packed by address.PackAddrPort.
 	addressA    = uint64(10)<<40 | 1<<16 | 7000
 	enrollments = landing.EnrollmentList{}.WithRevision(5).WithEnrollments(a, b)
 )
 
 func ExampleDirectory() {
-	d := New(1).WithEnrollmentList(enrollments, now)
+	d := New(1, retention).WithEnrollmentList(enrollments, now)
 	sidecar, found := d.Find(addressA)
 	fmt.Println(sidecar.Enrollment().Instance(), found, address.UnpackAddrPort(sidecar.Address()))
 	// Output: a true 10.0.0.1:7000
@@ -41,7 +43,7 @@
 
 func TestWithStatuses_IgnoresOlderStatuses(t *testing.T) {
 	is := is.New(t)
-	d := New(1).WithEnrollmentList(enrollments, now).WithStatuses(received(status(2, 7)))
+	d := New(1, retention).WithEnrollmentList(enrollments, now).WithStatuses(received(status(2, 7)))
 	for _, old := range []landing.SidecarStatus{status(2, 6), status(1, 900)} {
 		sidecar, _ := d.WithStatuses(received(old)).Find(addressA)
 		is.Equal(sidecar.LastStatus().SequenceNumber(), uint64(7))
@@ -53,7 +55,7 @@
 // An address that is reused belongs to another sidecar, about which nothing is known yet.
 func TestWithEnrollmentList_ReusedAddressHasNoStatus(t *testing.T) {
 	is := is.New(t)
-	d := New(1).WithEnrollmentList(enrollments, now).WithStatuses(received(status(1, 7)))
+	d := New(1, retention).WithEnrollmentList(enrollments, now).WithStatuses(received(status(1, 7)))
 	d = d.WithEnrollmentList(landing.EnrollmentList{}.WithRevision(6).WithEnrollments(a.WithInstance("c")), now)
 	sidecar, _ := d.Find(addressA)
 	is.Equal(sidecar.LastStatus().SequenceNumber(), uint64(0))
@@ -61,13 +63,13 @@
 	is.Equal(sidecar.LastStatus().SequenceNumber(), uint64(0))
 }
 
-func TestChangedRevision_UnchangedWhileSidecarsAreTheSame(t *testing.T) {
+func TestGeneration_UnchangedWhileSidecarsAreTheSame(t *testing.T) {
 	is := is.New(t)
-	d := New(1).WithEnrollmentList(enrollments, now)
-	is.Equal(d.ChangedRevision(), uint64(5))
+	d := New(1, retention).WithEnrollmentList(enrollments, now)
+	is.Equal(d.Generation(), uint64(1))
 	d = d.WithEnrollmentList(enrollments.WithRevision(9), now)
-	is.Equal(d.ChangedRevision(), uint64(5))
-	is.Equal(d.WithEnrollmentList(landing.EnrollmentList{}.WithRevision(10).WithEnrollments(a), now).ChangedRevision(), uint64(10))
+	is.Equal(d.Generation(), uint64(1))
+	is.Equal(d.WithEnrollmentList(landing.EnrollmentList{}.WithRevision(10).WithEnrollments(a), now).Generation(), uint64(2))
 }
 
 // A sidecar reported that it had left, then restarted and enrolled again. Guards against taking the
@@ -76,7 +78,7 @@
 func TestWithEnrollmentList_ForgetsStatusAfterReenrollment(t *testing.T) {
 	is := is.New(t)
 	left := received(status(1, 9).WithUpstreamPhase(landing.PhaseLeft))
-	d := New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(a.WithRevision(4)), now).WithStatuses(left)
+	d := New(1, retention).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(a.WithRevision(4)), now).WithStatuses(left)
 	d = d.WithEnrollmentList(landing.EnrollmentList{}.WithRevision(8).WithEnrollments(a.WithRevision(8)), now)
 	sidecar, found := d.Find(addressA)
 	is.True(found)
@@ -106,7 +108,7 @@
 		}
 		return d
 	}
-	d := withStatuses(New(1).WithEnrollmentList(enrollmentsOf(subset.MaxPerService, 1), now), 1)
+	d := withStatuses(New(1, retention).WithEnrollmentList(enrollmentsOf(subset.MaxPerService, 1), now), 1)
 	is.Equal(len(d.Subscribed()), subset.MaxPerService)
 	d = d.WithEnrollmentList(enrollmentsOf(subset.MaxPerService+12, 2), now)
 	is.Equal(len(d.Subscribed()), subset.MaxPerService)
@@ -130,7 +132,7 @@
 func TestHasUnlisted_SidecarThatRunsWithoutEnrollment(t *testing.T) {
 	is := is.New(t)
 	withoutA := landing.EnrollmentList{}.WithRevision(6).WithEnrollments(b)
-	d := New(1).WithEnrollmentList(enrollments, now).WithStatuses(receivedAt(1, 0))
+	d := New(1, retention).WithEnrollmentList(enrollments, now).WithStatuses(receivedAt(1, 0))
 	is.True(!d.HasUnlisted(now))
 	d = d.WithEnrollmentList(withoutA, now)
 	is.True(!d.HasUnlisted(now))
@@ -144,7 +146,7 @@
 func TestHasUnlisted_NotForUpstreamThatHasLeft(t *testing.T) {
 	is := is.New(t)
 	left := received(status(1, 1).WithUpstreamPhase(landing.PhaseLeft))
-	d := New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(b), now).WithStatuses(left)
+	d := New(1, retention).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(b), now).WithStatuses(left)
 	is.True(!d.HasUnlisted(now))
 }
 
@@ -152,7 +154,7 @@
 // before the end of the upstream arrive after the list without the sidecar.
 func TestHasUnlisted_EndsWhenUpstreamLeaves(t *testing.T) {
 	is := is.New(t)
-	d := New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(b), now).WithStatuses(receivedAt(1, 0))
+	d := New(1, retention).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(b), now).WithStatuses(receivedAt(1, 0))
 	is.True(d.HasUnlisted(now))
 	d = d.WithStatuses(received(status(1, 2).WithUpstreamPhase(landing.PhaseLeft)))
 	is.True(!d.HasUnlisted(now))
@@ -163,7 +165,7 @@
 func TestWithStatuses_SilenceCountsAnewAfterInterruption(t *testing.T) {
 	is := is.New(t)
 	addressB := addressA + 1<<16
-	d := New(1).WithEnrollmentList(enrollments, now).WithStatuses(receivedAt(1, 0)).WithProbesSent([]uint64{addressB}, []uint64{addressB})
+	d := New(1, retention).WithEnrollmentList(enrollments, now).WithStatuses(receivedAt(1, 0)).WithProbesSent([]uint64{addressB}, []uint64{addressB})
 	d = d.WithStatuses(receivedAt(2, 500*time.Millisecond))
 	sidecar, _ := d.Find(addressB)
 	is.Equal(sidecar.DiscoveredAt(), now) // no interruption
@@ -182,7 +184,7 @@
 	for i := range subset.MaxPerService + 1 {
 		all = append(all, a.WithInstance(fmt.Sprintf("i%02d", i)).WithFleetAddress(fmt.Sprintf("10.0.1.%d:7000", i)))
 	}
-	d = New(1).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(all...), now)
+	d = New(1, retention).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(5).WithEnrollments(all...), now)
 	return d, d.Subscribed()[0], d.Unsubscribed()[0]
 }
 
@@ -215,3 +217,87 @@
 	is.True(s.LastStatusAt().IsZero())
 	is.Equal(s.UnansweredLocalProbes(), uint32(0))
 }
+
+// listAt returns a list of these enrollments, which were read at this position.
+func listAt(era, revision uint64, enrollments ...landing.Enrollment) landing.EnrollmentList {
+	for i, e := range enrollments {
+		enrollments[i] = e.WithEra(era)
+	}
+	return landing.EnrollmentList{}.WithEra(era).WithRevision(revision).WithEnrollments(enrollments...)
+}
+
+// Guards against a balancer that sends no more packets to a sidecar, and finds its flows nowhere, because the platform has lost
+// its enrollment, and against one that keeps for ever a sidecar that does not enroll again.
+func TestWithEnrollmentList_LostSidecarIsRetainedThenGivenUp(t *testing.T) {
+	is := is.New(t)
+	d := New(1, retention).WithEnrollmentList(listAt(1, 100, a, b), now).WithStatuses(received(status(1, 7)))
+	generation := d.Generation()
+	d = d.WithEnrollmentList(listAt(2, 80, b), now)
+	sidecar, isKnown := d.Find(addressA)
+	is.True(isKnown)
+	is.Equal(sidecar.LastStatus().SequenceNumber(), uint64(7))
+	is.Equal(d.Generation(), generation) // walks that have begun go on
+	d = d.WithEnrollmentList(listAt(2, 85, b), now.Add(time.Second))
+	is.True(!d.HasExpired(now.Add(retention)))
+	is.True(d.HasExpired(now.Add(retention + 1)))
+	_, isKnown = d.WithoutExpired(now.Add(retention + 1)).Find(addressA)
+	is.True(!isKnown)
+	enrolledAgain := d.WithEnrollmentList(listAt(2, 86, a, b), now.Add(2*time.Second))
+	is.True(!enrolledAgain.HasExpired(now.Add(time.Hour)))
+	_, isKnown = enrolledAgain.WithEnrollmentList(listAt(2, 87, b), now.Add(3*time.Second)).Find(addressA)
+	is.True(!isKnown) // its removal is in force at once
+}
+
+// Guards against a balancer that takes all sidecars for new after the return of the platform, and passes them over until it has
+// heard them again.
+func TestWithEnrollmentList_StatusIsKeptAcrossEras(t *testing.T) {
+	is := is.New(t)
+	d := New(1, retention).WithEnrollmentList(listAt(1, 100, a.WithRevision(90), b), now).WithStatuses(received(status(1, 7)))
+	d = d.WithEnrollmentList(listAt(2, 85, a.WithRevision(84), b), now.Add(time.Second))
+	sidecar, _ := d.Find(addressA)
+	is.Equal(sidecar.LastStatus().SequenceNumber(), uint64(7))
+	is.Equal(sidecar.DiscoveredAt(), now)
+	is.Equal(sidecar.Enrollment().Revision(), uint64(84))
+}
+
+// Guards against the removal of the enrollment of a new process because of the last status of the process before it.
+func TestWithEnrollmentList_StatusOfLeftUpstreamIsForgottenAcrossEras(t *testing.T) {
+	is := is.New(t)
+	left := received(status(1, 7).WithUpstreamPhase(landing.PhaseLeft))
+	d := New(1, retention).WithEnrollmentList(listAt(1, 100, a.WithRevision(90), b), now).WithStatuses(left)
+	sidecar, _ := d.WithEnrollmentList(listAt(2, 85, a.WithRevision(84), b), now).Find(addressA)
+	is.Equal(sidecar.LastStatus().SequenceNumber(), uint64(0))
+}
+
+// Guards against two sidecars at one address, of which the retained one hides the enrolled one, and against a sidecar that is
+// known at two addresses.
+func TestWithEnrollmentList_RetainedSidecarYieldsToListed(t *testing.T) {
+	is := is.New(t)
+	d := New(1, retention).WithEnrollmentList(listAt(1, 100, a, b), now).WithStatuses(received(status(1, 7)))
+	reused := d.WithEnrollmentList(listAt(2, 80, a.WithInstance("c"), b), now)
+	sidecar, _ := reused.Find(addressA)
+	is.Equal(sidecar.Enrollment().Instance(), "c")
+	is.Equal(sidecar.LastStatus().SequenceNumber(), uint64(0))
+	is.Equal(len(reused.Sidecars()), 2)
+	moved := d.WithEnrollmentList(listAt(2, 80, a.WithFleetAddress("10.0.0.3:7000"), b), now)
+	_, isKnown := moved.Find(addressA)
+	is.True(!isKnown)
+	is.Equal(len(moved.Sidecars()), 2)
+}
+
+// Guards against a proof from a list that lacks sidecars which have not enrolled again since the platform came back.
+func TestIsSettled_WhenSidecarsAreConfirmedInEraOfList(t *testing.T) {
+	is := is.New(t)
+	d := New(1, retention).WithEnrollmentList(listAt(2, 80, a, b), now)
+	is.True(d.IsSettled(now))
+	withStatus := func(storeEra, enrollmentEra uint64) *Directory {
+		return d.WithStatuses(received(status(1, 7).WithStoreEra(storeEra).WithEnrollmentEra(enrollmentEra)))
+	}
+	is.True(!withStatus(1, 1).IsSettled(now)) // it has not learned of the return
+	is.True(!withStatus(2, 1).IsSettled(now))
+	is.True(withStatus(2, 2).IsSettled(now))
+	is.True(withStatus(0, 0).IsSettled(now))                                            // a sidecar of the previous version
+	is.True(withStatus(2, 1).IsSettled(now.Add(interruptionTime + 1)))                  // a silent one, which may be gone
+	is.True(!withStatus(2, 1).IsSettled(now.Add(interruptionTime)))                     // one that may only be late
+	is.True(!withStatus(2, 2).WithEnrollmentList(listAt(3, 70, a), now).IsSettled(now)) // the next return
+}
--- a/core/pkg/enrollment/enrollment.go
+++ b/core/pkg/enrollment/enrollment.go
@@ -12,6 +12,11 @@
 // The list of a balancer can be older than the removal of the enrollment. So once the confirmation
 // has lapsed, only the platform can confirm the enrollment again. While the platform does not answer,
 // balancers can, since a removal needs the platform too.
+//
+// The platform can come back from an older copy of itself, without enrollments that it has lost. It then
+// begins a new era. A sidecar that learns of a later era has its enrollment confirmed by the platform,
+// which writes it again if it is missing. It goes on admitting flows meanwhile, and tells balancers that its
+// enrollment is not confirmed.
 package enrollment
 
 import "time"
@@ -37,15 +42,43 @@
 	confirmedAt time.Time
 	// isPlatformAnswering reports whether the last call to the platform has been answered.
 	isPlatformAnswering bool
+	// era is the era in which the platform has confirmed the enrollment last, and latestEra the latest
+	// one that the platform or another process has stated.
+	era       uint64
+	latestEra uint64
+	// renewAt is the time from which the platform is asked because of the latest era.
+	renewAt time.Time
 }
 
-// WithPlatformAnswer returns the confirmation after the platform has confirmed the enrollment in
-// response to a call that was sent at calledAt.
-func (c Confirmation) WithPlatformAnswer(calledAt time.Time) Confirmation {
+// WithPlatformAnswer returns the confirmation after the platform has confirmed the enrollment in this
+// era, in response to a call that was sent at calledAt. A later era that another process has stated is
+// forgotten: the process is wrong, or states the era again.
+func (c Confirmation) WithPlatformAnswer(calledAt time.Time, era uint64) Confirmation {
 	c.isPlatformAnswering = true
+	c.era, c.latestEra = era, era
 	return c.withConfirmedAt(calledAt)
 }
 
+// WithStatedEra returns the confirmation after another process has stated an era of the platform. If it
+// is later than all eras before, the platform is asked from the time renewAt on.
+func (c Confirmation) WithStatedEra(era uint64, renewAt time.Time) Confirmation {
+	if era > c.latestEra {
+		c.latestEra, c.renewAt = era, renewAt
+	}
+	return c
+}
+
+// Era returns the era in which the platform has confirmed the enrollment last; 0 before that.
+func (c Confirmation) Era() uint64 {
+	return c.era
+}
+
+// IsOfLatestEra reports whether the platform has confirmed the enrollment in the latest era that the
+// sidecar knows. Otherwise balancers may read a list without it.
+func (c Confirmation) IsOfLatestEra() bool {
+	return c.era == c.latestEra
+}
+
 // WithPlatformFailure returns the confirmation after a call to the platform has failed.
 func (c Confirmation) WithPlatformFailure() Confirmation {
 	c.isPlatformAnswering = false
@@ -69,7 +102,8 @@
 
 // IsRenewalDue reports whether the platform must be asked to confirm the enrollment.
 func (c Confirmation) IsRenewalDue(now time.Time) bool {
-	return !c.isPlatformAnswering || now.Sub(c.confirmedAt) > renewAfter
+	isEraDue := !c.IsOfLatestEra() && !now.Before(c.renewAt)
+	return !c.isPlatformAnswering || isEraDue || now.Sub(c.confirmedAt) > renewAfter
 }
 
 // Age returns the time since the enrollment was last known to exist; false when it was not confirmed since the
--- a/core/pkg/pace/pace.go
+++ b/core/pkg/pace/pace.go
@@ -47,6 +47,9 @@
 	// maxRecordInterval is the interval beyond which records would be too old to be useful, so that
 	// none are written.
 	maxRecordInterval = time.Minute
+	// eraWriteShare is the part of the writes that the platform allows the fleet, a quarter, with which
+	// sidecars confirm their enrollments after the platform has come back from an older copy.
+	eraWriteShare = 4
 	// assumedStretch is the time by which a change may be late while the platform is unstable, when the
 	// settings state none.
 	assumedStretch = 15 * time.Second
@@ -117,6 +120,18 @@
 	return rand.N(max(time.Duration(balancers)*removalInterval, minRemovalDelayRange))
 }
 
+// EnrollmentRenewalDelay returns a random delay before a sidecar has its enrollment confirmed in a new era of
+// the platform, in a fleet of this many sidecars to which the platform allows this many writes per second.
+//
+// The load pattern that it answers: all sidecars learn within a second that the platform has come back from an
+// older copy, and each must find out whether its enrollment is lost.
+func EnrollmentRenewalDelay(sidecars int, writesPerSecond uint32) time.Duration {
+	if writesPerSecond == 0 {
+		writesPerSecond = assumedWritesPerSecond
+	}
+	return rand.N(max(time.Duration(sidecars)*eraWriteShare*time.Second/time.Duration(writesPerSecond), time.Millisecond))
+}
+
 // Retention returns the time for which a process keeps what the platform has lost, when a change may be late by
 // this time while the platform is unstable; 0 when that is not known.
 func Retention(stretch time.Duration) time.Duration {
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -23,6 +23,7 @@
 	zone            string
 	service         string
 	instance        string
+	writesPerSecond uint32
 	thread          *common.ControlThread
 	snapshot        atomic.Pointer[Snapshot]
 	policyOutdated  chan struct{}
@@ -40,6 +41,7 @@
 		zone:            s.Zone(),
 		service:         s.Service(),
 		instance:        s.Instance(),
+		writesPerSecond: s.Writes(),
 		thread:          common.NewControlThread(eventBuffer),
 		policyOutdated:  make(chan struct{}, 1),
 		upstreamServing: make(chan struct{}, 1),
@@ -122,6 +124,7 @@
 	case landing.SubscriptionReceived:
 		subscription := e.Subscription()
 		s = t.recordRevisions(s, policy.RevisionsOfSubscription(subscription))
+		s = t.recordEra(s, subscription.StoreEra())
 		if subscription.Instance() == t.instance {
 			s = s.WithConfirmation(s.confirmation.WithSubscription(e.AcknowledgedAt(), e.ReceivedAt()))
 		}
@@ -139,7 +142,14 @@
 func (t *ControlThread) applyExclusions(s Snapshot, received landing.ZoneExclusions) Snapshot {
 	next := s.policy.WithExclusions(received, clock.Now())
 	policylog.Exclusions(t.telemetry, s.policy, next, received)
-	return t.applyPolicy(s, next)
+	return t.recordEra(t.applyPolicy(s, next), next.Exclusions().Era())
+}
+
+// recordEra records that the platform is in this era, as the platform or another process states it. In a later era than
+// before, the sidecar has its enrollment confirmed.
+func (t *ControlThread) recordEra(s Snapshot, era uint64) Snapshot {
+	delay := pace.EnrollmentRenewalDelay(s.sidecarCount, t.writesPerSecond)
+	return s.WithConfirmation(s.confirmation.WithStatedEra(era, clock.Now().Add(delay)))
 }
 
 // RemoveExpired removes the retained exclusions whose time is over.
--- a/sidecar/pkg/relay/gauges_test.go
+++ b/sidecar/pkg/relay/gauges_test.go
@@ -65,7 +65,7 @@
 	f, control, counters := newGaugedForwarder(t)
 	now := clock.Now()
 	state := landing.UpstreamState{}.WithSlots(2).WithLastHeartbeat(now)
-	snapshot := Snapshot{}.WithUpstream(state).WithConfirmation(enrollment.Confirmation{}.WithPlatformAnswer(now.Add(-3 * time.Second)))
+	snapshot := Snapshot{}.WithUpstream(state).WithConfirmation(enrollment.Confirmation{}.WithPlatformAnswer(now.Add(-3*time.Second), 0))
 	control.snapshot.Store(&snapshot)
 	f.table.recordAdmission(flowKey, now)
 	packet := landing.QueuedPacket{}.WithLastCopyAt(now).WithWaitLimit(time.Minute)
@@ -112,7 +112,7 @@
 	is := is.New(t)
 	_, isConfirmed := Snapshot{}.EnrollmentAge(start)
 	is.True(!isConfirmed)
-	s := Snapshot{}.WithConfirmation(enrollment.Confirmation{}.WithPlatformAnswer(start))
+	s := Snapshot{}.WithConfirmation(enrollment.Confirmation{}.WithPlatformAnswer(start, 0))
 	for _, want := range []time.Duration{0, time.Millisecond, 1999 * time.Millisecond, enrollment.Validity, enrollment.Validity + time.Millisecond, time.Hour} {
 		age, isConfirmed := s.EnrollmentAge(start.Add(want))
 		is.True(isConfirmed)
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -128,7 +128,7 @@
 // renewEnrollment has the platform confirm the enrollment, and returns the pause until the next check.
 func (s *PlatformSync) renewEnrollment() time.Duration {
 	calledAt := clock.Now()
-	before := s.storedEnrollment.Revision()
+	before := s.storedEnrollment
 	if err := s.tryEnroll(); err != nil {
 		s.telemetry.Log().V(1).Info("sidecar cannot enroll", "error", err.Error())
 		s.controlThread.Update(func(current Snapshot) Snapshot {
@@ -140,20 +140,22 @@
 		return enrollRetryPause
 	}
 	s.controlThread.Update(func(current Snapshot) Snapshot {
-		return current.WithConfirmation(current.confirmation.WithPlatformAnswer(calledAt))
+		return current.WithConfirmation(current.confirmation.WithPlatformAnswer(calledAt, s.storedEnrollment.Era()))
 	})
 	s.telemetry.Counters().Counter("enrollment_renewed").Inc(1)
-	if s.storedEnrollment.Revision() != before {
-		s.telemetry.Log().Info("sidecar enrolled", "revision", s.storedEnrollment.Revision())
+	if s.storedEnrollment.Revision() != before.Revision() || s.storedEnrollment.Era() != before.Era() {
+		s.telemetry.Log().Info("sidecar enrolled", "revision", s.storedEnrollment.Revision(), "era", s.storedEnrollment.Era(), "lost", s.storedEnrollment.Revision() != before.Revision() && before.Revision() > 0)
 	}
 	return enrollment.CheckInterval
 }
 
 // tryRemoveEnrollment removes the enrollment and the record of flows. The removal needs the revision of the
 // enrollment, which a restarted sidecar does not know: a subscription confirmed the enrollment, so this
-// process has not written it. Such a sidecar tries to create the enrollment, and gets the one that exists.
+// process has not written it. Such a sidecar tries to create the enrollment, and gets the one that exists. So does
+// one that knows the revision from an earlier era of the platform.
 func (s *PlatformSync) tryRemoveEnrollment(ctx context.Context) error {
-	if s.storedEnrollment.Revision() == 0 {
+	isOutdated := !s.controlThread.Snapshot().confirmation.IsOfLatestEra()
+	if s.storedEnrollment.Revision() == 0 || isOutdated {
 		stored, err := s.store.CreateEnrollment(ctx, s.enrollment())
 		if err != nil && !trace.IsAlreadyExists(err) {
 			return err
--- a/sidecar/pkg/relay/previous_version_test.go
+++ b/sidecar/pkg/relay/previous_version_test.go
@@ -79,7 +79,7 @@
 	is.True(s.confirmation.IsRenewalDue(start.Add(time.Second)))
 	later := start.Add(enrollment.Validity + time.Millisecond)
 	is.True(!receive(s, later).IsEnrolled(later))
-	confirmed := s.WithConfirmation(s.confirmation.WithPlatformAnswer(later))
+	confirmed := s.WithConfirmation(s.confirmation.WithPlatformAnswer(later, 0))
 	is.True(receive(confirmed, later).IsEnrolled(later))
 	// The balancer still gets statuses, although it does not acknowledge them.
 	is.Equal(receive(s, later).StatusReceivers(later), []uint64{7})
--- a/sidecar/pkg/relay/recorder.go
+++ b/sidecar/pkg/relay/recorder.go
@@ -40,6 +40,8 @@
 	// upstream's process in it.
 	recorded      map[landing.FlowKey]bool
 	recordedStart uint64
+	// recordedEra is the era of the platform before which it may have lost the record.
+	recordedEra uint64
 	// hasRecord reports whether the platform holds a record of this sidecar.
 	hasRecord bool
 }
@@ -124,22 +126,24 @@
 		return
 	}
 	held := r.forwarder.table.heldFlows(upstream, clock.Now().Add(-minRecordedAge), maxRecordedFlows)
-	if !r.hasUnrecorded(held, startMillis) {
+	era := r.controlThread.Snapshot().confirmation.Era()
+	if !r.hasUnrecorded(held, startMillis, era) {
 		return
 	}
 	if err := r.writeRecord(landing.HeldFlowList{}.WithUpstreamStartMillis(startMillis).WithFlows(held...)); err != nil {
 		r.telemetry.Log().V(1).Info("record cannot be written", "error", err.Error())
 		return
 	}
-	r.recorded, r.recordedStart = map[landing.FlowKey]bool{}, startMillis
+	r.recorded, r.recordedStart, r.recordedEra = map[landing.FlowKey]bool{}, startMillis, era
 	for _, h := range held {
 		r.recorded[h.Key()] = true
 	}
 }
 
-// hasUnrecorded reports whether one of the flows is not in the last record of the upstream's process.
-func (r *Recorder) hasUnrecorded(held []landing.HeldFlow, startMillis uint64) bool {
-	if startMillis != r.recordedStart {
+// hasUnrecorded reports whether one of the flows is not in the last record of the upstream's process that was written in this
+// era of the platform.
+func (r *Recorder) hasUnrecorded(held []landing.HeldFlow, startMillis, era uint64) bool {
+	if startMillis != r.recordedStart || era != r.recordedEra {
 		return len(held) > 0
 	}
 	return slices.ContainsFunc(held, func(h landing.HeldFlow) bool { return !r.recorded[h.Key()] })
--- a/sidecar/pkg/relay/snapshot_test.go
+++ b/sidecar/pkg/relay/snapshot_test.go
@@ -26,14 +26,14 @@
 func TestStatusReceivers_IncludeFormerSubscribersWhileNotEnrolled(t *testing.T) {
 	is := is.New(t)
 	s := Snapshot{}.
-		WithConfirmation(enrollment.Confirmation{}.WithPlatformAnswer(start)).
+		WithConfirmation(enrollment.Confirmation{}.WithPlatformAnswer(start, 0)).
 		WithSubscriber(landing.StatusSubscription{}.WithBalancerAddress(7), start)
 	is.Equal(s.StatusReceivers(start.Add(time.Second)), []uint64{7})
 	wokenAt := start.Add(subscriptionTimeout + time.Second)
 	is.True(!s.IsEnrolled(wokenAt))
 	is.Equal(s.StatusReceivers(wokenAt), []uint64{7})
 	is.Equal(s.SubscriberCount(wokenAt), 0)
-	s = s.WithConfirmation(s.confirmation.WithPlatformAnswer(wokenAt))
+	s = s.WithConfirmation(s.confirmation.WithPlatformAnswer(wokenAt, 0))
 	is.Equal(len(s.StatusReceivers(wokenAt)), 0)
 }
 
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -83,6 +83,7 @@
 		WithRulesVersion(advertised.RulesVersion()).
 		WithExclusionsChangedRevision(advertised.Exclusions()).
 		WithStoreEra(advertised.Era()).
+		WithEnrollmentEra(s.confirmation.Era()).
 		WithUpstreamStartMillis(upstreamStartMillis(s.upstream)).
 		WithSubscriberCount(uint32(s.SubscriberCount(now))).
 		WithEjected(l.isEjected(now))
