Take an entry that cannot be read for a sidecar that may run

A balancer that was restarted did not know this sidecar, and reset the open flows of its living upstream.

Cause: entries that cannot be read were left out of the list of enrolled sidecars, and their absence counted as a proof that no such sidecar runs. Balancers that knew the sidecar from before went on confirming its enrollment, so that it never replaced the entry.

Change: the list names the entries that cannot be read. A balancer that knows the sidecar of such an entry no longer confirms its enrollment, and the sidecar replaces the entry after 2 s. No flow is reset because nobody holds it while the list has such an entry, for 10 s after the balancer has first seen it: by then a running sidecar has replaced it, and an entry that stays belongs to none.

TestHasUnreadable_CountsFromFirstList.

--- a/balancer/pkg/relay/orphan_resetter.go
+++ b/balancer/pkg/relay/orphan_resetter.go
@@ -131,6 +131,8 @@
 		return "other sidecars have enrolled"
 	case latest.HasUnlisted(now):
 		return "a sidecar that is not enrolled runs"
+	case latest.HasUnreadable(now):
+		return "an enrollment cannot be read"
 	case !latest.IsSettled(now):
 		return "enrollments are not confirmed since the store came back"
 	}
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -353,7 +353,13 @@
 		if !isDue && !isTold {
 			continue
 		}
-		f.link.Send(subscription.WithInstance(sidecar.Enrollment().Instance()).
+		if s.directory.IsReadable(sidecar) {
+			subscription = subscription.WithInstance(sidecar.Enrollment().Instance())
+		} else {
+			// The subscription then does not confirm the enrollment, and the sidecar replaces the entry.
+			subscription = subscription.WithInstance("")
+		}
+		f.link.Send(subscription.
 			WithStatusIncarnation(status.Incarnation()).WithStatusSequenceNumber(status.SequenceNumber()), sidecar.Address())
 	}
 }
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -188,6 +188,9 @@
 		m.Enrollments = append(m.Enrollments, EncodeEnrollment(v.EnrollmentsAt(i)))
 	}
 	m.Era = v.Era()
+	for i := range v.UnreadableLen() {
+		m.Unreadable = append(m.Unreadable, v.UnreadableAt(i))
+	}
 	return m
 }
 
@@ -201,6 +204,11 @@
 	}
 	v = v.WithEnrollments(enrollments...)
 	v = v.WithEra(m.GetEra())
+	var unreadable []string
+	for _, e := range m.GetUnreadable() {
+		unreadable = append(unreadable, e)
+	}
+	v = v.WithUnreadable(unreadable...)
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -581,6 +581,7 @@
 	revision    uint64
 	enrollments []Enrollment
 	era         uint64
+	unreadable  []string
 }
 
 // Revision returns the field of the same name.
@@ -633,6 +634,30 @@
 	return v
 }
 
+// Unreadable returns a copy of the list of the same name.
+//
+// Names of the entries that cannot be read, an empty one for each whose name cannot be read. Their
+// sidecars may be running.
+func (v EnrollmentList) Unreadable() []string {
+	return slices.Clone(v.unreadable)
+}
+
+// UnreadableLen returns the number of elements of Unreadable.
+func (v EnrollmentList) UnreadableLen() int {
+	return len(v.unreadable)
+}
+
+// UnreadableAt returns the element of Unreadable at index i.
+func (v EnrollmentList) UnreadableAt(i int) string {
+	return v.unreadable[i]
+}
+
+// WithUnreadable returns a copy of v with the given unreadable.
+func (v EnrollmentList) WithUnreadable(unreadable ...string) EnrollmentList {
+	v.unreadable = slices.Clone(unreadable)
+	return v
+}
+
 // PlatformSnapshot holds the objects that a process last read from the platform. Other processes
 // request it when they start while the platform is unavailable, or when they lack newer objects.
 type PlatformSnapshot struct {
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -226,6 +226,9 @@
 		b = field.AppendMessage(b, 2, func(b []byte) []byte { return AppendEnrollment(b, v.EnrollmentsAt(i)) })
 	}
 	b = field.AppendUint(b, 3, v.Era())
+	for i := range v.UnreadableLen() {
+		b = field.AppendStringElement(b, 4, v.UnreadableAt(i))
+	}
 	return b
 }
 
@@ -233,6 +236,7 @@
 func ParseEnrollmentList(b []byte) (landing.EnrollmentList, error) {
 	v := landing.EnrollmentList{}
 	var enrollments []landing.Enrollment
+	var unreadable []string
 	r := field.NewReader(b)
 	for r.Next() {
 		switch r.Number() {
@@ -246,9 +250,12 @@
 			enrollments = append(enrollments, e)
 		case 3:
 			v = v.WithEra(r.Uint())
+		case 4:
+			unreadable = append(unreadable, r.String())
 		}
 	}
 	v = v.WithEnrollments(enrollments...)
+	v = v.WithUnreadable(unreadable...)
 	return v, r.Err()
 }
 
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -39,6 +39,8 @@
 	// unlisted holds the time of arrival of the last status of each sidecar that runs but is not
 	// enrolled according to the list, by address.
 	unlisted map[uint64]time.Time
+	// unreadableSince holds the time at which each entry that cannot be read was first seen, by name.
+	unreadableSince map[string]time.Time
 }
 
 const (
@@ -51,6 +53,9 @@
 	unlistedValidity = 3 * time.Second
 	// maxUnlisted limits the memory for sidecars that are not in the list.
 	maxUnlisted = 1024
+	// unreadableTimeout is the time for which an entry that cannot be read may belong to a sidecar that
+	// runs. Balancers do not confirm such an enrollment, so its sidecar replaces the entry after 2 s.
+	unreadableTimeout = 10 * time.Second
 )
 
 // New returns a directory without sidecars for the balancer at this address. Sidecars that the platform may
@@ -96,6 +101,13 @@
 	}
 	next := d.withSidecars(sidecars, now)
 	next.enrollments = list
+	next.unreadableSince = map[string]time.Time{}
+	for _, name := range list.Unreadable() {
+		next.unreadableSince[name] = now
+		if since, isKnown := d.unreadableSince[name]; isKnown {
+			next.unreadableSince[name] = since
+		}
+	}
 	return next
 }
 
@@ -296,6 +308,17 @@
 	return false
 }
 
+// HasUnreadable reports whether the enrollment list has an entry that cannot be read and that may be the one of
+// a sidecar that runs.
+func (d *Directory) HasUnreadable(now time.Time) bool {
+	for _, since := range d.unreadableSince {
+		if now.Sub(since) <= unreadableTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // IsSettled reports whether no sidecar that can be heard says that the platform has not confirmed its
 // enrollment in the era of the list. Before that, the list may lack sidecars that have not enrolled again.
 // Sidecars of the previous version state no era.
@@ -307,6 +330,13 @@
 	})
 }
 
+// IsReadable reports whether the sidecar's entry in the enrollment list can be read. Otherwise another writer
+// has overwritten it, and the balancer knows the sidecar from before.
+func (d *Directory) IsReadable(s landing.KnownSidecar) bool {
+	_, isUnreadable := d.unreadableSince[s.Enrollment().Instance()]
+	return !isUnreadable
+}
+
 // WithProbeAck returns a directory in which the sidecar at the address subject has answered a probe
 // through the sidecar at the address proxy.
 func (d *Directory) WithProbeAck(subject, proxy uint64, now time.Time) *Directory {
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -285,6 +285,24 @@
 	is.Equal(len(moved.Sidecars()), 2)
 }
 
+// Guards against a proof that nobody holds a flow while the entry of a sidecar is overwritten, and against a balancer that
+// proves nothing any more because such an entry stays (review/8).
+func TestHasUnreadable_CountsFromFirstList(t *testing.T) {
+	is := is.New(t)
+	list := listAt(1, 100, b).WithUnreadable("a")
+	d := New(1, retention).WithEnrollmentList(listAt(1, 99, a, b), now).WithEnrollmentList(list, now)
+	sidecar := landing.KnownSidecar{}.WithEnrollment(a)
+	is.True(d.HasUnreadable(now.Add(unreadableTimeout)))
+	is.True(!d.IsReadable(sidecar))
+	d = d.WithEnrollmentList(list.WithRevision(101), now.Add(time.Second)) // the time does not begin anew
+	is.True(!d.HasUnreadable(now.Add(unreadableTimeout + 1)))
+	d = d.WithEnrollmentList(listAt(1, 102, a, b), now.Add(2*time.Second))
+	is.True(!d.HasUnreadable(now.Add(2 * time.Second)))
+	is.True(d.IsReadable(sidecar))
+	d = d.WithEnrollmentList(list.WithRevision(103), now.Add(time.Minute)) // overwritten again
+	is.True(d.HasUnreadable(now.Add(time.Minute)))
+}
+
 // Guards against a proof from a list that lacks sidecars which have not enrolled again since the platform came back.
 func TestIsSettled_WhenSidecarsAreConfirmedInEraOfList(t *testing.T) {
 	is := is.New(t)
