landingctl metrics: processes are behind by the version of their rules

After the store has come back from an older copy, one process may have read the same rules at a lower revision than another. Operators saw processes as behind that were not, and the newer ones as current by chance.

--- a/balancer/pkg/relay/forwarder.go
+++ b/balancer/pkg/relay/forwarder.go
@@ -76,6 +76,7 @@
 	c.RegisterGauge("cached", func() int64 { return int64(f.flows.len()) })
 	c.RegisterGauge("sidecars", func() int64 { return int64(len(f.control.Snapshot().directory.Sidecars())) })
 	c.RegisterGauge("balancers", func() int64 { return int64(f.control.Snapshot().BalancerCount()) })
+	c.RegisterGauge("revision.version", func() int64 { return int64(f.control.Policy().AdvertisedRevisions().RulesVersion()) })
 	c.RegisterGauge("revision.rules", func() int64 { return int64(f.control.Policy().AdvertisedRevisions().Rules()) })
 	c.RegisterGauge("revision.exclusions", func() int64 { return int64(f.control.Policy().AdvertisedRevisions().Exclusions()) })
 	c.RegisterGauge("revision.era", func() int64 { return int64(f.control.Snapshot().StoreEra()) })
--- a/landingctl/pkg/command/metrics.go
+++ b/landingctl/pkg/command/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -35,11 +36,18 @@
 	title, metric, reason string
 }
 
-// columns are the columns of the table in order. The first one decides which processes are behind.
+var (
+	versionColumn = column{"VERSION", metricRevision, "version"}
+	rulesColumn   = column{"RULES", metricRevision, "rules"}
+)
+
+// columns are the columns of the table in order.
 var columns = []column{
-	{"RULES", metricRevision, "rules"},
+	versionColumn,
+	rulesColumn,
 	{"EXCLUSIONS", metricRevision, "exclusions"},
 	{"ROLL", metricRevision, "roll"},
+	{"ERA", metricRevision, "era"},
 	{"SIDECARS", metricPrefix + "sidecars", ""},
 	{"CACHED", metricPrefix + "cached", ""},
 	{"FLOWS", metricPrefix + "flows", ""},
@@ -53,7 +61,7 @@
 
 // Metrics prints a table of the state of the processes of the relay path at these metrics addresses. These processes are
 // balancers and sidecars that pass packets on whole to upstreams that terminate TCP themselves. A process is shown
-// as behind if its revision of the rules, the first column, is lower than the highest one among the processes. Metrics
+// as behind if another one has newer rules. Metrics
 // fails if the metrics of a process cannot be read.
 func Metrics(e Env, args []string) int {
 	if len(args) == 0 {
@@ -61,7 +69,6 @@
 		return program.StatusUsage
 	}
 	processes := make([]columnValues, len(args))
-	newestRevision := 0.0
 	status := program.StatusOK
 	for i, address := range args {
 		values, err := scrapeColumns(e.ctx, address)
@@ -71,7 +78,6 @@
 			continue
 		}
 		processes[i] = values
-		newestRevision = max(newestRevision, values[columns[0]])
 	}
 	w := tabwriter.NewWriter(e.out, 0, 0, columnPadding, ' ', 0)
 	fmt.Fprint(w, "ADDRESS\tSTATE")
@@ -79,7 +85,7 @@
 		fmt.Fprint(w, "\t"+c.title)
 	}
 	for i, address := range args {
-		fmt.Fprintf(w, "\n%s\t%s", address, formatState(processes[i], newestRevision))
+		fmt.Fprintf(w, "\n%s\t%s", address, formatState(processes[i], processes))
 		for _, c := range columns {
 			fmt.Fprint(w, "\t"+processes[i].format(c))
 		}
@@ -90,17 +96,28 @@
 }
 
 // formatState returns the state of a process: unknown if values is nil because the metrics could not be read, behind if
-// the revision of the rules is lower than the newest one, and current otherwise.
-func formatState(values columnValues, newestRevision float64) string {
+// one of the processes has newer rules, and current otherwise.
+func formatState(values columnValues, processes []columnValues) string {
 	switch {
 	case values == nil:
 		return "unknown"
-	case values[columns[0]] < newestRevision:
+	case slices.ContainsFunc(processes, func(other columnValues) bool { return other != nil && other.hasNewerRules(values) }):
 		return "behind"
 	}
 	return "current"
 }
 
+// hasNewerRules reports whether the rules have a higher version than those of the other process. Processes of the previous
+// version report only the revision, which is comparable while the platform has not come back from an older copy.
+func (values columnValues) hasNewerRules(other columnValues) bool {
+	version, isStated := values[versionColumn]
+	otherVersion, isOtherStated := other[versionColumn]
+	if isStated && isOtherStated {
+		return version > otherVersion
+	}
+	return values[rulesColumn] > other[rulesColumn]
+}
+
 // format returns the value of a column as text, or "-" if the process does not have the metric.
 func (values columnValues) format(c column) string {
 	value, found := values[c]
@@ -123,7 +140,7 @@
 			values[c] = value
 		}
 	}
-	if _, found := values[columns[0]]; !found {
+	if _, found := values[rulesColumn]; !found {
 		return nil, trace.BadParameter("not a process of the relay path: the metrics have no revision of the rules")
 	}
 	return values, nil
--- a/sidecar/pkg/relay/forwarder.go
+++ b/sidecar/pkg/relay/forwarder.go
@@ -113,6 +113,7 @@
 	c.RegisterGauge("service."+f.settings.Service(), func() int64 { return 1 })
 	c.RegisterGauge("zone."+f.settings.Zone(), func() int64 { return 1 })
 	f.registerLoadGauges()
+	c.RegisterGauge("revision.version", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().RulesVersion()) })
 	c.RegisterGauge("revision.rules", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Rules()) })
 	c.RegisterGauge("revision.exclusions", func() int64 { return int64(f.controlThread.Policy().AdvertisedRevisions().Exclusions()) })
 	c.RegisterGauge("revision.era", func() int64 { return int64(f.controlThread.Policy().Exclusions().Era()) })
