Don't prove that a flow has no holder just after the store came back

Callers had their open flows reset by a balancer that was restarted as planned just after the store had come back from an older copy, when the store had lost the enrollment of the flows' sidecar.

Cause: the balancer took the store's list for complete 20 ms after its start. No sidecar that was listed had sent it a status yet, and a sidecar that has not been heard counted as confirmed (Directory.IsSettled). Besides, listed sidecars said within 150 ms that their enrollments are confirmed, while the one whose enrollment was lost learns of the era up to some seconds later.

Change: a balancer that has just started waits for the first status of each sidecar to which it subscribes, for 1 s at most after its first list. A sidecar that has seen the era change states the earlier era for 3 s after its enrollment was confirmed, until all others know of the later one.

--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -957,7 +957,8 @@
 
 // EnrollmentEra returns the field of the same name.
 //
-// Latest era in which the platform has confirmed the sidecar's enrollment.
+// Latest era in which the platform has confirmed the sidecar's enrollment; for some seconds after
+// the beginning of an era the one before, since other sidecars may not know of the later one.
 func (v SidecarStatus) EnrollmentEra() uint64 {
 	return v.enrollmentEra
 }
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -23,6 +23,8 @@
 	// retention is the time for which sidecars are kept that the platform may have lost.
 	retention   time.Duration
 	enrollments landing.EnrollmentList
+	// firstListedAt is the time of the first enrollment list.
+	firstListedAt time.Time
 	// generation is the number of changes of the set of sidecars that the balancer has seen, and
 	// changedAt the time of the last one.
 	generation uint64
@@ -101,6 +103,9 @@
 	}
 	next := d.withSidecars(sidecars, now)
 	next.enrollments = list
+	if next.firstListedAt.IsZero() {
+		next.firstListedAt = now
+	}
 	next.unreadableSince = map[string]time.Time{}
 	for _, name := range list.Unreadable() {
 		next.unreadableSince[name] = now
@@ -319,12 +324,17 @@
 	return false
 }
 
-// IsSettled reports whether no sidecar that can be heard says that the platform has not confirmed its
-// enrollment in the era of the list. Before that, the list may lack sidecars that have not enrolled again.
-// Sidecars of the previous version state no era.
+// IsSettled reports whether no sidecar that can be heard says that enrollments may be missing in the era of the
+// list. Before that, the list may lack sidecars that have not enrolled again. The directory of a balancer that
+// has just started is not settled while it has no status of a sidecar that may soon be heard. Sidecars of the
+// previous version state no era.
 func (d *Directory) IsSettled(now time.Time) bool {
+	hasJustStarted := d.enrollments.Era() > 0 && now.Sub(d.firstListedAt) <= interruptionTime
 	return !slices.ContainsFunc(d.sidecars, func(s landing.KnownSidecar) bool {
 		status := s.LastStatus()
+		if s.LastStatusAt().IsZero() && d.subscribed[s.Address()] && hasJustStarted {
+			return true
+		}
 		isHeard := !s.LastStatusAt().IsZero() && now.Sub(s.LastStatusAt()) <= interruptionTime
 		return isHeard && status.StoreEra() > 0 && status.EnrollmentEra() < d.enrollments.Era()
 	})
--- a/core/pkg/enrollment/enrollment.go
+++ b/core/pkg/enrollment/enrollment.go
@@ -32,6 +32,10 @@
 	// CheckInterval is the interval between two checks whether the platform must confirm the
 	// enrollment. It leaves 400 ms of the validity for the call to the platform.
 	CheckInterval = 100 * time.Millisecond
+	// settleTime is the time within which all other sidecars learn of a later era. The balancers that
+	// know them retry a failed call to the platform within 1.8 s, and then renew their subscriptions
+	// within a second.
+	settleTime = 3 * time.Second
 )
 
 // Confirmation is what a sidecar knows of its enrollment. It is immutable. The zero value is that of
@@ -46,6 +50,10 @@
 	// one that the platform or another process has stated.
 	era       uint64
 	latestEra uint64
+	// previousEra is the era before that, and settledAt the time until which other sidecars may not know
+	// of the later one.
+	previousEra uint64
+	settledAt   time.Time
 	// renewAt is the time from which the platform is asked because of the latest era.
 	renewAt time.Time
 }
@@ -55,6 +63,9 @@
 // forgotten: the process is wrong, or states the era again.
 func (c Confirmation) WithPlatformAnswer(calledAt time.Time, era uint64) Confirmation {
 	c.isPlatformAnswering = true
+	if c.era > 0 && era > c.era {
+		c.previousEra, c.settledAt = c.era, calledAt.Add(settleTime)
+	}
 	c.era, c.latestEra = era, era
 	return c.withConfirmedAt(calledAt)
 }
@@ -73,6 +84,16 @@
 	return c.era
 }
 
+// SettledEra returns the latest era in which the platform has confirmed the enrollment, and in which the
+// enrollments of all other sidecars are written again or known to be missing. A sidecar that has started in the
+// latest era cannot tell the difference.
+func (c Confirmation) SettledEra(now time.Time) uint64 {
+	if now.Before(c.settledAt) {
+		return c.previousEra
+	}
+	return c.era
+}
+
 // IsOfLatestEra reports whether the platform has confirmed the enrollment in the latest era that the
 // sidecar knows. Otherwise balancers may read a list without it.
 func (c Confirmation) IsOfLatestEra() bool {
--- a/core/pkg/enrollment/enrollment_test.go
+++ b/core/pkg/enrollment/enrollment_test.go
@@ -87,6 +87,18 @@
 	is.True(!c.WithPlatformAnswer(start, 0).IsRenewedByBalancers(start))
 }
 
+// Guards against a balancer that starts after the platform has come back, and takes a list for complete in which only
+// those sidecars are that have already learned of the later era.
+func TestSettledEra_RisesWhenOthersKnowOfLaterEra(t *testing.T) {
+	is := is.New(t)
+	c := Confirmation{}.WithPlatformAnswer(start, 4)
+	is.Equal(c.SettledEra(start), uint64(4))
+	c = c.WithPlatformAnswer(start.Add(time.Second), 5)
+	is.Equal(c.SettledEra(start.Add(time.Second)), uint64(4))
+	c = c.WithPlatformAnswer(start.Add(2*time.Second), 5)
+	is.Equal(c.SettledEra(start.Add(5*time.Second)), uint64(5))
+}
+
 // Balancers remove the enrollment 2.5 s after the last sign of life, which is at the earliest the last
 // status that one of them has acknowledged. Whatever the order and delay of messages, the sidecar does
 // not rely on its enrollment at that time.
