Tests: changes, flows and enrollments around a return of the store

Real balancers and sidecars on the stand-in; judged by callers, upstreams and the store only. Bounds are the users' (config_apply_ms, evacuate_ms, stable_window_ms, max_stretch_ms, revert_slack_ms).

--- a/experiment/pkg/relayed/oddentry_test.go
+++ b/experiment/pkg/relayed/oddentry_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -24,3 +25,25 @@
 	awaitAllUpstreamsReachable(t, f, 0)
 	awaitAllUpstreamsReachable(t, f, 1)
 }
+
+// Guards against resets of the open flows of a sidecar whose entry another writer has overwritten with one that cannot be
+// read, when a balancer is restarted after that (review/8).
+func TestOpenFlowsOfOddEntrySurviveBalancerRestart(t *testing.T) {
+	t.Parallel()
+	for name, delay := range map[string]time.Duration{"at once": 0, "when in touch": inTouchAfter} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startFleet(t, 2, 3)
+			s := &switchableRoute{fleet: f}
+			flows := openFlowsAt(t, f, 0, s.route)
+			f.Store().Put("sidecars", f.nodes[0].instance, map[string]any{"service": 7, "zone": "a"})
+			time.Sleep(delay)
+			f.StopBalancer(1)
+			is.NoErr(f.StartBalancer(1))
+			await(t, "the balancer is ready", func() bool { return f.IsReady(1) })
+			s.balancer.Store(1)
+			checkFlowsContinue(t, flows, "through the restarted balancer")
+		})
+	}
+}
--- a/experiment/pkg/relayed/storereturn_test.go
+++ b/experiment/pkg/relayed/storereturn_test.go
@@ -23,6 +23,12 @@
 	// lostWrites is the number of changes of the system that the store loses. The changes after its return are fewer, so that
 	// its revision stays lower than before.
 	lostWrites = 40
+	// rewriteDelay is the time after which the operator repeats its lost changes.
+	rewriteDelay = 500 * time.Millisecond
+	// lateRewriteDelay is such a time that ends when the processes are in touch again.
+	lateRewriteDelay = inTouchAfter + 2*time.Second
+	// coldStart is the time for which an upstream counts as cold, as the configuration states it.
+	coldStart = time.Second
 )
 
 // loseWrites writes objects of the system that the store loses when it comes back from a copy taken before.
@@ -41,6 +47,19 @@
 	return time.Now().Add(-rewriteDelay)
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// sleepUntil waits until a time and a few probes longer.
+func sleepUntil(at time.Time) {
+	time.Sleep(time.Until(at) + 5*probeInterval)
+}
+
 // Guards against requests that are run by a service that only an older configuration allows: the store has come back from an
 // older copy, and no process puts a later configuration in force, since its revision is lower than before (incident 44).
 func TestConfigurationAfterStoreCameBackIsInForce(t *testing.T) {
@@ -60,6 +79,238 @@
 	}
 }
 
+// configurationChange is a change that drops the route of the callers, or one that adds it.
+type configurationChange struct {
+	name              string
+	before, after     string
+	isBefore, isAfter func(probe) bool
+}
+
+var configurationChanges = []configurationChange{
+	{"route dropped", "desk", "none", probe.isServed, func(p probe) bool { return p.isRefused }},
+	{"route added", "none", "desk", func(p probe) bool { return p.isRefused }, probe.isServed},
+}
+
+// startBeforeChange starts a deployment and a prober, with the configuration before the change in force.
+func (c configurationChange) startBeforeChange(t *testing.T) (*Fleet, *prober) {
+	f := startFleetWith(t, Config{Balancers: 3, Sidecars: 2, HasStoreProxy: true})
+	p := startProber(t, f)
+	f.SetRules(2, c.before)
+	p.await(t, "the configuration before the change is in force", c.isBefore)
+	return f, p
+}
+
+// loseVersionBefore returns a copy of the store. After it, another version with the service before the change came into force,
+// whose revision the change has no longer when the store has come back.
+func (c configurationChange) loseVersionBefore(t *testing.T, f *Fleet) store.Copy {
+	copied := f.Store().Copy()
+	loseWrites(t, f)
+	f.SetRulesWithRoutes(12, c.before, 1)
+	time.Sleep(rulesTimeLimit)
+	return copied
+}
+
+// Guards against a configuration that comes into force late, or gives way to an older one, because the store comes back from
+// an older copy at about the time of the change (incident 44).
+func TestConfigurationChangedAroundReturnOfStore(t *testing.T) {
+	t.Parallel()
+	for _, c := range configurationChanges {
+		for name, change := range map[string]func(*testing.T, *Fleet, *prober) (ackedAt, returnedAt time.Time){
+			"before the copy": func(t *testing.T, f *Fleet, _ *prober) (time.Time, time.Time) {
+				f.SetRules(13, c.after)
+				ackedAt, copied := time.Now(), f.Store().Copy()
+				loseWrites(t, f)
+				return ackedAt, drill(f, copied, rewriteDelay)
+			},
+			"in the lost seconds": func(t *testing.T, f *Fleet, p *prober) (time.Time, time.Time) {
+				copied := f.Store().Copy()
+				loseWrites(t, f)
+				f.SetRules(13, c.after)
+				ackedAt := time.Now()
+				p.await(t, "the change is in force", c.isAfter)
+				return ackedAt, drill(f, copied, rewriteDelay)
+			},
+			"just before the loss": func(t *testing.T, f *Fleet, _ *prober) (time.Time, time.Time) {
+				copied := c.loseVersionBefore(t, f)
+				f.SilenceStore() // no process reads the change before the store is away
+				f.SetRules(13, c.after)
+				return time.Now(), drill(f, copied, rewriteDelay)
+			},
+			"just after the return": func(t *testing.T, f *Fleet, _ *prober) (time.Time, time.Time) {
+				returnedAt := drill(f, c.loseVersionBefore(t, f), 0)
+				f.SetRules(13, c.after)
+				return time.Now(), returnedAt
+			},
+		} {
+			t.Run(c.name+" "+name, func(t *testing.T) {
+				t.Parallel()
+				f, p := c.startBeforeChange(t)
+				ackedAt, returnedAt := change(t, f, p)
+				deadline := latest(ackedAt.Add(rulesTimeLimit), returnedAt.Add(inTouchAfter))
+				sleepUntil(deadline)
+				p.checkInForce(t, c.isBefore, c.isAfter, deadline)
+				p.checkNotReverted(t, c.isBefore, c.isAfter, ackedAt)
+			})
+		}
+	}
+}
+
+// Guards against processes that start around the return of the store and use the configuration of the copy, although others
+// know a later version that the operator writes again only when they are in touch.
+func TestProcessesStartedAroundReturnOfStoreUseLostConfiguration(t *testing.T) {
+	t.Parallel()
+	for _, c := range configurationChanges {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f, p := c.startBeforeChange(t)
+			copied := f.Store().Copy()
+			loseWrites(t, f)
+			f.SetRules(13, c.after)
+			ackedAt := time.Now()
+			p.await(t, "the change is in force", c.isAfter)
+			f.Store().SetUnavailable(true)
+			p.restartBalancer(t, 2)
+			f.StopSidecar(0)
+			is.NoErr(f.StartSidecar(0))
+			time.Sleep(storeAway)
+			f.Store().Return(copied)
+			f.Store().SetUnavailable(false)
+			p.restartBalancer(t, 1)
+			f.StopSidecar(1)
+			is.NoErr(f.StartSidecar(1))
+			deadline := time.Now().Add(inTouchAfter)
+			sleepUntil(deadline.Add(lateRewriteDelay - inTouchAfter))
+			f.Store().RepeatOperatorWrites(copied)
+			sleepUntil(time.Now().Add(time.Second))
+			p.checkInForce(t, c.isBefore, c.isAfter, deadline)
+			p.checkNotReverted(t, c.isBefore, c.isAfter, ackedAt)
+		})
+	}
+}
+
+// isServedElsewhere reports whether an upstream outside the zone a has answered the probe.
+func isServedElsewhere(p probe) bool { return p.isServed() && !p.isServedInZoneA() }
+
+// Guards against flows that are opened in a zone that was taken out of service: the store has lost the exclusion, and the
+// operator writes it again only when the processes are in touch. A balancer may be restarted meanwhile.
+func TestLostExclusionStaysInForce(t *testing.T) {
+	t.Parallel()
+	for name, restarts := range map[string]bool{"all processes run": false, "a balancer is restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, 3, 4)
+			p := startProber(t, f)
+			copied := f.Store().Copy()
+			loseWrites(t, f)
+			f.Store().Put("evacuations", "a", map[string]any{})
+			ackedAt := time.Now()
+			sleepUntil(ackedAt.Add(exclusionTimeLimit))
+			f.Store().SetUnavailable(true)
+			time.Sleep(storeAway)
+			f.Store().Return(copied)
+			f.Store().SetUnavailable(false)
+			returnedAt := time.Now()
+			if restarts {
+				p.restartBalancer(t, 2)
+			}
+			sleepUntil(returnedAt.Add(lateRewriteDelay))
+			f.Store().RepeatOperatorWrites(copied)
+			sleepUntil(time.Now().Add(maxStretch - lateRewriteDelay))
+			p.checkInForce(t, probe.isServedInZoneA, isServedElsewhere, ackedAt.Add(exclusionTimeLimit))
+		})
+	}
+}
+
+// Guards against flows that are opened in a zone that was taken out of service, since the store has come back from an older
+// copy and the revision of the exclusion is lower than before (review/13).
+func TestExclusionAfterStoreCameBackIsInForce(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 3, 4)
+	p := startProber(t, f)
+	copied := f.Store().Copy()
+	loseWrites(t, f)
+	returnedAt := drill(f, copied, 0)
+	f.Store().Put("evacuations", "a", map[string]any{})
+	ackedAt := time.Now()
+	deadline := latest(ackedAt.Add(exclusionTimeLimit), returnedAt.Add(inTouchAfter))
+	sleepUntil(deadline.Add(time.Second))
+	p.checkInForce(t, probe.isServedInZoneA, isServedElsewhere, deadline)
+}
+
+// Guards against zones that stay out of service after they were put back, since the store has come back from an older copy.
+func TestExclusionRemovedAroundReturnOfStoreEnds(t *testing.T) {
+	t.Parallel()
+	for name, remove := range map[string]func(*testing.T, *Fleet, func()) (removedAt, returnedAt time.Time){
+		"in the lost seconds": func(t *testing.T, f *Fleet, exclude func()) (time.Time, time.Time) {
+			exclude()
+			copied := f.Store().Copy()
+			loseWrites(t, f)
+			f.Store().Delete("evacuations", "a")
+			returnedAt := drill(f, copied, rewriteDelay)
+			return time.Now(), returnedAt
+		},
+		"after the return": func(t *testing.T, f *Fleet, exclude func()) (time.Time, time.Time) {
+			copied := f.Store().Copy()
+			loseWrites(t, f)
+			exclude()
+			returnedAt := drill(f, copied, rewriteDelay)
+			time.Sleep(inTouchAfter)
+			f.Store().Delete("evacuations", "a")
+			return time.Now(), returnedAt
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, 3, 4)
+			p := startProber(t, f)
+			removedAt, returnedAt := remove(t, f, func() {
+				f.Store().Put("evacuations", "a", map[string]any{})
+				time.Sleep(exclusionTimeLimit)
+			})
+			time.Sleep(time.Until(latest(removedAt.Add(exclusionTimeLimit), returnedAt.Add(inTouchAfter))))
+			checkZoneAServes(t, p)
+		})
+	}
+}
+
+// Guards against zones that stay out of service because the balancers have missed that they were put back: all connections to
+// the store fall silent, the removal of the exclusion is lost, and the operator has nothing to write again.
+func TestExclusionWhoseRemovalWasMissedEnds(t *testing.T) {
+	t.Parallel()
+	f := startFleetWith(t, Config{Balancers: 3, Sidecars: 4, HasStoreProxy: true})
+	p := startProber(t, f)
+	copied := f.Store().Copy()
+	loseWrites(t, f)
+	f.Store().Put("evacuations", "a", map[string]any{})
+	time.Sleep(exclusionTimeLimit)
+	f.SilenceStore()
+	f.Store().SetUnavailable(true)
+	f.Store().Delete("evacuations", "a")
+	time.Sleep(storeAway)
+	f.Store().Return(copied)
+	f.Store().SetUnavailable(false)
+	time.Sleep(maxStretch + exclusionTimeLimit)
+	checkZoneAServes(t, p)
+}
+
+// checkZoneAServes fails the test unless flows are opened in the zone a through each balancer within a second. An upstream
+// that has just been put back into service gets few flows at first.
+func checkZoneAServes(t *testing.T, p *prober) {
+	t.Helper()
+	start := time.Now()
+	time.Sleep(coldStart + time.Second)
+	serves := map[int]bool{}
+	for _, probe := range p.since(start) {
+		serves[probe.balancer] = serves[probe.balancer] || probe.isServedInZoneA()
+	}
+	for i := range p.fleet.balancers {
+		if !serves[i] {
+			t.Errorf("balancer %d opens no flow in the zone", i)
+		}
+	}
+}
+
 // openFlowsAt opens flows until the upstream holds some, and returns all of them.
 func openFlowsAt(t *testing.T, f *Fleet, upstream int, route endpoint.Route) []*endpoint.Flow {
 	var flows []*endpoint.Flow
@@ -127,3 +378,76 @@
 		})
 	}
 }
+
+// Guards against changes that are not in force, enrollments that are missing and open flows that are reset after the store
+// has come back from an older copy twice within five seconds.
+func TestStoreComesBackTwice(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, 3, 2)
+	p := startProber(t, f)
+	s := &switchableRoute{fleet: f}
+	copied := f.Store().Copy()
+	is.NoErr(f.AddSidecar())
+	flows := openFlowsAt(t, f, 2, s.route)
+	loseWrites(t, f)
+	f.SetRulesWithRoutes(13, "desk", 1)
+	drill(f, copied, rewriteDelay)
+	copied = f.Store().Copy()
+	loseWrites(t, f)
+	time.Sleep(time.Second)
+	f.SetRulesWithRoutes(14, "desk", 2)
+	returnedAt := drill(f, copied, rewriteDelay)
+	f.StopBalancer(1)
+	is.NoErr(f.StartBalancer(1))
+	await(t, "the balancer is ready", func() bool { return f.IsReady(1) })
+	s.balancer.Store(1)
+	checkFlowsContinue(t, flows, "after the second return")
+	time.Sleep(time.Until(returnedAt.Add(inTouchAfter)))
+	for i := range f.nodes {
+		is.True(isEnrolled(f, i))
+	}
+	f.Store().Put("evacuations", "a", map[string]any{})
+	f.SetRules(17, "desk")
+	ackedAt := time.Now()
+	sleepUntil(ackedAt.Add(exclusionTimeLimit + time.Second))
+	p.checkInForce(t, probe.isServedInZoneA, isServedElsewhere, ackedAt.Add(exclusionTimeLimit))
+	f.SetRules(18, "none")
+	time.Sleep(rulesTimeLimit)
+	for i := range f.balancers {
+		if canOpenFlow(f, i) {
+			t.Errorf("balancer %d uses the old rules", i)
+		}
+	}
+}
+
+// Guards against resets of open flows and changes that are not in force when the store comes back from an older copy while
+// all balancers are restarted one after the other.
+func TestStoreComesBackDuringRestartOfBalancers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, 3, 2)
+	p := startProber(t, f)
+	s := &switchableRoute{fleet: f}
+	copied := f.Store().Copy()
+	is.NoErr(f.AddSidecar())
+	flows := openFlowsAt(t, f, 2, s.route)
+	loseWrites(t, f)
+	f.SetRulesWithRoutes(13, "desk", 1)
+	var drilled sync.WaitGroup
+	drilled.Go(func() { drill(f, copied, rewriteDelay) })
+	for i := range f.balancers {
+		s.balancer.Store(int32((i + 1) % len(f.balancers)))
+		p.restartBalancer(t, i)
+		await(t, "the balancer is ready", func() bool { return f.IsReady(i) })
+		s.balancer.Store(int32(i))
+		checkFlowsContinue(t, flows, fmt.Sprintf("through balancer %d", i))
+	}
+	drilled.Wait()
+	time.Sleep(inTouchAfter)
+	is.True(isEnrolled(f, 2))
+	f.SetRules(17, "none")
+	ackedAt := time.Now()
+	sleepUntil(ackedAt.Add(rulesTimeLimit + time.Second))
+	p.checkInForce(t, probe.isServed, func(p probe) bool { return p.isRefused }, ackedAt.Add(rulesTimeLimit))
+}
