Soak: the store comes back from an older copy

A new kind of fault: the store is away for up to a second and comes back from a copy that is up to five seconds old; the operator made a change just before, and repeats it within a second. After the faults every sidecar must be enrolled, and a change of the configuration must be in force at every balancer within the users' bounds; this is also checked for the seeds of TestSoakRegressions, whose faults are the same as before.

--- a/experiment/pkg/relayed/soak_test.go
+++ b/experiment/pkg/relayed/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocuslanding/crocuslanding/platform/standin/endpoint"
+	"github.com/crocuslanding/crocuslanding/platform/standin/store"
 )
 
 var (
@@ -33,6 +35,8 @@
 	maxSuspension = 4 * time.Second
 	// requestsPerLateSyn is the number of requests on a flow between two late copies of its SYN.
 	requestsPerLateSyn = 16
+	// maxCopyAge is the age that the copy may have from which the store comes back.
+	maxCopyAge = 5 * time.Second
 	// recoveryTimeout is the time within which every flow of a running upstream must answer after the last fault.
 	recoveryTimeout = 15 * time.Second
 )
@@ -53,7 +57,7 @@
 		Slots: 2, ServiceTime: 10 * time.Millisecond, ResponseAim: 400 * time.Millisecond, RequestTimeout: requestTimeout,
 		HasStoreProxy: true,
 	}
-	return soakPlan{cfg: cfg, faultKinds: 11, maxSuspension: maxSuspension, hasLateSyns: true}
+	return soakPlan{cfg: cfg, faultKinds: 12, maxSuspension: maxSuspension, hasLateSyns: true}
 }
 
 // newRegressionPlan returns the plan with which the seeds of TestSoakRegressions failed. With more kinds of faults or longer
@@ -73,10 +77,20 @@
 	mu    sync.Mutex
 	// runningUpstreams is the set of the IDs of running upstream incarnations.
 	runningUpstreams map[string]bool
+	// version is the version of the configuration that the operator has written last.
+	version int
+	// copies are copies of the store since it last came back from one, in the order of their age.
+	copies []datedCopy
 	// violations describe what went wrong. The run fails unless there are none.
 	violations []string
 }
 
+// datedCopy is a copy of the store and the time at which it was taken.
+type datedCopy struct {
+	store.Copy
+	takenAt time.Time
+}
+
 // buildPrograms compiles the balancer and the sidecar with the build tag relay into the folder of the flag soakkeep, or
 // else into a temporary folder, and returns the folder.
 func buildPrograms(t *testing.T) string {
@@ -129,7 +143,7 @@
 	for i := range soakBalancerCount {
 		awaitAllUpstreamsReachable(t, f, i)
 	}
-	s := &soak{t: t, plan: plan, fleet: f, runningUpstreams: map[string]bool{}}
+	s := &soak{t: t, plan: plan, fleet: f, version: 1, runningUpstreams: map[string]bool{}}
 	for i := range soakNodeCount {
 		s.runningUpstreams[fmt.Sprintf("i-%d-1", i)] = true
 	}
@@ -144,9 +158,28 @@
 	}
 	close(faultsDone)
 	wg.Wait()
+	s.checkState()
 	is.Equal(s.violations, []string(nil))
 }
 
+// checkState checks that every sidecar is enrolled after the faults, and that a change of the configuration comes into force at
+// every balancer.
+func (s *soak) checkState() {
+	s.version++
+	s.fleet.SetRules(s.version, "none")
+	s.sleep(max(inTouchAfter, rulesTimeLimit))
+	for i := range soakBalancerCount {
+		if canOpenFlow(s.fleet, i) {
+			s.addViolation("balancer %d uses the old rules after the faults", i)
+		}
+	}
+	for i := range soakNodeCount {
+		if !isEnrolled(s.fleet, i) {
+			s.addViolation("sidecar %d is not enrolled after the faults", i)
+		}
+	}
+}
+
 // addViolation records a violation, for which the run fails, and logs it with the time.
 func (s *soak) addViolation(format string, args ...any) {
 	s.mu.Lock()
@@ -256,6 +289,7 @@
 	pause := time.Duration(random.Int64N(int64(800 * time.Millisecond)))
 	nodeIndex, balancerIndex := random.IntN(soakNodeCount), random.IntN(soakBalancerCount)
 	kind := random.IntN(s.plan.faultKinds)
+	s.copies = append(s.copies, datedCopy{s.fleet.Store().Copy(), time.Now()})
 	s.t.Logf("%s fault %d, sidecar %d, balancer %d", time.Now().UTC().Format(time.StampMicro), kind, nodeIndex, balancerIndex)
 	switch kind {
 	case 0:
@@ -286,10 +320,25 @@
 		s.crashWithLateHeartbeat(nodeIndex, pause)
 	case 10:
 		s.fleet.SilenceStore()
+	case 11:
+		s.drill(random)
 	}
 	s.sleep(pause)
 }
 
+// drill lets the store come back, after less than a second, from a copy that is at most maxCopyAge old. The operator repeats its
+// lost changes, one of which was made just before, after less than a second.
+func (s *soak) drill(random *rand.Rand) {
+	recent := slices.DeleteFunc(s.copies, func(c datedCopy) bool { return time.Since(c.takenAt) > maxCopyAge })
+	c := recent[random.IntN(len(recent))]
+	away, rewriteDelay := time.Duration(random.Int64N(int64(time.Second))), time.Duration(random.Int64N(int64(time.Second)))
+	s.t.Logf("copy of %s before, away %s, written again after %s", time.Since(c.takenAt), away, rewriteDelay)
+	s.version++
+	s.fleet.SetRulesWithRoutes(s.version, "desk", s.version)
+	s.fleet.Store().Drill(c.Copy, away, rewriteDelay)
+	s.copies = nil
+}
+
 // crashUpstream ends an upstream abruptly and starts its next incarnation, that is, the next run of the upstream, with the
 // function start. No incarnation counts as running in between.
 func (s *soak) crashUpstream(nodeIndex int, start func(int) error) {
