Test: a watch that continues when its revision was given out again

The connections to the store are silent when it comes back, and it has passed the revisions of the watches before they continue. A change just after the return must be in force in time, both ways.

--- a/experiment/pkg/relayed/storereturn_test.go
+++ b/experiment/pkg/relayed/storereturn_test.go
@@ -141,6 +141,17 @@
 				f.SetRules(13, c.after)
 				return time.Now(), returnedAt
 			},
+			"before the watches continue": func(t *testing.T, f *Fleet, _ *prober) (time.Time, time.Time) {
+				copied := c.loseVersionBefore(t, f)
+				f.SilenceStore() // the watches continue when the store has given out their revisions again
+				f.Store().Return(copied)
+				f.Store().RepeatOperatorWrites(copied)
+				f.SetRules(13, c.after)
+				ackedAt := time.Now()
+				loseWrites(t, f)
+				f.Store().Put("evacuations", "c", map[string]any{}) // a zone without upstreams
+				return ackedAt, ackedAt
+			},
 		} {
 			t.Run(c.name+" "+name, func(t *testing.T) {
 				t.Parallel()
