Do not confirm an enrollment that the list of the new era lacks

Cause: a balancer confirmed the enrollment of a retained sidecar for the whole retention. When the enrollment was removed after the sidecar had had it confirmed in the new era, the sidecar did not enroll again for 12 s, and balancers that started then did not know it. Change: Directory.ConfirmsEnrollment replaces IsReadable. A retained sidecar is confirmed only while it still has to have its enrollment confirmed in the era of the list.

--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -353,10 +353,10 @@
 		if !isDue && !isTold {
 			continue
 		}
-		if s.directory.IsReadable(sidecar) {
+		if s.directory.ConfirmsEnrollment(sidecar) {
 			subscription = subscription.WithInstance(sidecar.Enrollment().Instance())
 		} else {
-			// The subscription then does not confirm the enrollment, and the sidecar replaces the entry.
+			// The sidecar then asks the platform, and writes the enrollment again.
 			subscription = subscription.WithInstance("")
 		}
 		f.link.Send(subscription.
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -340,11 +340,16 @@
 	})
 }
 
-// IsReadable reports whether the sidecar's entry in the enrollment list can be read. Otherwise another writer
-// has overwritten it, and the balancer knows the sidecar from before.
-func (d *Directory) IsReadable(s landing.KnownSidecar) bool {
+// ConfirmsEnrollment reports whether the balancer confirms the enrollment of the sidecar, so that the sidecar relies on it.
+// It does not if the entry in the list cannot be read: another writer has overwritten it, and the sidecar replaces it. Nor
+// does it if the list lacks the enrollment, unless the sidecar still has to have it confirmed in the era of the list, which
+// sidecars do one after the other. Sidecars of the previous version state no era and enroll again as soon as they are not
+// confirmed.
+func (d *Directory) ConfirmsEnrollment(s landing.KnownSidecar) bool {
 	_, isUnreadable := d.unreadableSince[s.Enrollment().Instance()]
-	return !isUnreadable
+	status := s.LastStatus()
+	isExpected := status.StoreEra() > 0 && status.EnrollmentEra() < d.enrollments.Era()
+	return !isUnreadable && (!isRetained(s) || isExpected)
 }
 
 // WithProbeAck returns a directory in which the sidecar at the address subject has answered a probe
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -293,12 +293,12 @@
 	d := New(1, retention).WithEnrollmentList(listAt(1, 99, a, b), now).WithEnrollmentList(list, now)
 	sidecar := landing.KnownSidecar{}.WithEnrollment(a)
 	is.True(d.HasUnreadable(now.Add(unreadableTimeout)))
-	is.True(!d.IsReadable(sidecar))
+	is.True(!d.ConfirmsEnrollment(sidecar))
 	d = d.WithEnrollmentList(list.WithRevision(101), now.Add(time.Second)) // the time does not begin anew
 	is.True(!d.HasUnreadable(now.Add(unreadableTimeout + 1)))
 	d = d.WithEnrollmentList(listAt(1, 102, a, b), now.Add(2*time.Second))
 	is.True(!d.HasUnreadable(now.Add(2 * time.Second)))
-	is.True(d.IsReadable(sidecar))
+	is.True(d.ConfirmsEnrollment(sidecar))
 	d = d.WithEnrollmentList(list.WithRevision(103), now.Add(time.Minute)) // overwritten again
 	is.True(d.HasUnreadable(now.Add(time.Minute)))
 }
@@ -331,3 +331,20 @@
 	is.True(!d.WithStatuses(received(s.WithEnrollmentEra(1))).IsSettled(now))
 	is.True(d.WithStatuses(received(s.WithEnrollmentEra(2))).IsSettled(now))
 }
+
+// Guards against a balancer that confirms an enrollment for the whole time of its retention, although it was removed after the
+// sidecar had it confirmed in the new era: the sidecar did not enroll again, and balancers that started then did not know it (a
+// late removal in the history of seed 49, package position).
+func TestConfirmsEnrollment_NotOfRetainedSidecarThatWasConfirmed(t *testing.T) {
+	is := is.New(t)
+	confirms := func(storeEra, enrollmentEra uint64) bool {
+		d := New(1, retention).WithEnrollmentList(listAt(1, 100, a, b), now).WithEnrollmentList(listAt(2, 80, b), now)
+		d = d.WithStatuses(received(status(1, 7).WithStoreEra(storeEra).WithEnrollmentEra(enrollmentEra)))
+		sidecar, _ := d.Find(addressA)
+		return d.ConfirmsEnrollment(sidecar)
+	}
+	is.True(confirms(1, 1)) // it has not learned of the return
+	is.True(confirms(2, 1)) // it waits for its turn
+	is.True(!confirms(2, 2))
+	is.True(!confirms(0, 0)) // a sidecar of the previous version
+}
