Count the first exclusion list of a new era as changed

Cause: after a return each balancer reads the exclusions anew, and a list that was read does not show when zones were removed from it. When all of them read it first after the removal of a zone that the copy had brought back, they advertised the revision 0, and processes that had read the list of the copy kept the zone out of service until the exclusions changed again. Change: Policy.WithExclusions sets the revision of the last change: that of the list when it is the first one of a later era, or when its zones differ and no later change is stated; and it never lets it decrease within an era.

--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -87,10 +87,26 @@
 	if newer.Era() > p.exclusions.Era() && p.exclusions.Revision() > 0 {
 		p.eraChangedAt = now
 	}
-	p.exclusions = newer
+	p.exclusions = newer.WithChangedRevision(p.lastChange(newer))
 	return p
 }
 
+// lastChange returns the revision at which newer exclusions have changed last, as far as the process can tell. A
+// list that was read shows when the zones in it were added, and not when others were removed. After the platform
+// has come back from an older copy, the list counts as changed: processes that have read the one of the copy read
+// it again.
+func (p Policy) lastChange(newer landing.ZoneExclusions) uint64 {
+	before := p.exclusions
+	isMissed := newer.ChangedRevision() <= before.Revision() && !slices.Equal(newer.Zones(), before.Zones())
+	switch {
+	case before.Revision() == 0:
+		return newer.ChangedRevision()
+	case newer.Era() > before.Era(), isMissed:
+		return newer.Revision()
+	}
+	return max(newer.ChangedRevision(), before.ChangedRevision())
+}
+
 // KnownRevisions returns the revision of the rules in force and the revision up to which the
 // exclusions are known to be current.
 func (p Policy) KnownRevisions() landing.PolicyRevisions {
--- a/core/pkg/policy/policy_test.go
+++ b/core/pkg/policy/policy_test.go
@@ -179,3 +179,28 @@
 	is.Equal(Newest(later, higher), later)
 	is.Equal(Newest(higher, later), later)
 }
+
+// Guards against a zone that stays out of service at processes that have read the list of the copy, because the others have first
+// read a list of the new era after the removal, and none of them advertised that the list had changed (history of seed 182,
+// package position).
+func TestAdvertisedRevisions_FirstListOfEraCountsAsChanged(t *testing.T) {
+	is := is.New(t)
+	p := New(retention).WithExclusions(exclusionsAt(1, 100), now).WithExclusions(exclusionsAt(2, 85), now)
+	ofCopy := New(retention).WithExclusions(exclusionsAt(2, 80, "east"), now)
+	is.True(ofCopy.WithRevisionsSeen(p.AdvertisedRevisions()).LacksExclusions())
+	p = p.WithExclusions(exclusionsAt(2, 90), now) // the watch, which knows of no change
+	is.Equal(p.AdvertisedRevisions().Exclusions(), uint64(85))
+}
+
+// Guards against the same where a process has read the list of the copy itself, and then one without the zone.
+func TestAdvertisedRevisions_OtherZonesCountAsChanged(t *testing.T) {
+	is := is.New(t)
+	p := New(retention).WithExclusions(exclusionsAt(2, 80, "east"), now).WithExclusions(exclusionsAt(2, 85), now)
+	is.Equal(p.AdvertisedRevisions().Exclusions(), uint64(85))
+}
+
+// Guards against a balancer that starts after the last change and makes the whole fleet read the exclusions again.
+func TestAdvertisedRevisions_FirstReadOfProcessIsNoChange(t *testing.T) {
+	is := is.New(t)
+	is.Equal(New(retention).WithExclusions(exclusionsAt(2, 85), now).AdvertisedRevisions().Exclusions(), uint64(0))
+}
