Do not use a stale read that states a later era

Cause: the design takes it as possible that a stale response from before the return states the new era. A running process without subscribers used such a response although it did not know the era yet: its high revision kept later exclusions out, and other processes read it from there. Change: the catch-up reader takes the era as a claim, and reads from peers and the current state of the platform.

--- a/core/pkg/catchup/catchup.go
+++ b/core/pkg/catchup/catchup.go
@@ -151,11 +151,21 @@
 		if err != nil {
 			return err
 		}
+		if freshness == landing.FreshnessRecent && isOfLaterEra(exclusions, before.Exclusions()) {
+			// The response may be older than the platform's return, and its revision higher than those given out since.
+			r.control.Post(landing.RevisionsSeen{}.WithRevisions(landing.PolicyRevisions{}.WithEra(exclusions.Era())))
+			return nil
+		}
 		r.control.Post(landing.ExclusionsReceived{}.WithExclusions(exclusions))
 	}
 	return nil
 }
 
+// isOfLaterEra reports whether the exclusions were read in a later era of the platform than those in force.
+func isOfLaterEra(read, inForce landing.ZoneExclusions) bool {
+	return inForce.Revision() > 0 && read.Era() > inForce.Era()
+}
+
 // storeSource returns the source of a read from the platform with this freshness.
 func storeSource(freshness landing.Freshness) landing.ReadSource {
 	if freshness == landing.FreshnessNewest {
--- a/core/pkg/catchup/catchup_test.go
+++ b/core/pkg/catchup/catchup_test.go
@@ -44,7 +44,7 @@
 
 func (p *fakePlatform) ReadExclusions(_ context.Context, _ landing.ZoneExclusions, f landing.Freshness) (landing.ZoneExclusions, error) {
 	r, err := p.read(f)
-	return landing.ZoneExclusions{}.WithRevision(r.Exclusions()), err
+	return landing.ZoneExclusions{}.WithRevision(r.Exclusions()).WithEra(r.Era()), err
 }
 
 // fakeProcess is one process of the fleet: its control thread and its connection to a peer. A nil
@@ -67,7 +67,9 @@
 		p.policy = p.policy.WithExclusions(event.Exclusions(), time.Time{})
 	case landing.ConsistentReadEnded:
 		p.policy = p.policy.WithConsistentRead(event.WantedAtStart())
-	case landing.SubscriptionReceived, landing.ProbesSent, landing.RevisionsSeen, landing.EnrollmentsReceived, landing.UpstreamEventObserved,
+	case landing.RevisionsSeen:
+		p.policy = p.policy.WithRevisionsSeen(event.Revisions())
+	case landing.SubscriptionReceived, landing.ProbesSent, landing.EnrollmentsReceived, landing.UpstreamEventObserved,
 		landing.StatusesReceived, landing.ProbeAckReceived:
 	}
 }
@@ -158,6 +160,18 @@
 	is.Equal(platform.consistentReads, 2)
 }
 
+// Guards against a process without subscribers that takes a stale response of before the platform's return for one of after it:
+// the process ignored all exclusions until the platform had passed its revision, and other processes read the response from it
+// (history of seed 1725, package position).
+func TestCatchUp_StaleReadOfLaterEraIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	platform := &fakePlatform{recent: revisions(9).WithEra(2), newest: revisions(5).WithEra(2)}
+	process := &fakeProcess{policy: policyAt(9), peer: &fakeProcess{policy: policyAt(9)}}
+	is.True(catchUp(process, platform, true))
+	is.Equal(process.policy.KnownRevisions().Exclusions(), uint64(5))
+	is.Equal(process.policy.KnownRevisions().Era(), uint64(2))
+}
+
 // silentPeers never respond.
 type silentPeers struct{}
 
