--- a/core/pkg/catchup/catchup_test.go
+++ b/core/pkg/catchup/catchup_test.go
@@ -162,7 +162,7 @@
 
 // Guards against a process without subscribers that takes a stale response of before the platform's return for one of after it:
 // the process ignored all exclusions until the platform had passed its revision, and other processes read the response from it
-// (history of seed 1725, package position).
+// (found by the histories of package position).
 func TestCatchUp_StaleReadOfLaterEraIsNotUsed(t *testing.T) {
 	is := is.New(t)
 	platform := &fakePlatform{recent: revisions(9).WithEra(2), newest: revisions(5).WithEra(2)}
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -333,8 +333,8 @@
 }
 
 // Guards against a balancer that confirms an enrollment for the whole time of its retention, although it was removed after the
-// sidecar had it confirmed in the new era: the sidecar did not enroll again, and balancers that started then did not know it (a
-// late removal in the history of seed 49, package position).
+// sidecar had it confirmed in the new era: the sidecar did not enroll again, and balancers that started then did not know it (found by
+// the histories of package position).
 func TestConfirmsEnrollment_NotOfRetainedSidecarThatWasConfirmed(t *testing.T) {
 	is := is.New(t)
 	confirms := func(storeEra, enrollmentEra uint64) bool {
--- a/core/pkg/policy/policy_test.go
+++ b/core/pkg/policy/policy_test.go
@@ -181,7 +181,7 @@
 }
 
 // Guards against a zone that stays out of service at processes that have read the list of the copy, because the others have first
-// read a list of the new era after the removal, and none of them advertised that the list had changed (history of seed 182,
+// read a list of the new era after the removal, and none of them advertised that the list had changed (found by the histories of
 // package position).
 func TestAdvertisedRevisions_FirstListOfEraCountsAsChanged(t *testing.T) {
 	is := is.New(t)
