Take the first list of an era as changed where it is read

Cause: Policy took any first list of a later era as changed at the revision up to which it is current. A process that had the list from a peer so advertised a higher revision than the peer, and others read the list once more. Policy keeps the change that a list states, unless its zones differ from those in force and no later change is stated.

--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -91,17 +91,16 @@
 	return p
 }
 
-// lastChange returns the revision at which newer exclusions have changed last, as far as the process can tell. A
-// list that was read shows when the zones in it were added, and not when others were removed. After the platform
-// has come back from an older copy, the list counts as changed: processes that have read the one of the copy read
-// it again.
+// lastChange returns the revision at which newer exclusions have changed last, as far as the process can tell. A list
+// that was read shows when the zones in it were added, and not when others were removed.
 func (p Policy) lastChange(newer landing.ZoneExclusions) uint64 {
 	before := p.exclusions
+	isFirst := before.Revision() == 0 || newer.Era() > before.Era()
 	isMissed := newer.ChangedRevision() <= before.Revision() && !slices.Equal(newer.Zones(), before.Zones())
 	switch {
-	case before.Revision() == 0:
+	case isFirst:
 		return newer.ChangedRevision()
-	case newer.Era() > before.Era(), isMissed:
+	case isMissed:
 		return newer.Revision()
 	}
 	return max(newer.ChangedRevision(), before.ChangedRevision())
--- a/core/pkg/position/store_test.go
+++ b/core/pkg/position/store_test.go
@@ -75,12 +75,16 @@
 func (i image) exclusions(previous landing.ZoneExclusions) landing.ZoneExclusions {
 	objects := i.objects(exclusion)
 	zones := slices.Sorted(maps.Keys(objects))
+	isLaterEra := previous.Era() > 0 && previous.Era() != i.at.Era()
 	if previous.Era() != i.at.Era() || previous.ChangedRevision() == 0 {
 		previous = landing.ZoneExclusions{}.WithZones(zones...)
 		for _, c := range objects {
 			previous = previous.WithChangedRevision(max(previous.ChangedRevision(), c.revision))
 		}
 	}
+	if isLaterEra {
+		previous = previous.WithChangedRevision(i.at.Revision())
+	}
 	return exclusionsAt(previous, zones, i.at)
 }
 
