--- a/experiment/pkg/relayed/storereturn_test.go
+++ b/experiment/pkg/relayed/storereturn_test.go
@@ -145,7 +145,7 @@
 				copied := c.loseVersionBefore(t, f)
 				f.SilenceStore() // the watches continue when the store has given out their revisions again
 				f.Store().Return(copied)
-				f.Store().RepeatOperatorWrites(copied)
+				f.Store().RepeatOperatorWrites()
 				f.SetRules(13, c.after)
 				ackedAt := time.Now()
 				loseWrites(t, f)
@@ -192,7 +192,7 @@
 			is.NoErr(f.StartSidecar(1))
 			deadline := time.Now().Add(inTouchAfter)
 			sleepUntil(deadline.Add(lateRewriteDelay - inTouchAfter))
-			f.Store().RepeatOperatorWrites(copied)
+			f.Store().RepeatOperatorWrites()
 			sleepUntil(time.Now().Add(time.Second))
 			p.checkInForce(t, c.isBefore, c.isAfter, deadline)
 			p.checkNotReverted(t, c.isBefore, c.isAfter, ackedAt)
@@ -226,7 +226,7 @@
 				p.restartBalancer(t, 2)
 			}
 			sleepUntil(returnedAt.Add(lateRewriteDelay))
-			f.Store().RepeatOperatorWrites(copied)
+			f.Store().RepeatOperatorWrites()
 			sleepUntil(time.Now().Add(maxStretch - lateRewriteDelay))
 			p.checkInForce(t, probe.isServedInZoneA, isServedElsewhere, ackedAt.Add(exclusionTimeLimit))
 		})
