--- a/experiment/pkg/relayed/oddentry_test.go
+++ b/experiment/pkg/relayed/oddentry_test.go
@@ -27,7 +27,7 @@
 }
 
 // Guards against resets of the open flows of a sidecar whose entry another writer has overwritten with one that cannot be
-// read, when a balancer is restarted after that (review/8).
+// read, when a balancer is restarted after that (review/8), and against upstreams that it does not reach.
 func TestOpenFlowsOfOddEntrySurviveBalancerRestart(t *testing.T) {
 	t.Parallel()
 	for name, delay := range map[string]time.Duration{"at once": 0, "when in touch": inTouchAfter} {
@@ -44,6 +44,7 @@
 			await(t, "the balancer is ready", func() bool { return f.IsReady(1) })
 			s.balancer.Store(1)
 			checkFlowsContinue(t, flows, "through the restarted balancer")
+			awaitAllUpstreamsReachable(t, f, 1)
 		})
 	}
 }
