balancer: the front socket of a test has an address of its own

newTestForwarder opened its front socket on 127.0.0.1 at a port that was free on 127.0.0.2 only; when another test had it, the test failed with 'address already in use' (1 of 40 repeats beside other work). 127.0.0.3 is used by no other test.

--- a/balancer/pkg/relay/opening_test.go
+++ b/balancer/pkg/relay/opening_test.go
@@ -23,10 +23,10 @@
 	caller, err := net.ListenPacket("udp4", "127.0.0.2:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = caller.Close() })
-	// Resets go to the caller's address at the port of the balancer's front socket.
+	// Resets go to the caller's address at the port of the balancer's front socket. Other tests use ports of 127.0.0.1.
 	port := netip.MustParseAddrPort(caller.LocalAddr().String()).Port()
 	settings := landing.RelayBalancerSettings{}.WithInstance("edge-1").WithZone("a").
-		WithFront(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port).String()).
+		WithFront(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.3"), port).String()).
 		WithFleet("127.0.0.1:0")
 	telemetry := common.New(logr.Discard(), counter.New())
 	f, err := NewForwarder(telemetry, settings, NewControlThread(telemetry, 1, 0, func(uint64, uint64) {}), make(chan orphanCandidate, 1))
