balancer: a test of subscriptions waits less than it takes for a status to be overdue

The test failed in 1 of 60 repeats beside other work (8 subscriptions in place of 4). It reads with a timeout from eight sockets twice, 320 ms in all, before the third step, and statuses count as overdue after 350 ms, so that all sidecars were due.

--- a/balancer/pkg/relay/platform_sync_test.go
+++ b/balancer/pkg/relay/platform_sync_test.go
@@ -33,7 +33,6 @@
 func TestSendSubscriptions_TellsSomeSidecarsOfChangeAtOnce(t *testing.T) {
 	is := is.New(t)
 	f, _ := newTestForwarder(t)
-	now := clock.Now()
 	var sidecars []net.PacketConn
 	var enrollments []landing.Enrollment
 	for i := range 2 * maxToldSidecars {
@@ -43,19 +42,22 @@
 		sidecars = append(sidecars, sidecar)
 		enrollments = append(enrollments, landing.Enrollment{}.WithInstance(fmt.Sprintf("side-%d", i)).WithService("desk").WithZone("a").WithFleetAddress(sidecar.LocalAddr().String()))
 	}
-	d := directory.New(1, 0).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(1).WithEnrollments(enrollments...), now)
-	for _, s := range d.Sidecars() {
-		status := landing.SidecarStatus{}.WithInstance(s.Enrollment().Instance()).WithIncarnation(1).WithSequenceNumber(1).WithRulesRevision(7)
-		d = d.WithStatuses(landing.ReceivedStatus{}.WithStatus(status).WithSourceAddress(s.Address()).WithReceivedAt(now))
+	d := directory.New(1, 0).WithEnrollmentList(landing.EnrollmentList{}.WithRevision(1).WithEnrollments(enrollments...), clock.Now())
+	// withRules returns a snapshot with rules of this revision. All statuses have just arrived, with the revision 7.
+	withRules := func(revision uint64) Snapshot {
+		d := d
+		for _, s := range d.Sidecars() {
+			status := landing.SidecarStatus{}.WithInstance(s.Enrollment().Instance()).WithIncarnation(1).WithSequenceNumber(1).WithRulesRevision(7)
+			d = d.WithStatuses(landing.ReceivedStatus{}.WithStatus(status).WithSourceAddress(s.Address()).WithReceivedAt(clock.Now()))
+		}
+		return NewSnapshot(1, 0).WithDirectory(d).WithPolicy(policy.Policy{}.WithRules(landing.RoutingRules{}.WithRevision(revision)))
 	}
-	same := NewSnapshot(1, 0).WithDirectory(d).WithPolicy(policy.Policy{}.WithRules(landing.RoutingRules{}.WithRevision(7)))
-	f.sendSubscriptions(same, false, maxToldSidecars)
+	f.sendSubscriptions(withRules(7), false, maxToldSidecars)
 	is.Equal(countReceived(t, sidecars), 0)
-	changed := same.WithPolicy(policy.Policy{}.WithRules(landing.RoutingRules{}.WithRevision(8)))
-	f.sendSubscriptions(changed, false, 0)
+	f.sendSubscriptions(withRules(8), false, 0)
 	is.Equal(countReceived(t, sidecars), 0)
-	f.sendSubscriptions(changed, false, maxToldSidecars)
+	f.sendSubscriptions(withRules(8), false, maxToldSidecars)
 	is.Equal(countReceived(t, sidecars), maxToldSidecars)
-	f.sendSubscriptions(changed, true, 0)
+	f.sendSubscriptions(withRules(8), true, 0)
 	is.Equal(countReceived(t, sidecars), len(sidecars))
 }
