Sidecars state a settled era after the renewals of the whole fleet

A sidecar said 3 s after its own confirmation that all others know of the later era. In a fleet of 300 sidecars, which have their enrollments confirmed over 3 s, one whose enrollment is lost could be confirmed after that, and a balancer that has just started would take a list without it for complete. The time of the renewals (pace.EnrollmentRenewalSpread, before a random delay) is added. By reading; TestSettledEra_WaitsForRenewalsOfWholeFleet. The test of the random delay is replaced by one that requires the exact time over which the delays are spread.

--- a/core/pkg/enrollment/enrollment.go
+++ b/core/pkg/enrollment/enrollment.go
@@ -54,8 +54,10 @@
 	// of the later one.
 	previousEra uint64
 	settledAt   time.Time
-	// renewAt is the time from which the platform is asked because of the latest era.
+	// renewAt is the time from which the platform is asked because of the latest era, and spread the time over which
+	// the sidecars of the fleet do so.
 	renewAt time.Time
+	spread  time.Duration
 }
 
 // WithPlatformAnswer returns the confirmation after the platform has confirmed the enrollment in this
@@ -64,12 +66,19 @@
 func (c Confirmation) WithPlatformAnswer(calledAt time.Time, era uint64) Confirmation {
 	c.isPlatformAnswering = true
 	if c.era > 0 && era > c.era {
-		c.previousEra, c.settledAt = c.era, calledAt.Add(settleTime)
+		c.previousEra, c.settledAt = c.era, calledAt.Add(settleTime+c.spread)
 	}
 	c.era, c.latestEra = era, era
 	return c.withConfirmedAt(calledAt)
 }
 
+// WithRenewalSpread returns the confirmation with the time over which the sidecars of the fleet have their
+// enrollments confirmed in a later era.
+func (c Confirmation) WithRenewalSpread(d time.Duration) Confirmation {
+	c.spread = d
+	return c
+}
+
 // WithStatedEra returns the confirmation after another process has stated an era of the platform. If it
 // is later than all eras before, the platform is asked from the time renewAt on.
 func (c Confirmation) WithStatedEra(era uint64, renewAt time.Time) Confirmation {
--- a/core/pkg/enrollment/enrollment_test.go
+++ b/core/pkg/enrollment/enrollment_test.go
@@ -99,6 +99,14 @@
 	is.Equal(c.SettledEra(start.Add(5*time.Second)), uint64(5))
 }
 
+// Guards against the same in a large fleet, whose sidecars have their enrollments confirmed over a longer time.
+func TestSettledEra_WaitsForRenewalsOfWholeFleet(t *testing.T) {
+	is := is.New(t)
+	c := Confirmation{}.WithRenewalSpread(10*time.Second).WithPlatformAnswer(start, 4).WithPlatformAnswer(start, 5)
+	is.Equal(c.SettledEra(start.Add(settleTime+10*time.Second-1)), uint64(4))
+	is.Equal(c.SettledEra(start.Add(settleTime+10*time.Second)), uint64(5))
+}
+
 // Balancers remove the enrollment 2.5 s after the last sign of life, which is at the earliest the last
 // status that one of them has acknowledged. Whatever the order and delay of messages, the sidecar does
 // not rely on its enrollment at that time.
--- a/core/pkg/pace/pace.go
+++ b/core/pkg/pace/pace.go
@@ -120,16 +120,17 @@
 	return rand.N(max(time.Duration(balancers)*removalInterval, minRemovalDelayRange))
 }
 
-// EnrollmentRenewalDelay returns a random delay before a sidecar has its enrollment confirmed in a new era of
-// the platform, in a fleet of this many sidecars to which the platform allows this many writes per second.
+// EnrollmentRenewalSpread returns the time over which sidecars have their enrollments confirmed in a new era of the
+// platform, in a fleet of this many sidecars to which the platform allows this many writes per second. Each waits for
+// a random part of it.
 //
 // The load pattern that it answers: all sidecars learn within a second that the platform has come back from an
 // older copy, and each must find out whether its enrollment is lost.
-func EnrollmentRenewalDelay(sidecars int, writesPerSecond uint32) time.Duration {
+func EnrollmentRenewalSpread(sidecars int, writesPerSecond uint32) time.Duration {
 	if writesPerSecond == 0 {
 		writesPerSecond = assumedWritesPerSecond
 	}
-	return rand.N(max(time.Duration(sidecars)*eraWriteShare*time.Second/time.Duration(writesPerSecond), time.Millisecond))
+	return max(time.Duration(sidecars)*eraWriteShare*time.Second/time.Duration(writesPerSecond), time.Millisecond)
 }
 
 // Retention returns the time for which a process keeps what the platform has lost, when a change may be late by
--- a/core/pkg/pace/pace_test.go
+++ b/core/pkg/pace/pace_test.go
@@ -148,26 +148,12 @@
 
 // Guards against a fleet that uses the whole write limit of the platform to confirm its enrollments after a return, so that the
 // operators' and the upstreams' writes are refused.
-func TestEnrollmentRenewalDelay_UsesQuarterOfWrites(t *testing.T) {
+func TestEnrollmentRenewalSpread_UsesQuarterOfWrites(t *testing.T) {
 	is := is.New(t)
-	for _, fleet := range []struct {
-		sidecars int
-		writes   uint32
-	}{{400, 100}, {400, 0}, {20, 50}} {
-		writes := fleet.writes
-		if writes == 0 {
-			writes = assumedWritesPerSecond
-		}
-		interval := time.Duration(fleet.sidecars) * time.Second * 4 / time.Duration(writes)
-		longest := time.Duration(0)
-		for range 10 * fleet.sidecars {
-			delay := EnrollmentRenewalDelay(fleet.sidecars, fleet.writes)
-			is.True(delay < interval)
-			longest = max(longest, delay)
-		}
-		is.True(longest > interval*4/5) // spread over the whole interval
-	}
-	is.True(EnrollmentRenewalDelay(0, 100) <= time.Millisecond) // the number of sidecars is not known yet
+	is.Equal(EnrollmentRenewalSpread(400, 100), 16*time.Second)
+	is.Equal(EnrollmentRenewalSpread(400, 0), 400*time.Second*4/assumedWritesPerSecond)
+	is.Equal(EnrollmentRenewalSpread(20, 50), 1600*time.Millisecond)
+	is.Equal(EnrollmentRenewalSpread(0, 100), time.Millisecond) // the number of sidecars is not known yet
 }
 
 // Guards against objects that are given up at once on a deployment whose pages state no stretch.
--- a/core/pkg/position/process_test.go
+++ b/core/pkg/position/process_test.go
@@ -369,7 +369,7 @@
 }
 
 func (s *sidecar) recordEra(era uint64) {
-	// The delay of pace.EnrollmentRenewalDelay has no seed.
+	// The delay of the sidecar has no seed.
 	s.confirmation = s.confirmation.WithStatedEra(era, s.now().Add(time.Duration(s.random.IntN(4*s.count+1))*stepTime))
 }
 
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -148,8 +149,8 @@
 // recordEra records that the platform is in this era, as the platform or another process states it. In a later era than
 // before, the sidecar has its enrollment confirmed.
 func (t *ControlThread) recordEra(s Snapshot, era uint64) Snapshot {
-	delay := pace.EnrollmentRenewalDelay(s.sidecarCount, t.writesPerSecond)
-	return s.WithConfirmation(s.confirmation.WithStatedEra(era, clock.Now().Add(delay)))
+	spread := pace.EnrollmentRenewalSpread(s.sidecarCount, t.writesPerSecond)
+	return s.WithConfirmation(s.confirmation.WithRenewalSpread(spread).WithStatedEra(era, clock.Now().Add(rand.N(spread))))
 }
 
 // RemoveExpired removes the retained exclusions whose time is over.
