Do not read exclusions stale from a store that states eras

What callers would see: no later exclusion in force anywhere after a return. A sidecar that starts just after it reads a stale copy from before the return with the era of after it.

Cause: the position of a stale response was trusted at a start, and the model left this case out.

Change: exclusions are read stale only from a store without eras. A process that is behind reads them from a peer, one that starts or has no peer reads the current state. Rules are still read stale, since they are ordered by version.

--- a/core/pkg/catchup/catchup.go
+++ b/core/pkg/catchup/catchup.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
-	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
 	"github.com/crocuslanding/crocuslanding/core/pkg/common"
 	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 )
@@ -62,7 +61,7 @@
 // other process advertises its revisions, reads everything. CatchUp returns false when ctx is done,
 // no source responds, or the process is still behind.
 func (r Reader) CatchUp(ctx context.Context, isIsolated bool) bool {
-	for _, source := range r.control.Policy().ReadSources(clock.Now()) {
+	for _, source := range policy.ReadSources() {
 		before := r.control.Policy()
 		err := r.readFrom(ctx, source, before, isIsolated)
 		if ctx.Err() != nil {
@@ -138,34 +137,37 @@
 
 // readStore reads objects from the platform and posts them: those of which the policy before the
 // read wants a newer revision than it knows, or all objects if the process is isolated.
+//
+// A stale response can be older than the platform's return from an older copy and state the era of
+// after it, so that its revision is higher than those given out since. Rules are ordered by their
+// version. Exclusions are therefore not read stale from a platform that states eras: a process that has
+// peers reads them there, and an isolated one reads the current state.
 func (r Reader) readStore(ctx context.Context, freshness landing.Freshness, before policy.Policy, isIsolated bool) error {
+	statesEra := before.Exclusions().Era() > 0
 	if isIsolated || before.LacksRules() {
-		rules, _, err := r.store.ReadRules(ctx, freshness)
+		rules, at, err := r.store.ReadRules(ctx, freshness)
 		if err != nil {
 			return err
 		}
+		statesEra = statesEra || at.Era() > 0
 		r.control.Post(landing.RulesReceived{}.WithRules(rules).WithSource(storeSource(freshness)))
 	}
+	if freshness == landing.FreshnessRecent && statesEra {
+		if !isIsolated {
+			return nil
+		}
+		freshness = landing.FreshnessNewest
+	}
 	if isIsolated || before.LacksExclusions() {
 		exclusions, err := r.store.ReadExclusions(ctx, before.Exclusions(), freshness)
 		if err != nil {
 			return err
 		}
-		if freshness == landing.FreshnessRecent && isOfLaterEra(exclusions, before.Exclusions()) {
-			// The response may be older than the platform's return, and its revision higher than those given out since.
-			r.control.Post(landing.RevisionsSeen{}.WithRevisions(landing.PolicyRevisions{}.WithEra(exclusions.Era())))
-			return nil
-		}
 		r.control.Post(landing.ExclusionsReceived{}.WithExclusions(exclusions))
 	}
 	return nil
 }
 
-// isOfLaterEra reports whether the exclusions were read in a later era of the platform than those in force.
-func isOfLaterEra(read, inForce landing.ZoneExclusions) bool {
-	return inForce.Revision() > 0 && read.Era() > inForce.Era()
-}
-
 // storeSource returns the source of a read from the platform with this freshness.
 func storeSource(freshness landing.Freshness) landing.ReadSource {
 	if freshness == landing.FreshnessNewest {
--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -20,9 +20,6 @@
 	"github.com/crocuslanding/crocuslanding/core/pkg/rules"
 )
 
-// maxStaleness is the age that the response to a stale read may have.
-const maxStaleness = 20 * time.Second
-
 // Policy holds the rules and exclusions in force and the newest revisions that other processes have
 // advertised. It is immutable. The zero value has neither rules nor exclusions, and retains none.
 type Policy struct {
@@ -32,9 +29,6 @@
 	exclusions landing.ZoneExclusions
 	// retained are exclusions that the platform may have lost, ordered by name.
 	retained []retainedZone
-	// eraChangedAt is the time at which the process last saw the platform in a later era than before; the
-	// zero time if it never did.
-	eraChangedAt time.Time
 	// wantedRevisions are the newest revisions that other processes have advertised.
 	wantedRevisions landing.PolicyRevisions
 }
@@ -84,9 +78,6 @@
 		return p
 	}
 	p.retained = p.retainedAfter(newer, now.Add(p.retention))
-	if newer.Era() > p.exclusions.Era() && p.exclusions.Revision() > 0 {
-		p.eraChangedAt = now
-	}
 	p.exclusions = newer.WithChangedRevision(p.lastChange(newer))
 	return p
 }
@@ -95,10 +86,10 @@
 // that was read shows when the zones in it were added, and not when others were removed.
 func (p Policy) lastChange(newer landing.ZoneExclusions) uint64 {
 	before := p.exclusions
-	isFirst := before.Revision() == 0 || newer.Era() > before.Era()
+	isFirstOfEra := before.Revision() == 0 || newer.Era() > before.Era()
 	isMissed := newer.ChangedRevision() <= before.Revision() && !slices.Equal(newer.Zones(), before.Zones())
 	switch {
-	case isFirst:
+	case isFirstOfEra:
 		return newer.ChangedRevision()
 	case isMissed:
 		return newer.Revision()
@@ -172,17 +163,12 @@
 	return AreExclusionsNewer(p.wantedRevisions, p.KnownRevisions())
 }
 
-// ReadSources returns the sources from which the process reads, one after the other, until it is no
+// ReadSources returns the sources from which a process reads, one after the other, until it is no
 // longer behind. A stale read from the platform costs a tenth of a consistent one and may be
-// seconds old. It is left out when the platform has just come back from an older copy, since its
-// response may be from before. A peer that has advertised the newer revisions has the objects. A
-// consistent read, which returns the platform's current state, is the most expensive and comes last.
-func (p Policy) ReadSources(now time.Time) []landing.ReadSource {
-	sources := []landing.ReadSource{landing.PeerRead{}, landing.ConsistentRead{}}
-	if p.wantedRevisions.Era() > p.exclusions.Era() || now.Sub(p.eraChangedAt) < maxStaleness {
-		return sources
-	}
-	return slices.Insert(sources, 0, landing.ReadSource(landing.StaleRead{}))
+// seconds old. A peer that has advertised the newer revisions has the objects. A consistent read,
+// which returns the platform's current state, is the most expensive and comes last.
+func ReadSources() []landing.ReadSource {
+	return []landing.ReadSource{landing.StaleRead{}, landing.PeerRead{}, landing.ConsistentRead{}}
 }
 
 // SourceLabel returns the name of the source in logs and counters, or "" for nil.
--- a/experiment/pkg/relayed/storereturn_test.go
+++ b/experiment/pkg/relayed/storereturn_test.go
@@ -462,3 +462,27 @@
 	sleepUntil(ackedAt.Add(rulesTimeLimit + time.Second))
 	p.checkInForce(t, probe.isServed, func(p probe) bool { return p.isRefused }, ackedAt.Add(rulesTimeLimit))
 }
+
+// Guards against an exclusion that is in force nowhere: a sidecar that starts just after the return of the store reads a stale
+// copy from before it, with the era of after it, and the balancers take over its revision, which is higher than all later ones.
+func TestExclusionIsInForceDespiteSidecarWithStaleCopy(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, 3, 4)
+	p := startProber(t, f)
+	copied := f.Store().Copy()
+	loseWrites(t, f)
+	f.Store().Put("evacuations", "c", map[string]any{}) // a zone without upstreams
+	time.Sleep(time.Second)
+	f.Store().SetStaleReads(5 * time.Second)
+	f.Store().Return(copied)
+	f.Store().RepeatOperatorWrites()
+	returnedAt := time.Now()
+	is.NoErr(f.AddSidecar())
+	time.Sleep(inTouchAfter)
+	f.Store().Put("evacuations", "a", map[string]any{})
+	ackedAt := time.Now()
+	deadline := latest(ackedAt.Add(exclusionTimeLimit), returnedAt.Add(inTouchAfter))
+	sleepUntil(deadline.Add(time.Second))
+	p.checkInForce(t, probe.isServedInZoneA, isServedElsewhere, deadline)
+}
