A sidecar that has just started withholds no proof

What callers would see, on any store that states an era, without any return of it: after a loss of power no lost flow was reset, and each caller waited until its deadline.

Cause: a sidecar asks for the confirmation of its enrollment only when its upstream serves. Until then it stated the era 0, which counted as an earlier era (Directory.IsSettled), and one such sidecar withheld all proofs without a bound.

Change: a sidecar that states no era knows nothing of others and does not count. Statements of an earlier era count for at most the time for which lost sidecars are retained, so that one that the platform turns away withholds no proof for ever.

--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -23,8 +23,8 @@
 	// retention is the time for which sidecars are kept that the platform may have lost.
 	retention   time.Duration
 	enrollments landing.EnrollmentList
-	// firstListedAt is the time of the first enrollment list.
-	firstListedAt time.Time
+	// eraListedAt is the time of the first enrollment list of the platform's era.
+	eraListedAt time.Time
 	// generation is the number of changes of the set of sidecars that the balancer has seen, and
 	// changedAt the time of the last one.
 	generation uint64
@@ -103,8 +103,8 @@
 	}
 	next := d.withSidecars(sidecars, now)
 	next.enrollments = list
-	if next.firstListedAt.IsZero() {
-		next.firstListedAt = now
+	if d.eraListedAt.IsZero() || list.Era() != d.enrollments.Era() {
+		next.eraListedAt = now
 	}
 	next.unreadableSince = map[string]time.Time{}
 	for _, name := range list.Unreadable() {
@@ -324,22 +324,32 @@
 	return false
 }
 
-// IsSettled reports whether no sidecar that can be heard says that enrollments may be missing in the era of the
-// list. Before that, the list may lack sidecars that have not enrolled again. The directory of a balancer that
-// has just started is not settled while it has no status of a sidecar that may soon be heard. Sidecars of the
-// previous version state no era.
+// IsSettled reports whether the list is not likely to lack sidecars that have not enrolled again in its era.
+// It may lack some while a sidecar that can be heard says that its own enrollment, or those of others, are not
+// confirmed in this era, for at most the time for which lost sidecars are retained. It also may while a sidecar
+// has not been heard that will soon be.
 func (d *Directory) IsSettled(now time.Time) bool {
-	hasJustStarted := d.enrollments.Era() > 0 && now.Sub(d.firstListedAt) <= interruptionTime
+	eraAge := now.Sub(d.eraListedAt)
 	return !slices.ContainsFunc(d.sidecars, func(s landing.KnownSidecar) bool {
-		status := s.LastStatus()
-		if s.LastStatusAt().IsZero() && d.subscribed[s.Address()] && hasJustStarted {
-			return true
-		}
-		isHeard := !s.LastStatusAt().IsZero() && now.Sub(s.LastStatusAt()) <= interruptionTime
-		return isHeard && status.StoreEra() > 0 && status.EnrollmentEra() < d.enrollments.Era()
+		return d.isYetToBeHeard(s) && eraAge <= interruptionTime || d.statesEarlierEra(s, now) && eraAge <= d.retention
 	})
 }
 
+// isYetToBeHeard reports whether the balancer subscribes to the sidecar and has no status of it. A platform without
+// eras loses no enrollments.
+func (d *Directory) isYetToBeHeard(s landing.KnownSidecar) bool {
+	return d.enrollments.Era() > 0 && d.subscribed[s.Address()] && s.LastStatusAt().IsZero()
+}
+
+// statesEarlierEra reports whether the sidecar can be heard and says that enrollments are confirmed in an earlier era
+// only. A sidecar that has just started states none: the platform has not confirmed its enrollment yet, and it knows
+// nothing of others. Sidecars of the previous version state none either.
+func (d *Directory) statesEarlierEra(s landing.KnownSidecar, now time.Time) bool {
+	isHeard := !s.LastStatusAt().IsZero() && now.Sub(s.LastStatusAt()) <= interruptionTime
+	stated := s.LastStatus().EnrollmentEra()
+	return isHeard && stated > 0 && stated < d.enrollments.Era()
+}
+
 // ConfirmsEnrollment reports whether the balancer confirms the enrollment of the sidecar, so that the sidecar relies on it.
 // It does not if the entry in the list cannot be read: another writer has overwritten it, and the sidecar replaces it. Nor
 // does it if the list lacks the enrollment, unless the sidecar still has to have it confirmed in the era of the list, which
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -348,3 +348,25 @@
 	is.True(!confirms(2, 2))
 	is.True(!confirms(0, 0)) // a sidecar of the previous version
 }
+
+// Guards against callers whose lost flows are never reset: a sidecar has been restarted and its upstream does not come back, so
+// it asks the platform for no confirmation of its enrollment.
+func TestIsSettled_DespiteSidecarWithoutUpstream(t *testing.T) {
+	is := is.New(t)
+	d := New(1, retention).WithEnrollmentList(listAt(1, 80, a), now)
+	s := status(1, 7).WithUpstreamPhase(landing.PhaseUnspecified).WithStoreEra(1)
+	is.True(d.WithStatuses(received(s)).IsSettled(now))
+}
+
+// Guards against the same because of a sidecar that the platform turns away, and that is never confirmed in the new era.
+func TestIsSettled_AfterRetentionDespiteUnconfirmedSidecar(t *testing.T) {
+	is := is.New(t)
+	d := New(1, retention).WithEnrollmentList(listAt(1, 100, a), now).WithEnrollmentList(listAt(2, 80, a), now)
+	at := now.Add(retention)
+	withStatus := func(at time.Time, number uint64) *Directory {
+		s := status(1, number).WithStoreEra(2).WithEnrollmentEra(1)
+		return d.WithStatuses(landing.ReceivedStatus{}.WithStatus(s).WithSourceAddress(addressA).WithReceivedAt(at))
+	}
+	is.True(!withStatus(at, 7).IsSettled(at))
+	is.True(withStatus(at.Add(1), 8).IsSettled(at.Add(1)))
+}
