An odd entry that another writer has created delays no reset

Cause: each entry that cannot be read counted as that of a sidecar that may run, for 10 s in each process. One that another writer has created under a name of its own is never replaced.

Change: only entries that were written again after their creation (created_rev before rev), or whose sidecar is known, count. Entries without a readable name are that of no sidecar, since a name stays when an entry is overwritten.

--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -636,8 +636,8 @@
 
 // Unreadable returns a copy of the list of the same name.
 //
-// Names of the entries that cannot be read, in alphabetical order. Entries whose name cannot be read
-// have an empty one in common. The sidecars of these entries may be running.
+// Names of the entries that cannot be read and may be those of running sidecars, in alphabetical
+// order: another writer has overwritten them.
 func (v EnrollmentList) Unreadable() []string {
 	return slices.Clone(v.unreadable)
 }
--- a/experiment/pkg/relayed/powerloss_test.go
+++ b/experiment/pkg/relayed/powerloss_test.go
@@ -75,3 +75,34 @@
 		})
 	}
 }
+
+// Guards against callers that wait for the reset of a lost flow because the store has an entry of another writer that cannot be
+// read, which no sidecar will ever replace.
+func TestPowerLossResetsFlowsDespiteOddEntry(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleetWith(t, Config{Balancers: 2, Sidecars: 3})
+	f.Store().Put("sidecars", "odd", map[string]any{"service": 7})
+	flows := openFlows(t, f, 6, f.RouteThrough(0))
+	for i := range f.balancers {
+		f.StopBalancer(i)
+	}
+	for i := range f.nodes {
+		f.KillSidecar(i)
+		f.CrashUpstream(i)
+	}
+	for i := range f.nodes {
+		is.NoErr(f.StartUpstream(i))
+		is.NoErr(f.StartSidecar(i))
+	}
+	for i := range f.balancers {
+		is.NoErr(f.StartBalancer(i))
+	}
+	await(t, "the balancer is ready", func() bool { return f.IsReady(0) })
+	time.Sleep(2 * time.Second)
+	start := time.Now()
+	_, _ = flows[0].SendRequest("after the power loss", 15*time.Second)
+	if waited := time.Since(start); waited > 2*time.Second {
+		t.Errorf("the lost flow was reset after %v", waited)
+	}
+}
