policy: follow the exclusions of processes of the previous version

What callers would see during an update of the programs on a store that states an era: a zone that was taken out still gets flows, or one that was put back gets none, at sidecars that hear only balancers of the previous version.

Cause: a process of the previous version states no era, which counted as an earlier one.

Change: without an era, exclusions count by their revision, as rules without a version do. Such revisions replace none that were stated with a version or an era: a wanted version could be replaced by a revision that is known already.

Tests: TestIsOlderThan_ExclusionsOfPreviousVersion failed before; TestNewest_PreviousVersionReplacesNothingStated.

--- a/core/pkg/policy/policy_test.go
+++ b/core/pkg/policy/policy_test.go
@@ -188,3 +188,22 @@
 	is := is.New(t)
 	is.Equal(New(retention).WithExclusions(exclusionsAt(2, 85), now).AdvertisedRevisions().Exclusions(), uint64(0))
 }
+
+// Guards against a zone that stays out of service, or in it, during an update: a process of the previous version states no era,
+// and its newer exclusions count as older ones.
+func TestIsOlderThan_ExclusionsOfPreviousVersion(t *testing.T) {
+	is := is.New(t)
+	p := New(0).WithExclusions(landing.ZoneExclusions{}.WithEra(1).WithRevision(900).WithZones("a"), now)
+	is.True(p.IsOlderThan(landing.PolicyRevisions{}.WithExclusions(950)))
+}
+
+// Guards against a later version or era that is forgotten because a process of the previous version states a higher revision,
+// which is already known.
+func TestNewest_PreviousVersionReplacesNothingStated(t *testing.T) {
+	is := is.New(t)
+	stated := landing.PolicyRevisions{}.WithRulesVersion(5).WithRules(82).WithEra(3).WithExclusions(10)
+	previous := landing.PolicyRevisions{}.WithRules(99).WithExclusions(200)
+	is.Equal(Newest(stated, previous), stated)
+	is.Equal(Newest(landing.PolicyRevisions{}, previous), previous)
+	is.Equal(Newest(previous, stated), stated)
+}
--- a/core/pkg/policy/revisions.go
+++ b/core/pkg/policy/revisions.go
@@ -38,17 +38,22 @@
 	return a.RulesVersion() > b.RulesVersion()
 }
 
-// AreExclusionsNewer reports whether the exclusions with the revisions a are newer than those with b.
+// AreExclusionsNewer reports whether the exclusions with the revisions a are newer than those with b. A
+// process of the previous version states no era, and its exclusions count by their revision.
 func AreExclusionsNewer(a, b landing.PolicyRevisions) bool {
+	if a.Era() == 0 {
+		return a.Exclusions() > b.Exclusions()
+	}
 	return position.IsLater(position.New(a.Era(), a.Exclusions()), position.New(b.Era(), b.Exclusions()))
 }
 
-// Newest returns the newer revisions of the rules and the newer ones of the exclusions.
+// Newest returns the newer revisions of the rules and the newer ones of the exclusions. Those of a process
+// of the previous version replace none that are stated with a version or an era.
 func Newest(a, b landing.PolicyRevisions) landing.PolicyRevisions {
-	if AreRulesNewer(b, a) {
+	if mayReplace := b.RulesVersion() > 0 || a.RulesVersion() == 0; mayReplace && AreRulesNewer(b, a) {
 		a = a.WithRules(b.Rules()).WithRulesVersion(b.RulesVersion())
 	}
-	if AreExclusionsNewer(b, a) {
+	if mayReplace := b.Era() > 0 || a.Era() == 0; mayReplace && AreExclusionsNewer(b, a) {
 		a = a.WithExclusions(b.Exclusions()).WithEra(b.Era())
 	}
 	return a
