balancer: watches do not end because of their own era

A watch waits for a later era from the moment at which it knows the position, which is before the control thread notes the era of that position.

Each era that watches wait in has a signal of its own now.

--- a/balancer/pkg/relay/era_signal.go
+++ b/balancer/pkg/relay/era_signal.go
@@ -7,12 +7,12 @@
 	// mu guards the fields below.
 	mu  sync.Mutex
 	era uint64
-	// raised is closed and replaced when the era rises.
-	raised chan struct{}
+	// later holds, for each era that goroutines wait in, the channel that is closed when the platform is in a later one.
+	later map[uint64]chan struct{}
 }
 
 func newEraSignal() *eraSignal {
-	return &eraSignal{raised: make(chan struct{})}
+	return &eraSignal{later: map[uint64]chan struct{}{}}
 }
 
 // raise records that the platform is in this era, which is later than those before.
@@ -20,8 +20,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.era = era
-	close(e.raised)
-	e.raised = make(chan struct{})
+	for earlier, ended := range e.later {
+		if earlier < era {
+			close(ended)
+			delete(e.later, earlier)
+		}
+	}
 }
 
 // after returns a channel that is closed once the platform is in a later era than the given one.
@@ -29,9 +33,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.era > era {
-		closed := make(chan struct{})
-		close(closed)
-		return closed
+		ended := make(chan struct{})
+		close(ended)
+		return ended
+	}
+	if e.later[era] == nil {
+		e.later[era] = make(chan struct{})
 	}
-	return e.raised
+	return e.later[era]
 }
