pace: the delay of an enrollment's renewal is tested again

The delay is a decision of package pace again, and its test requires that it stays below the spread and covers it.

--- a/core/pkg/pace/pace.go
+++ b/core/pkg/pace/pace.go
@@ -133,6 +133,12 @@
 	return max(time.Duration(sidecars)*eraWriteShare*time.Second/time.Duration(writesPerSecond), time.Millisecond)
 }
 
+// EnrollmentRenewalDelay returns a random part of the time over which the sidecars of the fleet have their
+// enrollments confirmed.
+func EnrollmentRenewalDelay(spread time.Duration) time.Duration {
+	return rand.N(spread)
+}
+
 // Retention returns the time for which a process keeps what the platform has lost, when a change may be late by
 // this time while the platform is unstable; 0 when that is not known.
 func Retention(stretch time.Duration) time.Duration {
--- a/core/pkg/pace/pace_test.go
+++ b/core/pkg/pace/pace_test.go
@@ -156,6 +156,20 @@
 	is.Equal(EnrollmentRenewalSpread(0, 100), time.Millisecond) // the number of sidecars is not known yet
 }
 
+// Guards against sidecars that all call the platform at the same time after a return.
+func TestEnrollmentRenewalDelay_CoversWholeSpread(t *testing.T) {
+	is := is.New(t)
+	for _, spread := range []time.Duration{16 * time.Second, 1600 * time.Millisecond} {
+		shortest, longest := spread, time.Duration(0)
+		for range 4000 {
+			delay := EnrollmentRenewalDelay(spread)
+			is.True(delay < spread)
+			shortest, longest = min(shortest, delay), max(longest, delay)
+		}
+		is.True(shortest < spread/5 && longest > spread*4/5)
+	}
+}
+
 // Guards against objects that are given up at once on a deployment whose pages state no stretch.
 func TestRetention_AssumedWhenNotStated(t *testing.T) {
 	is := is.New(t)
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -150,7 +149,7 @@
 // before, the sidecar has its enrollment confirmed.
 func (t *ControlThread) recordEra(s Snapshot, era uint64) Snapshot {
 	spread := pace.EnrollmentRenewalSpread(s.sidecarCount, t.writesPerSecond)
-	return s.WithConfirmation(s.confirmation.WithRenewalSpread(spread).WithStatedEra(era, clock.Now().Add(rand.N(spread))))
+	return s.WithConfirmation(s.confirmation.WithRenewalSpread(spread).WithStatedEra(era, clock.Now().Add(pace.EnrollmentRenewalDelay(spread))))
 }
 
 // RemoveExpired removes the retained exclusions whose time is over.
