sidecar: late expiry, calls for stated eras, and records after a return

A retained exclusion did not end while other processes advertised newer policies more often than every 2 s, since the check ran only with a ticker that began anew. A message with an era that does not exist made the sidecar call the platform, up to ten times a second; now at most once a second. A record of held flows that the platform has lost was written again only with the record after the next one.

--- a/core/pkg/enrollment/enrollment.go
+++ b/core/pkg/enrollment/enrollment.go
@@ -32,6 +32,8 @@
 	// CheckInterval is the interval between two checks whether the platform must confirm the
 	// enrollment. It leaves 400 ms of the validity for the call to the platform.
 	CheckInterval = 100 * time.Millisecond
+	// minEraRenewalInterval is the least time between two calls to the platform because of a later era.
+	minEraRenewalInterval = time.Second
 	// settleTime is the time within which all other sidecars learn of a later era. The balancers that
 	// know them retry a failed call to the platform within 1.8 s, and then renew their subscriptions
 	// within a second.
@@ -46,6 +48,8 @@
 	confirmedAt time.Time
 	// isPlatformAnswering reports whether the last call to the platform has been answered.
 	isPlatformAnswering bool
+	// answeredAt is the time at which the last answered call was sent.
+	answeredAt time.Time
 	// era is the era in which the platform has confirmed the enrollment last, and latestEra the latest
 	// one that the platform or another process has stated.
 	era       uint64
@@ -64,7 +68,7 @@
 // era, in response to a call that was sent at calledAt. A later era that another process has stated is
 // forgotten: the process is wrong, or states the era again.
 func (c Confirmation) WithPlatformAnswer(calledAt time.Time, era uint64) Confirmation {
-	c.isPlatformAnswering = true
+	c.isPlatformAnswering, c.answeredAt = true, calledAt
 	if c.era > 0 && era > c.era {
 		c.previousEra, c.settledAt = c.era, calledAt.Add(settleTime+c.spread)
 	}
@@ -80,10 +84,11 @@
 }
 
 // WithStatedEra returns the confirmation after another process has stated an era of the platform. If it
-// is later than all eras before, the platform is asked from the time renewAt on.
+// is later than all eras before, the platform is asked from the time renewAt on, but not sooner than
+// minEraRenewalInterval after its last answer: a process that is wrong may state its era again and again.
 func (c Confirmation) WithStatedEra(era uint64, renewAt time.Time) Confirmation {
 	if era > c.latestEra {
-		c.latestEra, c.renewAt = era, renewAt
+		c.latestEra, c.renewAt = era, laterOf(renewAt, c.answeredAt.Add(minEraRenewalInterval))
 	}
 	return c
 }
@@ -160,3 +165,10 @@
 	}
 	return c
 }
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/sidecar/pkg/relay/platform_sync.go
+++ b/sidecar/pkg/relay/platform_sync.go
@@ -91,13 +91,13 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
+		s.controlThread.RemoveExpired()
 		select {
 		case <-s.stopper.C():
 			return false
 		case <-s.controlThread.PolicyOutdated():
 			return true
 		case <-ticker.C:
-			s.controlThread.RemoveExpired()
 			if snapshot := s.controlThread.Snapshot(); !snapshot.policy.IsComplete() || !snapshot.HasSubscriber(clock.Now()) {
 				return true
 			}
--- a/sidecar/pkg/relay/recorder.go
+++ b/sidecar/pkg/relay/recorder.go
@@ -40,7 +40,7 @@
 	// upstream's process in it.
 	recorded      map[landing.FlowKey]bool
 	recordedStart uint64
-	// recordedEra is the era of the platform before which it may have lost the record.
+	// recordedEra is the era of the platform in which the record was written. In a later one it may be lost.
 	recordedEra uint64
 	// hasRecord reports whether the platform holds a record of this sidecar.
 	hasRecord bool
@@ -150,15 +150,17 @@
 }
 
 // writeRecord creates or replaces the record. When the creation fails because there already is a record, the
-// next call replaces it. When the replacement fails because there is none, the next call creates it.
+// next call replaces it. When the replacement fails because there is none, since the platform has lost it, writeRecord
+// creates it.
 func (r *Recorder) writeRecord(record landing.HeldFlowList) error {
-	write := r.store.CreateHeldFlows
+	var err error
 	if r.hasRecord {
-		write = r.store.ReplaceHeldFlows
-	}
-	err := write(r.stopper.Context(), r.settings.Instance(), record)
-	if err == nil || trace.IsAlreadyExists(err) || trace.IsNotFound(err) {
+		err = r.store.ReplaceHeldFlows(r.stopper.Context(), r.settings.Instance(), record)
 		r.hasRecord = !trace.IsNotFound(err)
 	}
+	if !r.hasRecord {
+		err = r.store.CreateHeldFlows(r.stopper.Context(), r.settings.Instance(), record)
+		r.hasRecord = err == nil || trace.IsAlreadyExists(err)
+	}
 	return err
 }
