Names and comments that stopped a reader

enrollment_era is settled_era, since it is not the era of the last confirmation; the key rules of 'flow placed' and of a sidecar's actions is the version, which a revision no longer tells after a return; 'lost objects are given up' names the zones. No behavior changes but these log values.

--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -30,9 +30,9 @@
 }
 
 // NewControlThread returns the control thread of the balancer at this address, without any state from the platform. It
-// handles no events before Start is called. What the platform may have lost is kept for the time retention. When a sidecar reports another start time of its upstream than before, the
-// control thread calls onUpstreamRestart with the address of the sidecar and the new start time, in milliseconds since
-// 1970 by the upstream's clock.
+// handles no events before Start is called. What the platform may have lost is kept for the time retention. When a sidecar
+// reports another start time of its upstream than before, the control thread calls onUpstreamRestart with the address of
+// the sidecar and the new start time, in milliseconds since 1970 by the upstream's clock.
 func NewControlThread(telemetry common.Telemetry, balancerAddress uint64, retention time.Duration, onUpstreamRestart func(sidecarAddress, startMillis uint64)) *ControlThread {
 	control := &ControlThread{
 		telemetry:         telemetry,
@@ -96,7 +96,7 @@
 	}
 	c.Update(func(s Snapshot) Snapshot {
 		next := s.WithoutExpired(clock.Now())
-		c.telemetry.Log().Info("lost objects are given up", "zones", len(s.policy.RetainedZones())-len(next.policy.RetainedZones()),
+		c.telemetry.Log().Info("lost objects are given up", "zones", s.policy.RetainedZones(), "kept", next.policy.RetainedZones(),
 			"sidecars", len(s.directory.Sidecars())-len(next.directory.Sidecars()))
 		return next
 	})
--- a/balancer/pkg/relay/opening.go
+++ b/balancer/pkg/relay/opening.go
@@ -92,7 +92,7 @@
 		f.flows.countNewFlow(sidecar)
 		f.telemetry.Log().Info("flow placed", "flow", address.FormatFlow(segment.Key()), "sidecar", sidecar.Enrollment().Instance(),
 			"copies", segment.EarlierCopies(), "part", part, "running", sidecar.LastStatus().RunningRequests(), "flows", sidecar.LastStatus().OpenFlows(),
-			"age", statusAge(sidecar), "rules", s.policy.Rules().Rules().Revision())
+			"age", statusAge(sidecar), "rules", s.policy.Rules().Rules().Version())
 	}
 	f.send(f.newForwardedPacket(s, packet).WithServiceTag(plan.ServiceTag(service)).WithChainPart(part).WithHopAddresses(hops...))
 }
--- a/balancer/pkg/relay/orphan_resetter.go
+++ b/balancer/pkg/relay/orphan_resetter.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// reasonAgainstProof returns the reason why the enrollment lists read before and after the walk do not show that the walk
-// has covered all sidecars that run, or "" if they do.
+// reasonAgainstProof returns the reason why the list that was known when the read began, and the one that was read, do not
+// show that the walk has covered all sidecars that run, or "" if they do.
 func reasonAgainstProof(before, current landing.EnrollmentList, latest *directory.Directory, now time.Time) string {
 	switch {
 	case before.Era() != current.Era():
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -250,7 +250,7 @@
 	m.SubscriberRank = v.SubscriberRank()
 	m.StoreEra = v.StoreEra()
 	m.RulesVersion = v.RulesVersion()
-	m.EnrollmentEra = v.EnrollmentEra()
+	m.SettledEra = v.SettledEra()
 	return m
 }
 
@@ -274,7 +274,7 @@
 	v = v.WithSubscriberRank(m.GetSubscriberRank())
 	v = v.WithStoreEra(m.GetStoreEra())
 	v = v.WithRulesVersion(m.GetRulesVersion())
-	v = v.WithEnrollmentEra(m.GetEnrollmentEra())
+	v = v.WithSettledEra(m.GetSettledEra())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -725,7 +725,7 @@
 	subscriberRank            uint32
 	storeEra                  uint64
 	rulesVersion              uint64
-	enrollmentEra             uint64
+	settledEra                uint64
 }
 
 func (SidecarStatus) isDatagram() {}
@@ -955,17 +955,17 @@
 	return v
 }
 
-// EnrollmentEra returns the field of the same name.
+// SettledEra returns the field of the same name.
 //
 // Latest era in which the platform has confirmed the sidecar's enrollment; for some seconds after
 // the beginning of an era the one before, since other sidecars may not know of the later one.
-func (v SidecarStatus) EnrollmentEra() uint64 {
-	return v.enrollmentEra
+func (v SidecarStatus) SettledEra() uint64 {
+	return v.settledEra
 }
 
-// WithEnrollmentEra returns a copy of v with the given enrollmentEra.
-func (v SidecarStatus) WithEnrollmentEra(enrollmentEra uint64) SidecarStatus {
-	v.enrollmentEra = enrollmentEra
+// WithSettledEra returns a copy of v with the given settledEra.
+func (v SidecarStatus) WithSettledEra(settledEra uint64) SidecarStatus {
+	v.settledEra = settledEra
 	return v
 }
 
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -315,7 +315,7 @@
 	b = field.AppendUint(b, 16, uint64(v.SubscriberRank()))
 	b = field.AppendUint(b, 17, v.StoreEra())
 	b = field.AppendUint(b, 18, v.RulesVersion())
-	b = field.AppendUint(b, 19, v.EnrollmentEra())
+	b = field.AppendUint(b, 19, v.SettledEra())
 	return b
 }
 
@@ -360,7 +360,7 @@
 		case 18:
 			v = v.WithRulesVersion(r.Uint())
 		case 19:
-			v = v.WithEnrollmentEra(r.Uint())
+			v = v.WithSettledEra(r.Uint())
 		}
 	}
 	return v, r.Err()
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -346,7 +346,7 @@
 // nothing of others. Sidecars of the previous version state none either.
 func (d *Directory) statesEarlierEra(s landing.KnownSidecar, now time.Time) bool {
 	isHeard := !s.LastStatusAt().IsZero() && now.Sub(s.LastStatusAt()) <= interruptionTime
-	stated := s.LastStatus().EnrollmentEra()
+	stated := s.LastStatus().SettledEra()
 	return isHeard && stated > 0 && stated < d.enrollments.Era()
 }
 
@@ -358,7 +358,7 @@
 func (d *Directory) ConfirmsEnrollment(s landing.KnownSidecar) bool {
 	_, isUnreadable := d.unreadableSince[s.Enrollment().Instance()]
 	status := s.LastStatus()
-	isExpected := status.StoreEra() > 0 && status.EnrollmentEra() < d.enrollments.Era()
+	isExpected := status.StoreEra() > 0 && status.SettledEra() < d.enrollments.Era()
 	return !isUnreadable && (!isRetained(s) || isExpected)
 }
 
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -308,7 +308,7 @@
 	is := is.New(t)
 	d := New(1, retention).WithEnrollmentList(listAt(2, 80, a), now)
 	withStatus := func(storeEra, enrollmentEra uint64) *Directory {
-		return d.WithStatuses(received(status(1, 7).WithStoreEra(storeEra).WithEnrollmentEra(enrollmentEra)))
+		return d.WithStatuses(received(status(1, 7).WithStoreEra(storeEra).WithSettledEra(enrollmentEra)))
 	}
 	is.True(!withStatus(1, 1).IsSettled(now)) // it has not learned of the return
 	is.True(!withStatus(2, 1).IsSettled(now))
@@ -328,8 +328,8 @@
 	is.True(!d.IsSettled(now))
 	is.True(d.IsSettled(now.Add(interruptionTime + 1))) // the sidecar may be gone
 	s := status(1, 1).WithStoreEra(2)
-	is.True(!d.WithStatuses(received(s.WithEnrollmentEra(1))).IsSettled(now))
-	is.True(d.WithStatuses(received(s.WithEnrollmentEra(2))).IsSettled(now))
+	is.True(!d.WithStatuses(received(s.WithSettledEra(1))).IsSettled(now))
+	is.True(d.WithStatuses(received(s.WithSettledEra(2))).IsSettled(now))
 }
 
 // Guards against a balancer that confirms an enrollment for the whole time of its retention, although it was removed after the
@@ -339,7 +339,7 @@
 	is := is.New(t)
 	confirms := func(storeEra, enrollmentEra uint64) bool {
 		d := New(1, retention).WithEnrollmentList(listAt(1, 100, a, b), now).WithEnrollmentList(listAt(2, 80, b), now)
-		d = d.WithStatuses(received(status(1, 7).WithStoreEra(storeEra).WithEnrollmentEra(enrollmentEra)))
+		d = d.WithStatuses(received(status(1, 7).WithStoreEra(storeEra).WithSettledEra(enrollmentEra)))
 		sidecar, _ := d.Find(addressA)
 		return d.ConfirmsEnrollment(sidecar)
 	}
@@ -364,7 +364,7 @@
 	d := New(1, retention).WithEnrollmentList(listAt(1, 100, a), now).WithEnrollmentList(listAt(2, 80, a), now)
 	at := now.Add(retention)
 	withStatus := func(at time.Time, number uint64) *Directory {
-		s := status(1, number).WithStoreEra(2).WithEnrollmentEra(1)
+		s := status(1, number).WithStoreEra(2).WithSettledEra(1)
 		return d.WithStatuses(landing.ReceivedStatus{}.WithStatus(s).WithSourceAddress(addressA).WithReceivedAt(at))
 	}
 	is.True(!withStatus(at, 7).IsSettled(at))
--- a/core/pkg/enrollment/enrollment_test.go
+++ b/core/pkg/enrollment/enrollment_test.go
@@ -171,6 +171,6 @@
 func TestWithStatedEra_CountsAgainAfterLateResponse(t *testing.T) {
 	is := is.New(t)
 	c := Confirmation{}.WithPlatformAnswer(start, 1).WithStatedEra(2, start).WithPlatformAnswer(start, 1).WithStatedEra(2, start)
-	is.True(!c.IsRenewalDue(start.Add(minEraRenewalInterval-1))) // no call to the platform for each message of a process that is wrong
+	is.True(!c.IsRenewalDue(start.Add(minEraRenewalInterval - 1))) // no call to the platform for each message of a process that is wrong
 	is.True(c.IsRenewalDue(start.Add(minEraRenewalInterval)))
 }
--- a/core/pkg/position/process_test.go
+++ b/core/pkg/position/process_test.go
@@ -436,7 +436,7 @@
 	r := s.policy.AdvertisedRevisions()
 	status := landing.SidecarStatus{}.WithInstance(s.name).WithIncarnation(uint64(s.startedAt) + 1).WithSequenceNumber(uint64(s.step)).
 		WithUpstreamPhase(landing.PhaseServing).WithRulesRevision(r.Rules()).WithRulesVersion(r.RulesVersion()).
-		WithExclusionsChangedRevision(r.Exclusions()).WithStoreEra(r.Era()).WithEnrollmentEra(s.confirmation.Era())
+		WithExclusionsChangedRevision(r.Exclusions()).WithStoreEra(r.Era()).WithSettledEra(s.confirmation.Era())
 	isConfirmed := s.confirmation.IsValid(s.now()) && s.confirmation.IsOfLatestEra()
 	for _, b := range s.balancers {
 		subscribed, found := s.subscribers[b.address]
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -159,7 +159,7 @@
 	}
 	t.Update(func(s Snapshot) Snapshot {
 		next := s.policy.WithoutExpired(clock.Now())
-		t.telemetry.Log().Info("lost objects are given up", "zones", len(s.policy.RetainedZones())-len(next.RetainedZones()))
+		t.telemetry.Log().Info("lost objects are given up", "zones", s.policy.RetainedZones(), "kept", next.RetainedZones())
 		return t.applyPolicy(s, next)
 	})
 }
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -83,7 +83,7 @@
 		WithRulesVersion(advertised.RulesVersion()).
 		WithExclusionsChangedRevision(advertised.Exclusions()).
 		WithStoreEra(advertised.Era()).
-		WithEnrollmentEra(s.confirmation.SettledEra(now)).
+		WithSettledEra(s.confirmation.SettledEra(now)).
 		WithUpstreamStartMillis(upstreamStartMillis(s.upstream)).
 		WithSubscriberCount(uint32(s.SubscriberCount(now))).
 		WithEjected(l.isEjected(now))
--- a/sidecar/pkg/relay/trace.go
+++ b/sidecar/pkg/relay/trace.go
@@ -55,5 +55,5 @@
 		f.telemetry.Counters().CountRefusal(refusal)
 	}
 	f.telemetry.Log().Info("flow "+outcome, "flow", address.FormatFlow(s.Key()), "opening", s.IsSyn(), "copies", s.EarlierCopies(),
-		"part", forwarded.ChainPart(), "position", forwarded.HopIndex(), "reason", refusal.String(), "rules", forwarded.RulesRevision())
+		"part", forwarded.ChainPart(), "position", forwarded.HopIndex(), "reason", refusal.String(), "rules", forwarded.RulesVersion())
 }
