--- a/experiment/pkg/relayed/fleet.go
+++ b/experiment/pkg/relayed/fleet.go
@@ -148,8 +148,7 @@
 	}
 	f.SetRules(1, "desk")
 	for range cfg.Balancers {
-		f.balancers = append(f.balancers, nil)
-		if err := f.StartBalancer(len(f.balancers) - 1); err != nil {
+		if err := f.AddBalancer(); err != nil {
 			return nil, err
 		}
 	}
@@ -215,6 +214,12 @@
 	})
 }
 
+// AddBalancer adds a balancer to the deployment and starts it.
+func (f *Fleet) AddBalancer() error {
+	f.balancers = append(f.balancers, nil)
+	return f.StartBalancer(len(f.balancers) - 1)
+}
+
 // StartBalancer starts balancer number i, which must not be running.
 func (f *Fleet) StartBalancer(i int) error {
 	var h *handle
--- a/experiment/pkg/relayed/relayed_test.go
+++ b/experiment/pkg/relayed/relayed_test.go
@@ -244,20 +244,7 @@
 	f := startFleet(t, 2, 2)
 	flows := openFlows(t, f, 6, f.RouteThrough(0))
 	await(t, "flows are recorded", func() bool { return len(f.Store().ObjectNames("flows")) == 2 }) // one object for each sidecar
-	for i := range f.balancers {
-		f.StopBalancer(i)
-	}
-	for i := range f.nodes {
-		f.KillSidecar(i)
-		f.CrashUpstream(i)
-	}
-	for i := range f.nodes {
-		is.NoErr(f.StartUpstream(i))
-		is.NoErr(f.StartSidecar(i))
-	}
-	for i := range f.balancers {
-		is.NoErr(f.StartBalancer(i))
-	}
+	losePower(t, f, f.StartUpstream)
 	for _, flow := range flows {
 		is.NoErr(flow.AwaitReset(stateTimeout))
 	}
