--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -115,7 +115,8 @@
 // StatusReceivers returns the addresses of the balancers that get the sidecar's status: those with a
 // subscription that has not expired, and all that are kept while the sidecar cannot rely on its enrollment or the
 // platform has not confirmed it in its latest era. The enrollment may have been removed or lost, and balancers without
-// it in their list do not subscribe. A status shows them that a flow which no sidecar of their list holds may be held by this one, so that they do not reset it.
+// it in their list do not subscribe. A status shows them that a flow which no sidecar of their list holds may be held by
+// this one, so that they do not reset it.
 func (s Snapshot) StatusReceivers(now time.Time) []uint64 {
 	var receivers []uint64
 	for _, b := range s.subscribers {
