--- a/experiment/pkg/relayed/oddentry_test.go
+++ b/experiment/pkg/relayed/oddentry_test.go
@@ -33,15 +33,12 @@
 	for name, delay := range map[string]time.Duration{"at once": 0, "when in touch": inTouchAfter} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
 			f := startFleet(t, 2, 3)
 			s := &switchableRoute{fleet: f}
 			flows := openFlowsAt(t, f, 0, s.route)
 			f.Store().Put("sidecars", f.nodes[0].instance, map[string]any{"service": 7, "zone": "a"})
 			time.Sleep(delay)
-			f.StopBalancer(1)
-			is.NoErr(f.StartBalancer(1))
-			await(t, "the balancer is ready", func() bool { return f.IsReady(1) })
+			restartBalancer(t, f, 1)
 			s.balancer.Store(1)
 			checkFlowsContinue(t, flows, "through the restarted balancer")
 			awaitAllUpstreamsReachable(t, f, 1)
--- a/experiment/pkg/relayed/storereturn_test.go
+++ b/experiment/pkg/relayed/storereturn_test.go
@@ -234,6 +234,14 @@
 	}
 }
 
+// restartBalancer stops a balancer with a planned stop, starts it again and waits until it is ready.
+func restartBalancer(t *testing.T, f *Fleet, i int) {
+	t.Helper()
+	f.StopBalancer(i)
+	is.New(t).NoErr(f.StartBalancer(i))
+	await(t, "the balancer is ready", func() bool { return f.IsReady(i) })
+}
+
 // isEnrolled reports whether the store has the enrollment of a sidecar.
 func isEnrolled(f *Fleet, sidecar int) bool {
 	return slices.Contains(f.Store().ObjectNames("sidecars"), f.nodes[sidecar].instance)
@@ -255,9 +263,7 @@
 			loseWrites(t, f)
 			returnedAt := drill(f, copied, 0)
 			time.Sleep(time.Until(returnedAt.Add(delay)))
-			f.StopBalancer(1)
-			is.NoErr(f.StartBalancer(1))
-			await(t, "the balancer is ready", func() bool { return f.IsReady(1) })
+			restartBalancer(t, f, 1)
 			s.balancer.Store(1)
 			checkFlowsContinue(t, flows, "through the restarted balancer")
 			time.Sleep(time.Until(returnedAt.Add(inTouchAfter)))
@@ -287,9 +293,7 @@
 	time.Sleep(time.Second)
 	f.SetRulesWithRoutes(14, "desk", 2)
 	returnedAt := drill(f, copied, rewriteDelay)
-	f.StopBalancer(1)
-	is.NoErr(f.StartBalancer(1))
-	await(t, "the balancer is ready", func() bool { return f.IsReady(1) })
+	restartBalancer(t, f, 1)
 	s.balancer.Store(1)
 	checkFlowsContinue(t, flows, "after the second return")
 	time.Sleep(time.Until(returnedAt.Add(inTouchAfter)))
