Sidecars learn that a zone was put back while all balancers started

Callers saw a zone that got no new flows although its exclusion had been removed, until the exclusions changed again.

Cause: a process advertises the revision at which its exclusions last changed. The first list that a process reads shows when the zones in it were added, not that others were removed. When all balancers start around a removal, none advertises it, and a sidecar with subscribers reads only what others advertise. No return of the store is needed.

Change: statuses and subscriptions state the revision up to which the exclusions are current and a hash of the zones. A process that has other zones at an earlier revision of the same era is behind. Processes with the same zones read nothing, whenever others start. Programs of the previous version state no hash and are compared as before.

Ruled out: counting each first list as changed. Every start of a balancer would then make all sidecars read.

TestZonePutBackDuringStartOfBalancersServes fails on (no balancer opens a flow in the zone) and passes.

--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -204,7 +204,7 @@
 func (c *ControlThread) noteRevisions(s Snapshot, advertised landing.PolicyRevisions) Snapshot {
 	next := s.policy.WithRevisionsSeen(advertised)
 	if s.policy.LearnsOfNewer(next) {
-		c.telemetry.Log().Info("newer policy advertised", "rules", advertised.Rules(), "exclusions", advertised.Exclusions())
+		c.telemetry.Log().Info("newer policy advertised", "rules", advertised.Rules(), "exclusions", advertised.Exclusions(), "read", advertised.ExclusionsRead())
 	}
 	s = s.WithPolicy(next)
 	if s.policy.IsBehind() {
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -313,7 +313,7 @@
 		}
 		snapshot := s.control.Snapshot()
 		toTell := 0
-		if advertised := snapshot.policy.AdvertisedRevisions(); advertised != told {
+		if advertised := snapshot.policy.AdvertisedRevisions(); !policy.AreSame(advertised, told) {
 			told, toTell = advertised, maxToldSidecars
 		}
 		s.forwarder.sendSubscriptions(snapshot, tick%subscribeAllTicks == 0, toTell)
@@ -331,12 +331,8 @@
 func (f *Forwarder) sendSubscriptions(s Snapshot, all bool, toTell int) {
 	now := clock.Now()
 	advertised := s.policy.AdvertisedRevisions()
-	subscription := landing.StatusSubscription{}.
+	subscription := policy.SubscriptionWithRevisions(landing.StatusSubscription{}, s.policy).
 		WithBalancerAddress(f.link.LocalAddress()).
-		WithRulesRevision(advertised.Rules()).
-		WithRulesVersion(advertised.RulesVersion()).
-		WithExclusionsChangedRevision(advertised.Exclusions()).
-		WithStoreEra(advertised.Era()).
 		WithSidecarCount(uint32(len(s.directory.Sidecars())))
 	subscribed := s.directory.Subscribed()
 	if toTell > 0 {
@@ -346,7 +342,7 @@
 	for _, sidecar := range subscribed {
 		status := sidecar.LastStatus()
 		isDue := all || absence.IsStatusOverdue(sidecar, now)
-		isTold := !isDue && toTell > 0 && policy.RevisionsOfStatus(status) != advertised
+		isTold := !isDue && toTell > 0 && !policy.AreSame(policy.RevisionsOfStatus(status), advertised)
 		if isTold {
 			toTell--
 		}
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -251,6 +251,8 @@
 	m.StoreEra = v.StoreEra()
 	m.RulesVersion = v.RulesVersion()
 	m.SettledEra = v.SettledEra()
+	m.ExclusionsReadRevision = v.ExclusionsReadRevision()
+	m.ExclusionsHash = v.ExclusionsHash()
 	return m
 }
 
@@ -275,6 +277,8 @@
 	v = v.WithStoreEra(m.GetStoreEra())
 	v = v.WithRulesVersion(m.GetRulesVersion())
 	v = v.WithSettledEra(m.GetSettledEra())
+	v = v.WithExclusionsReadRevision(m.GetExclusionsReadRevision())
+	v = v.WithExclusionsHash(m.GetExclusionsHash())
 	return v
 }
 
@@ -290,6 +294,8 @@
 	m.StatusSequenceNumber = v.StatusSequenceNumber()
 	m.StoreEra = v.StoreEra()
 	m.RulesVersion = v.RulesVersion()
+	m.ExclusionsReadRevision = v.ExclusionsReadRevision()
+	m.ExclusionsHash = v.ExclusionsHash()
 	return m
 }
 
@@ -305,6 +311,8 @@
 	v = v.WithStatusSequenceNumber(m.GetStatusSequenceNumber())
 	v = v.WithStoreEra(m.GetStoreEra())
 	v = v.WithRulesVersion(m.GetRulesVersion())
+	v = v.WithExclusionsReadRevision(m.GetExclusionsReadRevision())
+	v = v.WithExclusionsHash(m.GetExclusionsHash())
 	return v
 }
 
@@ -833,6 +841,8 @@
 	m.RulesVersion = v.RulesVersion()
 	m.Era = v.Era()
 	m.Exclusions = v.Exclusions()
+	m.ExclusionsRead = v.ExclusionsRead()
+	m.ExclusionsHash = v.ExclusionsHash()
 	return m
 }
 
@@ -843,6 +853,8 @@
 	v = v.WithRulesVersion(m.GetRulesVersion())
 	v = v.WithEra(m.GetEra())
 	v = v.WithExclusions(m.GetExclusions())
+	v = v.WithExclusionsRead(m.GetExclusionsRead())
+	v = v.WithExclusionsHash(m.GetExclusionsHash())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -726,6 +726,8 @@
 	storeEra                  uint64
 	rulesVersion              uint64
 	settledEra                uint64
+	exclusionsReadRevision    uint64
+	exclusionsHash            uint32
 }
 
 func (SidecarStatus) isDatagram() {}
@@ -969,6 +971,33 @@
 	return v
 }
 
+// ExclusionsReadRevision returns the field of the same name.
+//
+// Platform revision up to which the sidecar's zone exclusions are confirmed to be current, and a
+// hash of the zones; 0 when the sidecar has read none or is of a version that does not state them.
+func (v SidecarStatus) ExclusionsReadRevision() uint64 {
+	return v.exclusionsReadRevision
+}
+
+// WithExclusionsReadRevision returns a copy of v with the given exclusionsReadRevision.
+func (v SidecarStatus) WithExclusionsReadRevision(exclusionsReadRevision uint64) SidecarStatus {
+	v.exclusionsReadRevision = exclusionsReadRevision
+	return v
+}
+
+// ExclusionsHash returns the field of the same name.
+//
+
+func (v SidecarStatus) ExclusionsHash() uint32 {
+	return v.exclusionsHash
+}
+
+// WithExclusionsHash returns a copy of v with the given exclusionsHash.
+func (v SidecarStatus) WithExclusionsHash(exclusionsHash uint32) SidecarStatus {
+	v.exclusionsHash = exclusionsHash
+	return v
+}
+
 // StatusSubscription is sent periodically by a balancer to a sidecar to receive the sidecar's
 // status. The subscription expires unless it is repeated.
 type StatusSubscription struct {
@@ -981,6 +1010,8 @@
 	statusSequenceNumber      uint64
 	storeEra                  uint64
 	rulesVersion              uint64
+	exclusionsReadRevision    uint64
+	exclusionsHash            uint32
 }
 
 func (StatusSubscription) isDatagram() {}
@@ -1105,6 +1136,33 @@
 	return v
 }
 
+// ExclusionsReadRevision returns the field of the same name.
+//
+// Platform revision up to which the balancer's zone exclusions are confirmed to be current, and a
+// hash of the zones; 0 when the balancer has read none or is of a version that does not state them.
+func (v StatusSubscription) ExclusionsReadRevision() uint64 {
+	return v.exclusionsReadRevision
+}
+
+// WithExclusionsReadRevision returns a copy of v with the given exclusionsReadRevision.
+func (v StatusSubscription) WithExclusionsReadRevision(exclusionsReadRevision uint64) StatusSubscription {
+	v.exclusionsReadRevision = exclusionsReadRevision
+	return v
+}
+
+// ExclusionsHash returns the field of the same name.
+//
+
+func (v StatusSubscription) ExclusionsHash() uint32 {
+	return v.exclusionsHash
+}
+
+// WithExclusionsHash returns a copy of v with the given exclusionsHash.
+func (v StatusSubscription) WithExclusionsHash(exclusionsHash uint32) StatusSubscription {
+	v.exclusionsHash = exclusionsHash
+	return v
+}
+
 // FlowClaim reports to a balancer that the upstream of the sending sidecar holds a flow, that is,
 // has the TCP state of the flow.
 type FlowClaim struct {
@@ -2230,10 +2288,12 @@
 // PolicyRevisions are the revisions of the policy (routing rules and zone exclusions) that a
 // process has in force or that other processes have named.
 type PolicyRevisions struct {
-	rules        uint64
-	rulesVersion uint64
-	era          uint64
-	exclusions   uint64
+	rules          uint64
+	rulesVersion   uint64
+	era            uint64
+	exclusions     uint64
+	exclusionsRead uint64
+	exclusionsHash uint32
 }
 
 // Rules returns the field of the same name.
@@ -2290,6 +2350,33 @@
 	return v
 }
 
+// ExclusionsRead returns the field of the same name.
+//
+// For another process, the revision up to which its exclusions are confirmed to be current, and a
+// hash of their zones; 0 when it has not stated them.
+func (v PolicyRevisions) ExclusionsRead() uint64 {
+	return v.exclusionsRead
+}
+
+// WithExclusionsRead returns a copy of v with the given exclusionsRead.
+func (v PolicyRevisions) WithExclusionsRead(exclusionsRead uint64) PolicyRevisions {
+	v.exclusionsRead = exclusionsRead
+	return v
+}
+
+// ExclusionsHash returns the field of the same name.
+//
+
+func (v PolicyRevisions) ExclusionsHash() uint32 {
+	return v.exclusionsHash
+}
+
+// WithExclusionsHash returns a copy of v with the given exclusionsHash.
+func (v PolicyRevisions) WithExclusionsHash(exclusionsHash uint32) PolicyRevisions {
+	v.exclusionsHash = exclusionsHash
+	return v
+}
+
 // ReadSource is a source from which a process reads objects that it lacks. Sources are tried in the
 // order of their cost, the cheapest first.
 //
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -316,6 +316,8 @@
 	b = field.AppendUint(b, 17, v.StoreEra())
 	b = field.AppendUint(b, 18, v.RulesVersion())
 	b = field.AppendUint(b, 19, v.SettledEra())
+	b = field.AppendUint(b, 20, v.ExclusionsReadRevision())
+	b = field.AppendFixed32(b, 21, v.ExclusionsHash())
 	return b
 }
 
@@ -361,6 +363,10 @@
 			v = v.WithRulesVersion(r.Uint())
 		case 19:
 			v = v.WithSettledEra(r.Uint())
+		case 20:
+			v = v.WithExclusionsReadRevision(r.Uint())
+		case 21:
+			v = v.WithExclusionsHash(r.Fixed32())
 		}
 	}
 	return v, r.Err()
@@ -377,6 +383,8 @@
 	b = field.AppendUint(b, 7, v.StatusSequenceNumber())
 	b = field.AppendUint(b, 8, v.StoreEra())
 	b = field.AppendUint(b, 9, v.RulesVersion())
+	b = field.AppendUint(b, 10, v.ExclusionsReadRevision())
+	b = field.AppendFixed32(b, 11, v.ExclusionsHash())
 	return b
 }
 
@@ -404,6 +412,10 @@
 			v = v.WithStoreEra(r.Uint())
 		case 9:
 			v = v.WithRulesVersion(r.Uint())
+		case 10:
+			v = v.WithExclusionsReadRevision(r.Uint())
+		case 11:
+			v = v.WithExclusionsHash(r.Fixed32())
 		}
 	}
 	return v, r.Err()
--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -108,9 +108,10 @@
 }
 
 // AdvertisedRevisions returns the revisions that the process advertises to others: the revision of
-// its rules and the one at which its exclusions last changed.
+// its rules, the one at which its exclusions last changed and the one up to which they are current.
 func (p Policy) AdvertisedRevisions() landing.PolicyRevisions {
-	return p.KnownRevisions().WithExclusions(p.exclusions.ChangedRevision())
+	return p.KnownRevisions().WithExclusions(p.exclusions.ChangedRevision()).
+		WithExclusionsRead(p.exclusions.Revision()).WithExclusionsHash(hashOf(p.exclusions))
 }
 
 // WantedRevisions returns the newest revisions that other processes have advertised.
@@ -121,7 +122,7 @@
 // WithRevisionsSeen returns a copy that takes account of the revisions that another process has
 // advertised.
 func (p Policy) WithRevisionsSeen(seen landing.PolicyRevisions) Policy {
-	p.wantedRevisions = Newest(p.wantedRevisions, seen)
+	p.wantedRevisions = Newest(p.wantedRevisions, p.comparable(seen))
 	return p
 }
 
@@ -149,7 +150,7 @@
 // IsOlderThan reports whether any of the given revisions is newer than the corresponding one of
 // this process.
 func (p Policy) IsOlderThan(other landing.PolicyRevisions) bool {
-	known := p.KnownRevisions()
+	known, other := p.KnownRevisions(), p.comparable(other)
 	return AreRulesNewer(other, known) || AreExclusionsNewer(other, known)
 }
 
--- a/core/pkg/policy/policy_test.go
+++ b/core/pkg/policy/policy_test.go
@@ -64,6 +64,19 @@
 	is.True(p.IsBehind())
 }
 
+// Guards against a process that keeps the exclusions that it missed the end of, since the other process has read its first list
+// after that, and against reads whenever a process starts.
+func TestIsBehind_ComparesZones(t *testing.T) {
+	is := is.New(t)
+	known := New(retention).WithExclusions(exclusionsAt(0, 5, "east"), now)
+	later := New(retention).WithExclusions(exclusionsAt(0, 9), now)
+	is.True(known.WithRevisionsSeen(later.AdvertisedRevisions()).IsBehind())
+	is.True(!later.WithRevisionsSeen(known.AdvertisedRevisions()).IsBehind())
+	same := New(retention).WithExclusions(exclusionsAt(0, 9, "east"), now)
+	is.True(!known.WithRevisionsSeen(same.AdvertisedRevisions()).IsBehind())
+	is.True(!known.WithRevisionsSeen(New(retention).AdvertisedRevisions()).IsBehind())
+}
+
 // exclusionsAt returns the exclusions of the zones that were read at this position.
 func exclusionsAt(era, revision uint64, zones ...string) landing.ZoneExclusions {
 	return landing.ZoneExclusions{}.WithEra(era).WithRevision(revision).WithZones(zones...)
--- a/core/pkg/policy/revisions.go
+++ b/core/pkg/policy/revisions.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"hash/fnv"
+
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/position"
 )
@@ -8,13 +10,31 @@
 // RevisionsOfStatus returns the revisions that the sidecar advertises with the status.
 func RevisionsOfStatus(s landing.SidecarStatus) landing.PolicyRevisions {
 	return landing.PolicyRevisions{}.WithRules(s.RulesRevision()).WithRulesVersion(s.RulesVersion()).
-		WithExclusions(s.ExclusionsChangedRevision()).WithEra(s.StoreEra())
+		WithExclusions(s.ExclusionsChangedRevision()).WithEra(s.StoreEra()).
+		WithExclusionsRead(s.ExclusionsReadRevision()).WithExclusionsHash(s.ExclusionsHash())
+}
+
+// StatusWithRevisions returns the status with the revisions that the process advertises.
+func StatusWithRevisions(s landing.SidecarStatus, p Policy) landing.SidecarStatus {
+	r := p.AdvertisedRevisions()
+	return s.WithRulesRevision(r.Rules()).WithRulesVersion(r.RulesVersion()).
+		WithExclusionsChangedRevision(r.Exclusions()).WithStoreEra(r.Era()).
+		WithExclusionsReadRevision(r.ExclusionsRead()).WithExclusionsHash(r.ExclusionsHash())
 }
 
 // RevisionsOfSubscription returns the revisions that the balancer advertises with the subscription.
 func RevisionsOfSubscription(s landing.StatusSubscription) landing.PolicyRevisions {
 	return landing.PolicyRevisions{}.WithRules(s.RulesRevision()).WithRulesVersion(s.RulesVersion()).
-		WithExclusions(s.ExclusionsChangedRevision()).WithEra(s.StoreEra())
+		WithExclusions(s.ExclusionsChangedRevision()).WithEra(s.StoreEra()).
+		WithExclusionsRead(s.ExclusionsReadRevision()).WithExclusionsHash(s.ExclusionsHash())
+}
+
+// SubscriptionWithRevisions returns the subscription with the revisions that the process advertises.
+func SubscriptionWithRevisions(s landing.StatusSubscription, p Policy) landing.StatusSubscription {
+	r := p.AdvertisedRevisions()
+	return s.WithRulesRevision(r.Rules()).WithRulesVersion(r.RulesVersion()).
+		WithExclusionsChangedRevision(r.Exclusions()).WithStoreEra(r.Era()).
+		WithExclusionsReadRevision(r.ExclusionsRead()).WithExclusionsHash(r.ExclusionsHash())
 }
 
 // RevisionsOfPacket returns the newest revisions of the processes that have forwarded the packet.
@@ -47,6 +67,34 @@
 	return position.IsLater(position.New(a.Era(), a.Exclusions()), position.New(b.Era(), b.Exclusions()))
 }
 
+// AreSame reports whether the rules and exclusions with the revisions a have last changed as those with b have.
+func AreSame(a, b landing.PolicyRevisions) bool {
+	return a.WithExclusionsRead(b.ExclusionsRead()) == b
+}
+
+// comparable returns the revisions that another process has advertised, without what it has stated of its zones. If
+// these differ from the zones in force, its exclusions count as changed at the revision up to which they are confirmed
+// to be current: the first list that a process reads does not show when zones were removed from it.
+func (p Policy) comparable(seen landing.PolicyRevisions) landing.PolicyRevisions {
+	isStated := seen.ExclusionsHash() != 0 && seen.Era() == p.exclusions.Era()
+	if isStated && seen.ExclusionsHash() != hashOf(p.exclusions) {
+		seen = seen.WithExclusions(seen.ExclusionsRead())
+	}
+	return seen.WithExclusionsRead(0).WithExclusionsHash(0)
+}
+
+// hashOf returns a hash of the names of the excluded zones, which is not 0; 0 if no exclusions have been read.
+func hashOf(e landing.ZoneExclusions) uint32 {
+	if e.Revision() == 0 {
+		return 0
+	}
+	h := fnv.New32a()
+	for _, zone := range e.Zones() {
+		_, _ = h.Write(append([]byte(zone), 0))
+	}
+	return max(h.Sum32(), 1)
+}
+
 // Newest returns the newer revisions of the rules and the newer ones of the exclusions. Those of a process
 // of the previous version replace none that are stated with a version or an era.
 func Newest(a, b landing.PolicyRevisions) landing.PolicyRevisions {
--- a/core/pkg/position/history_test.go
+++ b/core/pkg/position/history_test.go
@@ -382,6 +382,13 @@
 	}
 }
 
+// Guards against a sidecar that keeps a zone out of service that was put back while all balancers started.
+func TestHistory_ZoneIsPutBackWhileBalancersStart(t *testing.T) {
+	for _, seed := range []uint64{21571, 65005} {
+		newHistory(seed).run(t)
+	}
+}
+
 // run plays the history, and reports its failure with the events that are needed for it.
 func (h history) run(t *testing.T) {
 	if h.play() == "" {
--- a/core/pkg/position/process_test.go
+++ b/core/pkg/position/process_test.go
@@ -301,7 +301,7 @@
 // subscribe renews the subscriptions to the sidecars each second, and when the policy has changed.
 func (b *balancer) subscribe() {
 	advertised := b.policy.AdvertisedRevisions()
-	isDue := b.told != advertised || (b.step+int(b.address))%4 == 0
+	isDue := !policy.AreSame(b.told, advertised) || (b.step+int(b.address))%4 == 0
 	b.told = advertised
 	for _, s := range b.sidecars {
 		known, found := b.directory.Find(s.address)
@@ -309,9 +309,7 @@
 			continue
 		}
 		status := known.LastStatus()
-		subscription := landing.StatusSubscription{}.WithBalancerAddress(b.address).
-			WithRulesRevision(advertised.Rules()).WithRulesVersion(advertised.RulesVersion()).
-			WithExclusionsChangedRevision(advertised.Exclusions()).WithStoreEra(advertised.Era()).
+		subscription := policy.SubscriptionWithRevisions(landing.StatusSubscription{}, b.policy).WithBalancerAddress(b.address).
 			WithSidecarCount(uint32(len(b.directory.Sidecars()))).WithStatusIncarnation(status.Incarnation()).WithStatusSequenceNumber(status.SequenceNumber())
 		if b.directory.ConfirmsEnrollment(known) {
 			subscription = subscription.WithInstance(known.Enrollment().Instance())
@@ -433,10 +431,8 @@
 
 // sendStatus sends the status to the balancers that subscribe, and to those that did while the enrollment is not confirmed.
 func (s *sidecar) sendStatus() {
-	r := s.policy.AdvertisedRevisions()
-	status := landing.SidecarStatus{}.WithInstance(s.name).WithIncarnation(uint64(s.startedAt) + 1).WithSequenceNumber(uint64(s.step)).
-		WithUpstreamPhase(landing.PhaseServing).WithRulesRevision(r.Rules()).WithRulesVersion(r.RulesVersion()).
-		WithExclusionsChangedRevision(r.Exclusions()).WithStoreEra(r.Era()).WithSettledEra(s.confirmation.Era())
+	status := policy.StatusWithRevisions(landing.SidecarStatus{}, s.policy).WithInstance(s.name).WithIncarnation(uint64(s.startedAt) + 1).WithSequenceNumber(uint64(s.step)).
+		WithUpstreamPhase(landing.PhaseServing).WithSettledEra(s.confirmation.Era())
 	isConfirmed := s.confirmation.IsValid(s.now()) && s.confirmation.IsOfLatestEra()
 	for _, b := range s.balancers {
 		subscribed, found := s.subscribers[b.address]
--- a/experiment/pkg/relayed/storereturn_exclusion_test.go
+++ b/experiment/pkg/relayed/storereturn_exclusion_test.go
@@ -112,6 +112,25 @@
 	checkZoneAServes(t, p)
 }
 
+// Guards against a zone that stays out of service at sidecars: it is put back while all balancers start, and their first
+// lists do not show that there was a change.
+func TestZonePutBackDuringStartOfBalancersServes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, 3, 4)
+	f.Store().Put("evacuations", "a", map[string]any{})
+	time.Sleep(exclusionTimeLimit)
+	for i := range f.balancers {
+		f.StopBalancer(i)
+	}
+	f.Store().Delete("evacuations", "a")
+	for i := range f.balancers {
+		is.NoErr(f.StartBalancer(i))
+	}
+	time.Sleep(exclusionTimeLimit)
+	checkZoneAServes(t, startProber(t, f))
+}
+
 // checkZoneAServes fails the test unless flows are opened in the zone a through each balancer within a second. An upstream
 // that has just been put back into service gets few flows at first.
 func checkZoneAServes(t *testing.T, p *prober) {
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -202,7 +202,7 @@
 func (t *ControlThread) recordRevisions(s Snapshot, seen landing.PolicyRevisions) Snapshot {
 	next := s.policy.WithRevisionsSeen(seen)
 	if s.policy.LearnsOfNewer(next) {
-		t.telemetry.Log().Info("newer policy advertised", "rules", seen.Rules(), "exclusions", seen.Exclusions())
+		t.telemetry.Log().Info("newer policy advertised", "rules", seen.Rules(), "exclusions", seen.Exclusions(), "read", seen.ExclusionsRead())
 	}
 	s = s.WithPolicy(next)
 	if s.policy.IsBehind() {
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/clock"
+	"github.com/crocuslanding/crocuslanding/core/pkg/policy"
 	"github.com/crocuslanding/crocuslanding/core/pkg/weight"
 )
 
@@ -68,8 +69,7 @@
 	if l.isMeasured {
 		requestsPerSecond = weight.FromLatency(s.upstream.Slots(), l.averageLatency)
 	}
-	advertised := s.policy.AdvertisedRevisions()
-	status := landing.SidecarStatus{}.
+	status := policy.StatusWithRevisions(landing.SidecarStatus{}, s.policy).
 		WithInstance(f.settings.Instance()).
 		WithIncarnation(f.incarnation()).
 		WithSequenceNumber(sequence).
@@ -79,10 +79,6 @@
 		WithOpenFlows(uint32(l.flowCount)).
 		WithRequestsPerSecond(requestsPerSecond).
 		WithAdmissibleFlows(uint32(max(f.admissibleFlows(s, l, now), 0))).
-		WithRulesRevision(advertised.Rules()).
-		WithRulesVersion(advertised.RulesVersion()).
-		WithExclusionsChangedRevision(advertised.Exclusions()).
-		WithStoreEra(advertised.Era()).
 		WithSettledEra(s.confirmation.SettledEra(now)).
 		WithUpstreamStartMillis(upstreamStartMillis(s.upstream)).
 		WithSubscriberCount(uint32(s.SubscriberCount(now))).
