What the store has lost is retained while the store does not answer

Callers got answers from a zone that was out of service: the store came back from a copy without the exclusion, and was then away for longer than lost exclusions are kept. The operator could write it again only after that. Lost enrollments ended in the same way, and a process that was suspended for longer gave everything up before it had read again.

Cause: what is retained ended by the clock.

Change: it ends when the platform has answered for the retention time. A balancer adds up its answered calls, each by its wait and a second at most, so that a suspension does not count. While it retains anything, its watches wait 2 s at most. A sidecar, which rarely calls the platform, counts the time in which it hears balancers of the same era.

--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -91,7 +91,7 @@
 
 // RemoveExpired removes the retained exclusions and sidecars whose time is over.
 func (c *ControlThread) RemoveExpired() {
-	if !c.Snapshot().HasExpired(clock.Now()) {
+	if !c.Snapshot().HasExpired() {
 		return
 	}
 	c.Update(func(s Snapshot) Snapshot {
@@ -133,9 +133,9 @@
 		policylog.Rules(c.telemetry, s.policy, next, event.Rules(), event.Source())
 		return s.WithPolicy(next)
 	case landing.ExclusionsReceived:
-		return c.applyExclusions(s, event.Exclusions())
+		return c.applyExclusions(s.WithPolicy(s.policy.WithStoreTime(event.CallTime())), event.Exclusions())
 	case landing.EnrollmentsReceived:
-		return c.applyEnrollments(s, event.EnrollmentList())
+		return c.applyEnrollments(s.WithDirectory(s.directory.WithStoreTime(event.CallTime())), event.EnrollmentList())
 	case landing.StatusesReceived:
 		for _, received := range event.Statuses() {
 			s = c.noteRevisions(s, policy.RevisionsOfStatus(received.Status()))
@@ -157,7 +157,7 @@
 
 // applyExclusions puts newer zone exclusions in force and logs when they have changed.
 func (c *ControlThread) applyExclusions(s Snapshot, received landing.ZoneExclusions) Snapshot {
-	next := s.policy.WithExclusions(received, clock.Now())
+	next := s.policy.WithExclusions(received)
 	policylog.Exclusions(c.telemetry, s.policy, next, received)
 	return s.WithPolicy(next)
 }
--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -44,6 +44,12 @@
 	// minIdleTimeout is the lower limit of the idle timeout of flows, for rules with a shorter one or none. Flows stay
 	// cached for twice the idle timeout.
 	minIdleTimeout = 15 * time.Second
+	// lostWatchTimeout limits the timeout of a watch while objects are retained that the platform may have lost. Only
+	// answered calls count as the time in which they can be written again.
+	lostWatchTimeout = 2 * time.Second
+	// maxReadTime is the largest part of a read, or of the end of a watch, that counts as such a time. A process that was
+	// suspended during a call has taken longer.
+	maxReadTime = time.Second
 )
 
 // PlatformSync keeps rules, exclusions and enrollments in step with the platform, and renews the balancer's subscriptions
@@ -199,8 +205,19 @@
 
 // watchTimeout returns the timeout of the next watch, when a change must be in force within this time.
 func (s *PlatformSync) watchTimeout(within time.Duration) time.Duration {
-	rank, count := s.control.Snapshot().BalancerRank()
-	return pace.WatchTimeout(rank, count, within, clock.Now())
+	snapshot := s.control.Snapshot()
+	rank, count := snapshot.BalancerRank()
+	timeout := pace.WatchTimeout(rank, count, within, clock.Now())
+	if snapshot.RetainsLost() {
+		timeout = min(timeout, lostWatchTimeout)
+	}
+	return timeout
+}
+
+// callTime returns the time for which the platform is known to have answered, when a call that began at this time and waited
+// at most for this duration has ended with a response.
+func callTime(start time.Time, wait time.Duration) time.Duration {
+	return min(clock.Now().Sub(start), wait+maxReadTime)
 }
 
 // resumeRevision returns the revision from which a watch continues after an error. It returns 0 when the changes
@@ -219,11 +236,13 @@
 	return func() error {
 		var next landing.ZoneExclusions
 		var err error
+		start, wait := clock.Now(), time.Duration(0)
 		if known.Revision() == 0 {
 			next, err = s.store.ReadExclusions(s.stopper.Context(), known, landing.FreshnessNewest)
 		} else {
+			wait = s.watchTimeout(s.excludeWithin)
 			err = s.watchInEra(known.Era(), func(ctx context.Context) error {
-				next, err = s.store.WatchExclusions(ctx, known, s.watchTimeout(s.excludeWithin))
+				next, err = s.store.WatchExclusions(ctx, known, wait)
 				return err
 			})
 		}
@@ -232,7 +251,7 @@
 			return err
 		}
 		known = next
-		s.control.Post(landing.ExclusionsReceived{}.WithExclusions(next))
+		s.control.Post(landing.ExclusionsReceived{}.WithExclusions(next).WithCallTime(callTime(start, wait)))
 		return nil
 	}
 }
@@ -244,11 +263,13 @@
 	return func() error {
 		var next landing.EnrollmentList
 		var err error
+		start, wait := clock.Now(), time.Duration(0)
 		if known.Revision() == 0 {
 			next, err = s.store.ReadEnrollments(s.stopper.Context(), known)
 		} else {
+			wait = enrollmentTimeoutFactor * s.watchTimeout(s.applyWithin)
 			err = s.watchInEra(known.Era(), func(ctx context.Context) error {
-				next, err = s.store.WatchEnrollments(ctx, known, enrollmentTimeoutFactor*s.watchTimeout(s.applyWithin))
+				next, err = s.store.WatchEnrollments(ctx, known, wait)
 				return err
 			})
 		}
@@ -258,7 +279,7 @@
 		}
 		isChanged := !directory.SameSidecars(known, next)
 		known = next
-		s.control.Post(landing.EnrollmentsReceived{}.WithEnrollmentList(next))
+		s.control.Post(landing.EnrollmentsReceived{}.WithEnrollmentList(next).WithCallTime(callTime(start, wait)))
 		if isChanged {
 			common.Sleep(s.stopper.Stopper, pace.PauseAfterEnrollmentChange(s.control.Snapshot().BalancerCount()))
 		}
--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -46,13 +46,18 @@
 }
 
 // HasExpired reports whether an exclusion or a sidecar is retained whose time is over.
-func (s Snapshot) HasExpired(now time.Time) bool {
-	return s.policy.HasExpired(now) || s.directory.HasExpired(now)
+func (s Snapshot) HasExpired() bool {
+	return s.policy.HasExpired() || s.directory.HasExpired()
+}
+
+// RetainsLost reports whether exclusions or sidecars are retained that the platform may have lost.
+func (s Snapshot) RetainsLost() bool {
+	return len(s.policy.RetainedZones()) > 0 || s.directory.RetainedCount() > 0
 }
 
 // WithoutExpired returns a copy without the retained exclusions and sidecars whose time is over.
 func (s Snapshot) WithoutExpired(now time.Time) Snapshot {
-	return s.WithPolicy(s.policy.WithoutExpired(now)).WithDirectory(s.directory.WithoutExpired(now))
+	return s.WithPolicy(s.policy.WithoutExpired()).WithDirectory(s.directory.WithoutExpired(now))
 }
 
 // HasInitialState reports whether rules, exclusions and enrolled sidecars have been read at least once. Before that the
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -712,6 +712,7 @@
 func EncodeExclusionsReceived(v landing.ExclusionsReceived) *landingpb.ExclusionsReceived {
 	m := &landingpb.ExclusionsReceived{}
 	m.Exclusions = EncodeZoneExclusions(v.Exclusions())
+	m.CallTime = durationpb.New(v.CallTime())
 	return m
 }
 
@@ -719,6 +720,7 @@
 func DecodeExclusionsReceived(m *landingpb.ExclusionsReceived) landing.ExclusionsReceived {
 	v := landing.ExclusionsReceived{}
 	v = v.WithExclusions(DecodeZoneExclusions(m.GetExclusions()))
+	v = v.WithCallTime(m.GetCallTime().AsDuration())
 	return v
 }
 
@@ -726,6 +728,7 @@
 func EncodeEnrollmentsReceived(v landing.EnrollmentsReceived) *landingpb.EnrollmentsReceived {
 	m := &landingpb.EnrollmentsReceived{}
 	m.EnrollmentList = EncodeEnrollmentList(v.EnrollmentList())
+	m.CallTime = durationpb.New(v.CallTime())
 	return m
 }
 
@@ -733,6 +736,7 @@
 func DecodeEnrollmentsReceived(m *landingpb.EnrollmentsReceived) landing.EnrollmentsReceived {
 	v := landing.EnrollmentsReceived{}
 	v = v.WithEnrollmentList(DecodeEnrollmentList(m.GetEnrollmentList()))
+	v = v.WithCallTime(m.GetCallTime().AsDuration())
 	return v
 }
 
@@ -1014,7 +1018,7 @@
 	m.UnansweredLocalProbes = v.UnansweredLocalProbes()
 	m.ProbeAckProxy = v.ProbeAckProxy()
 	m.UnansweredRemoteProbes = v.UnansweredRemoteProbes()
-	m.RetainedUntil = timestamppb.New(v.RetainedUntil())
+	m.RetainedUntil = durationpb.New(v.RetainedUntil())
 	return m
 }
 
@@ -1030,7 +1034,7 @@
 	v = v.WithUnansweredLocalProbes(m.GetUnansweredLocalProbes())
 	v = v.WithProbeAckProxy(m.GetProbeAckProxy())
 	v = v.WithUnansweredRemoteProbes(m.GetUnansweredRemoteProbes())
-	v = v.WithRetainedUntil(m.GetRetainedUntil().AsTime())
+	v = v.WithRetainedUntil(m.GetRetainedUntil().AsDuration())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -2061,6 +2061,7 @@
 // ExclusionsReceived means that zone exclusions were read from the platform or another process.
 type ExclusionsReceived struct {
 	exclusions ZoneExclusions
+	callTime   time.Duration
 }
 
 func (ExclusionsReceived) isRelayEvent() {}
@@ -2078,10 +2079,24 @@
 	return v
 }
 
+// CallTime returns the field of the same name.
+//
+// Duration of the call to the platform by which they were read; 0 when another process sent them.
+func (v ExclusionsReceived) CallTime() time.Duration {
+	return v.callTime
+}
+
+// WithCallTime returns a copy of v with the given callTime.
+func (v ExclusionsReceived) WithCallTime(callTime time.Duration) ExclusionsReceived {
+	v.callTime = callTime
+	return v
+}
+
 // EnrollmentsReceived means that the list of enrolled sidecars was read from the platform or
 // another process.
 type EnrollmentsReceived struct {
 	enrollmentList EnrollmentList
+	callTime       time.Duration
 }
 
 func (EnrollmentsReceived) isRelayEvent() {}
@@ -2099,6 +2114,19 @@
 	return v
 }
 
+// CallTime returns the field of the same name.
+//
+// Duration of the call to the platform by which they were read; 0 when another process sent them.
+func (v EnrollmentsReceived) CallTime() time.Duration {
+	return v.callTime
+}
+
+// WithCallTime returns a copy of v with the given callTime.
+func (v EnrollmentsReceived) WithCallTime(callTime time.Duration) EnrollmentsReceived {
+	v.callTime = callTime
+	return v
+}
+
 // StatusesReceived carries the sidecar statuses that arrived during a short interval.
 type StatusesReceived struct {
 	statuses []ReceivedStatus
@@ -2572,7 +2600,7 @@
 	unansweredLocalProbes  uint32
 	probeAckProxy          uint64
 	unansweredRemoteProbes uint32
-	retainedUntil          time.Time
+	retainedUntil          time.Duration
 }
 
 // Enrollment returns the field of the same name.
@@ -2698,14 +2726,15 @@
 
 // RetainedUntil returns the field of the same name.
 //
-// Time until which the balancer keeps the sidecar although the enrollment list does not contain it,
-// since the platform may have lost its entry; the zero time when the list contains it.
-func (v KnownSidecar) RetainedUntil() time.Time {
+// Store time (the time for which the platform has answered the balancer) until which the balancer
+// keeps the sidecar although the enrollment list does not contain it, since the platform may have
+// lost its entry; 0 when the list contains it.
+func (v KnownSidecar) RetainedUntil() time.Duration {
 	return v.retainedUntil
 }
 
 // WithRetainedUntil returns a copy of v with the given retainedUntil.
-func (v KnownSidecar) WithRetainedUntil(retainedUntil time.Time) KnownSidecar {
+func (v KnownSidecar) WithRetainedUntil(retainedUntil time.Duration) KnownSidecar {
 	v.retainedUntil = retainedUntil
 	return v
 }
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -21,7 +21,9 @@
 	// balancerAddress is the address of the balancer that the directory belongs to.
 	balancerAddress uint64
 	// retention is the time for which sidecars are kept that the platform may have lost.
-	retention   time.Duration
+	retention time.Duration
+	// storeTime is the time for which the platform has answered.
+	storeTime   time.Duration
 	enrollments landing.EnrollmentList
 	// eraListedAt is the time of the first enrollment list of the platform's era.
 	eraListedAt time.Time
@@ -61,7 +63,7 @@
 )
 
 // New returns a directory without sidecars for the balancer at this address. Sidecars that the platform may
-// have lost are kept for the given time.
+// have lost are kept while it answers for the given time.
 func New(balancerAddress uint64, retention time.Duration) *Directory {
 	return &Directory{balancerAddress: balancerAddress, retention: retention}
 }
@@ -96,7 +98,7 @@
 		sidecars = append(sidecars, sidecar)
 		isTaken[sidecar.Address()], isListed[enrollment.Instance()] = true, true
 	}
-	for _, s := range d.retainedAfter(list, now.Add(d.retention)) {
+	for _, s := range d.retainedAfter(list) {
 		if !isTaken[s.Address()] && !isListed[s.Enrollment().Instance()] {
 			sidecars = append(sidecars, s)
 		}
@@ -120,7 +122,7 @@
 func (d *Directory) knownSidecar(enrollment landing.Enrollment, sidecarAddress uint64, now time.Time) landing.KnownSidecar {
 	before, found := d.Find(sidecarAddress)
 	if found && isSameProcess(before, enrollment) {
-		return before.WithEnrollment(enrollment).WithRetainedUntil(time.Time{})
+		return before.WithEnrollment(enrollment).WithRetainedUntil(0)
 	}
 	return landing.KnownSidecar{}.WithEnrollment(enrollment).WithAddress(sidecarAddress).WithDiscoveredAt(now)
 }
--- a/core/pkg/directory/retention.go
+++ b/core/pkg/directory/retention.go
@@ -7,15 +7,23 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
+// WithStoreTime returns a directory after the platform has answered for this time. A sidecar can enroll again only while
+// it does, so the time for which it does not answer, or for which the balancer is suspended, does not count.
+func (d *Directory) WithStoreTime(t time.Duration) *Directory {
+	next := *d
+	next.storeTime += t
+	return &next
+}
+
 // retainedAfter returns the sidecars that are retained after the list: those that already are and, in a later
-// era, all others until the given time.
-func (d *Directory) retainedAfter(list landing.EnrollmentList, until time.Time) []landing.KnownSidecar {
+// era, all others for the retention time.
+func (d *Directory) retainedAfter(list landing.EnrollmentList) []landing.KnownSidecar {
 	isLaterEra := list.Era() > d.enrollments.Era()
 	var retained []landing.KnownSidecar
 	for _, s := range d.sidecars {
 		switch {
 		case isLaterEra:
-			retained = append(retained, s.WithRetainedUntil(until))
+			retained = append(retained, s.WithRetainedUntil(d.storeTime+d.retention))
 		case isRetained(s):
 			retained = append(retained, s)
 		}
@@ -25,19 +33,33 @@
 
 // isRetained reports whether the enrollment list does not contain the sidecar.
 func isRetained(s landing.KnownSidecar) bool {
-	return !s.RetainedUntil().IsZero()
+	return s.RetainedUntil() > 0
+}
+
+// RetainedCount returns the number of sidecars that are known and not in the enrollment list.
+func (d *Directory) RetainedCount() int {
+	count := 0
+	for _, s := range d.sidecars {
+		if isRetained(s) {
+			count++
+		}
+	}
+	return count
 }
 
 // HasExpired reports whether a sidecar is retained whose time is over.
-func (d *Directory) HasExpired(now time.Time) bool {
-	return slices.ContainsFunc(d.sidecars, func(s landing.KnownSidecar) bool { return isRetained(s) && now.After(s.RetainedUntil()) })
+func (d *Directory) HasExpired() bool {
+	return slices.ContainsFunc(d.sidecars, d.isExpired)
+}
+
+// isExpired reports whether the sidecar is retained and its time is over.
+func (d *Directory) isExpired(s landing.KnownSidecar) bool {
+	return isRetained(s) && d.storeTime > s.RetainedUntil()
 }
 
 // WithoutExpired returns a directory without the retained sidecars whose time is over.
 func (d *Directory) WithoutExpired(now time.Time) *Directory {
-	return d.withSidecars(slices.DeleteFunc(slices.Clone(d.sidecars), func(s landing.KnownSidecar) bool {
-		return isRetained(s) && now.After(s.RetainedUntil())
-	}), now)
+	return d.withSidecars(slices.DeleteFunc(slices.Clone(d.sidecars), d.isExpired), now)
 }
 
 // isSameProcess reports whether the enrollment is that of the known process of the sidecar. A sidecar that has
--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -29,12 +29,14 @@
 	exclusions landing.ZoneExclusions
 	// retained are exclusions that the platform may have lost, ordered by name.
 	retained []retainedZone
+	// storeTime is the time for which the platform has answered.
+	storeTime time.Duration
 	// wantedRevisions are the newest revisions that other processes have advertised.
 	wantedRevisions landing.PolicyRevisions
 }
 
 // New returns a policy without rules and exclusions. Exclusions that the platform may have lost are kept
-// for the given time.
+// while it answers for the given time.
 func New(retention time.Duration) Policy {
 	return Policy{retention: retention}
 }
@@ -73,11 +75,11 @@
 // WithExclusions returns a copy with these exclusions in force. Exclusions that are not newer than
 // those in force are ignored. In a later era of the platform, those that were in force before are
 // retained for some time.
-func (p Policy) WithExclusions(newer landing.ZoneExclusions, now time.Time) Policy {
+func (p Policy) WithExclusions(newer landing.ZoneExclusions) Policy {
 	if !position.IsLater(position.OfExclusions(newer), position.OfExclusions(p.exclusions)) {
 		return p
 	}
-	p.retained = p.retainedAfter(newer, now.Add(p.retention))
+	p.retained = p.retainedAfter(newer)
 	p.exclusions = newer.WithChangedRevision(p.lastChange(newer))
 	return p
 }
--- a/experiment/pkg/relayed/storereturn_exclusion_test.go
+++ b/experiment/pkg/relayed/storereturn_exclusion_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// Guards against flows that are opened in a zone that was taken out of service: the store has lost the exclusion, and does not
+// answer for longer than a lost exclusion is kept before the operator can write it again.
+func TestLostExclusionStaysInForceWhileStoreDoesNotAnswer(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 3, 4)
+	p := startProber(t, f)
+	copied := f.Store().Copy()
+	loseWrites(t, f)
+	f.Store().Put("evacuations", "a", map[string]any{})
+	ackedAt := time.Now()
+	sleepUntil(ackedAt.Add(exclusionTimeLimit))
+	f.Store().Return(copied)
+	time.Sleep(time.Second)
+	f.Store().SetUnavailable(true)
+	time.Sleep(maxStretch)
+	f.Store().SetUnavailable(false)
+	time.Sleep(2 * time.Second)
+	f.Store().RepeatOperatorWrites()
+	sleepUntil(time.Now().Add(time.Second))
+	p.checkInForce(t, probe.isServedInZoneA, isServedElsewhere, ackedAt.Add(exclusionTimeLimit))
+}
+
 // Guards against flows that are opened in a zone that was taken out of service, since the store has come back from an older
 // copy and the revision of the exclusion is lower than before (review/13).
 func TestExclusionAfterStoreCameBackIsInForce(t *testing.T) {
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -123,6 +123,7 @@
 		return t.applyUpstreamEvent(s, e.Event())
 	case landing.SubscriptionReceived:
 		subscription := e.Subscription()
+		s = s.WithPolicy(s.policy.WithStoreTime(s.StoreTime(subscription, e.ReceivedAt())))
 		s = t.recordRevisions(s, policy.RevisionsOfSubscription(subscription))
 		s = t.recordEra(s, subscription.StoreEra())
 		if subscription.Instance() == t.instance {
@@ -140,7 +141,7 @@
 
 // applyExclusions puts newer zone exclusions in force and logs when they have changed.
 func (t *ControlThread) applyExclusions(s Snapshot, received landing.ZoneExclusions) Snapshot {
-	next := s.policy.WithExclusions(received, clock.Now())
+	next := s.policy.WithExclusions(received)
 	policylog.Exclusions(t.telemetry, s.policy, next, received)
 	return t.recordEra(t.applyPolicy(s, next), next.Exclusions().Era())
 }
@@ -154,11 +155,11 @@
 
 // RemoveExpired removes the retained exclusions whose time is over.
 func (t *ControlThread) RemoveExpired() {
-	if !t.Policy().HasExpired(clock.Now()) {
+	if !t.Policy().HasExpired() {
 		return
 	}
 	t.Update(func(s Snapshot) Snapshot {
-		next := s.policy.WithoutExpired(clock.Now())
+		next := s.policy.WithoutExpired()
 		t.telemetry.Log().Info("lost objects are given up", "zones", s.policy.RetainedZones(), "kept", next.RetainedZones())
 		return t.applyPolicy(s, next)
 	})
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -12,7 +12,10 @@
 
 // subscriptionTimeout is the time after which a subscription that was not renewed expires. It is three
 // times the interval at which balancers renew it.
-const subscriptionTimeout = 3 * time.Second
+const subscriptionTimeout = 3 * subscriptionInterval
+
+// subscriptionInterval is the interval at which balancers renew their subscriptions.
+const subscriptionInterval = time.Second
 
 // subscriberRetention is the time for which a balancer is kept after its last subscription. A sidecar whose enrollment is
 // not confirmed sends statuses to these balancers too (StatusReceivers).
@@ -96,6 +99,27 @@
 	return s
 }
 
+// StoreTime returns the time that counts as answered by the platform when a balancer renews its subscription. A sidecar does not
+// call the platform regularly. It counts the time in which it hears balancers that are in the era of its exclusions.
+func (s Snapshot) StoreTime(subscription landing.StatusSubscription, now time.Time) time.Duration {
+	if subscription.StoreEra() != s.policy.Exclusions().Era() || len(s.subscribers) == 0 {
+		return 0
+	}
+	lastRenewedAt := s.subscribers[0].renewedAt
+	for _, b := range s.subscribers {
+		lastRenewedAt = later(lastRenewedAt, b.renewedAt)
+	}
+	return min(max(now.Sub(lastRenewedAt), 0), subscriptionInterval)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // HasSubscriber reports whether at least one subscription has not expired.
 func (s Snapshot) HasSubscriber(now time.Time) bool {
 	return s.SubscriberCount(now) > 0
