Processes that start learn which lost exclusions others retain

Callers got answers from a zone that was out of service: the store came back without the exclusion, a balancer and the sidecars of the zone started before the operator wrote it again, and neither knew of it. And sidecars gave an exclusion up while the store was away, since they counted the time in which they heard balancers.

Cause: what is retained was known only to processes that had run before the return, and each measured its time for itself.

Change: statuses and subscriptions name the retained zones and the time for which the store has answered in its era. A process adopts the zones of its era; all give up by the longest time known, and not while they lack newer exclusions. Zones that an own list of the era has contained are not adopted again, so that they end with their removal. Nothing is stated on a store without eras.

Ruled out by the model: a validity of 3 s for each statement (a zone stays out for 6 s more), the latest statements of each process (lost when it restarts), an own time for each process (one that was suspended keeps the zone out everywhere).

The new check looks for a balancer and a sidecar that both admit.

--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -133,12 +133,14 @@
 		policylog.Rules(c.telemetry, s.policy, next, event.Rules(), event.Source())
 		return s.WithPolicy(next)
 	case landing.ExclusionsReceived:
-		return c.applyExclusions(s.WithPolicy(s.policy.WithStoreTime(event.CallTime())), event.Exclusions())
+		return c.applyExclusions(s, event)
 	case landing.EnrollmentsReceived:
 		return c.applyEnrollments(s.WithDirectory(s.directory.WithStoreTime(event.CallTime())), event.EnrollmentList())
 	case landing.StatusesReceived:
 		for _, received := range event.Statuses() {
-			s = c.noteRevisions(s, policy.RevisionsOfStatus(received.Status()))
+			status := received.Status()
+			s = c.noteRevisions(s, policy.RevisionsOfStatus(status))
+			s = s.WithPolicy(c.policyAfterStatement(s.policy, status))
 			c.detectUpstreamRestart(s, received)
 		}
 		return s.WithDirectory(s.directory.WithStatuses(event.Statuses()...))
@@ -155,10 +157,21 @@
 	return s
 }
 
+// policyAfterStatement returns the policy after a sidecar has stated which lost exclusions it retains, and logs those that
+// this balancer did not retain.
+func (c *ControlThread) policyAfterStatement(p policy.Policy, status landing.SidecarStatus) policy.Policy {
+	next := policy.WithStatusStatements(p, status)
+	policylog.Retained(c.telemetry, p, next)
+	return next
+}
+
 // applyExclusions puts newer zone exclusions in force and logs when they have changed.
-func (c *ControlThread) applyExclusions(s Snapshot, received landing.ZoneExclusions) Snapshot {
-	next := s.policy.WithExclusions(received)
-	policylog.Exclusions(c.telemetry, s.policy, next, received)
+func (c *ControlThread) applyExclusions(s Snapshot, event landing.ExclusionsReceived) Snapshot {
+	next := s.policy.WithExclusions(event.Exclusions())
+	policylog.Exclusions(c.telemetry, s.policy, next, event.Exclusions())
+	if event.Exclusions().Era() == s.policy.Exclusions().Era() {
+		next = next.WithAnswered(event.CallTime())
+	}
 	return s.WithPolicy(next)
 }
 
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -253,6 +253,10 @@
 	m.SettledEra = v.SettledEra()
 	m.ExclusionsReadRevision = v.ExclusionsReadRevision()
 	m.ExclusionsHash = v.ExclusionsHash()
+	for i := range v.RetainedZonesLen() {
+		m.RetainedZones = append(m.RetainedZones, v.RetainedZonesAt(i))
+	}
+	m.StoreTimeMillis = v.StoreTimeMillis()
 	return m
 }
 
@@ -279,6 +283,12 @@
 	v = v.WithSettledEra(m.GetSettledEra())
 	v = v.WithExclusionsReadRevision(m.GetExclusionsReadRevision())
 	v = v.WithExclusionsHash(m.GetExclusionsHash())
+	var retainedZones []string
+	for _, e := range m.GetRetainedZones() {
+		retainedZones = append(retainedZones, e)
+	}
+	v = v.WithRetainedZones(retainedZones...)
+	v = v.WithStoreTimeMillis(m.GetStoreTimeMillis())
 	return v
 }
 
@@ -296,6 +306,10 @@
 	m.RulesVersion = v.RulesVersion()
 	m.ExclusionsReadRevision = v.ExclusionsReadRevision()
 	m.ExclusionsHash = v.ExclusionsHash()
+	for i := range v.RetainedZonesLen() {
+		m.RetainedZones = append(m.RetainedZones, v.RetainedZonesAt(i))
+	}
+	m.StoreTimeMillis = v.StoreTimeMillis()
 	return m
 }
 
@@ -313,6 +327,12 @@
 	v = v.WithRulesVersion(m.GetRulesVersion())
 	v = v.WithExclusionsReadRevision(m.GetExclusionsReadRevision())
 	v = v.WithExclusionsHash(m.GetExclusionsHash())
+	var retainedZones []string
+	for _, e := range m.GetRetainedZones() {
+		retainedZones = append(retainedZones, e)
+	}
+	v = v.WithRetainedZones(retainedZones...)
+	v = v.WithStoreTimeMillis(m.GetStoreTimeMillis())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -728,6 +728,8 @@
 	settledEra                uint64
 	exclusionsReadRevision    uint64
 	exclusionsHash            uint32
+	retainedZones             []string
+	storeTimeMillis           uint32
 }
 
 func (SidecarStatus) isDatagram() {}
@@ -998,6 +1000,42 @@
 	return v
 }
 
+// RetainedZones returns a copy of the list of the same name.
+//
+// Names of the zones whose exclusion the sidecar retains since the platform may have lost it.
+func (v SidecarStatus) RetainedZones() []string {
+	return slices.Clone(v.retainedZones)
+}
+
+// RetainedZonesLen returns the number of elements of RetainedZones.
+func (v SidecarStatus) RetainedZonesLen() int {
+	return len(v.retainedZones)
+}
+
+// RetainedZonesAt returns the element of RetainedZones at index i.
+func (v SidecarStatus) RetainedZonesAt(i int) string {
+	return v.retainedZones[i]
+}
+
+// WithRetainedZones returns a copy of v with the given retainedZones.
+func (v SidecarStatus) WithRetainedZones(retainedZones ...string) SidecarStatus {
+	v.retainedZones = slices.Clone(retainedZones)
+	return v
+}
+
+// StoreTimeMillis returns the field of the same name.
+//
+// Time in milliseconds for which the platform has answered in its era, as far as the sidecar knows.
+func (v SidecarStatus) StoreTimeMillis() uint32 {
+	return v.storeTimeMillis
+}
+
+// WithStoreTimeMillis returns a copy of v with the given storeTimeMillis.
+func (v SidecarStatus) WithStoreTimeMillis(storeTimeMillis uint32) SidecarStatus {
+	v.storeTimeMillis = storeTimeMillis
+	return v
+}
+
 // StatusSubscription is sent periodically by a balancer to a sidecar to receive the sidecar's
 // status. The subscription expires unless it is repeated.
 type StatusSubscription struct {
@@ -1012,6 +1050,8 @@
 	rulesVersion              uint64
 	exclusionsReadRevision    uint64
 	exclusionsHash            uint32
+	retainedZones             []string
+	storeTimeMillis           uint32
 }
 
 func (StatusSubscription) isDatagram() {}
@@ -1163,6 +1203,43 @@
 	return v
 }
 
+// RetainedZones returns a copy of the list of the same name.
+//
+// Names of the zones whose exclusion the balancer retains since the platform may have lost it.
+func (v StatusSubscription) RetainedZones() []string {
+	return slices.Clone(v.retainedZones)
+}
+
+// RetainedZonesLen returns the number of elements of RetainedZones.
+func (v StatusSubscription) RetainedZonesLen() int {
+	return len(v.retainedZones)
+}
+
+// RetainedZonesAt returns the element of RetainedZones at index i.
+func (v StatusSubscription) RetainedZonesAt(i int) string {
+	return v.retainedZones[i]
+}
+
+// WithRetainedZones returns a copy of v with the given retainedZones.
+func (v StatusSubscription) WithRetainedZones(retainedZones ...string) StatusSubscription {
+	v.retainedZones = slices.Clone(retainedZones)
+	return v
+}
+
+// StoreTimeMillis returns the field of the same name.
+//
+// Time in milliseconds for which the platform has answered in its era, as far as the balancer
+// knows.
+func (v StatusSubscription) StoreTimeMillis() uint32 {
+	return v.storeTimeMillis
+}
+
+// WithStoreTimeMillis returns a copy of v with the given storeTimeMillis.
+func (v StatusSubscription) WithStoreTimeMillis(storeTimeMillis uint32) StatusSubscription {
+	v.storeTimeMillis = storeTimeMillis
+	return v
+}
+
 // FlowClaim reports to a balancer that the upstream of the sending sidecar holds a flow, that is,
 // has the TCP state of the flow.
 type FlowClaim struct {
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -318,12 +318,17 @@
 	b = field.AppendUint(b, 19, v.SettledEra())
 	b = field.AppendUint(b, 20, v.ExclusionsReadRevision())
 	b = field.AppendFixed32(b, 21, v.ExclusionsHash())
+	for i := range v.RetainedZonesLen() {
+		b = field.AppendStringElement(b, 22, v.RetainedZonesAt(i))
+	}
+	b = field.AppendUint(b, 23, uint64(v.StoreTimeMillis()))
 	return b
 }
 
 // ParseSidecarStatus returns the value encoded in b. It returns field.ErrMalformed when b is malformed.
 func ParseSidecarStatus(b []byte) (landing.SidecarStatus, error) {
 	v := landing.SidecarStatus{}
+	var retainedZones []string
 	r := field.NewReader(b)
 	for r.Next() {
 		switch r.Number() {
@@ -367,8 +372,13 @@
 			v = v.WithExclusionsReadRevision(r.Uint())
 		case 21:
 			v = v.WithExclusionsHash(r.Fixed32())
+		case 22:
+			retainedZones = append(retainedZones, r.String())
+		case 23:
+			v = v.WithStoreTimeMillis(uint32(r.Uint()))
 		}
 	}
+	v = v.WithRetainedZones(retainedZones...)
 	return v, r.Err()
 }
 
@@ -385,12 +395,17 @@
 	b = field.AppendUint(b, 9, v.RulesVersion())
 	b = field.AppendUint(b, 10, v.ExclusionsReadRevision())
 	b = field.AppendFixed32(b, 11, v.ExclusionsHash())
+	for i := range v.RetainedZonesLen() {
+		b = field.AppendStringElement(b, 12, v.RetainedZonesAt(i))
+	}
+	b = field.AppendUint(b, 13, uint64(v.StoreTimeMillis()))
 	return b
 }
 
 // ParseStatusSubscription returns the value encoded in b. It returns field.ErrMalformed when b is malformed.
 func ParseStatusSubscription(b []byte) (landing.StatusSubscription, error) {
 	v := landing.StatusSubscription{}
+	var retainedZones []string
 	r := field.NewReader(b)
 	for r.Next() {
 		switch r.Number() {
@@ -416,8 +431,13 @@
 			v = v.WithExclusionsReadRevision(r.Uint())
 		case 11:
 			v = v.WithExclusionsHash(r.Fixed32())
+		case 12:
+			retainedZones = append(retainedZones, r.String())
+		case 13:
+			v = v.WithStoreTimeMillis(uint32(r.Uint()))
 		}
 	}
+	v = v.WithRetainedZones(retainedZones...)
 	return v, r.Err()
 }
 
--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -27,10 +27,14 @@
 	retention  time.Duration
 	rules      *rules.Index
 	exclusions landing.ZoneExclusions
-	// retained are exclusions that the platform may have lost, ordered by name.
-	retained []retainedZone
-	// storeTime is the time for which the platform has answered.
-	storeTime time.Duration
+	// retained are zones whose exclusions were in force in an earlier era of the platform, here or at another process, and
+	// have not been in a list of the later one, in alphabetical order.
+	retained []string
+	// listed are the zones that were in a list of the era of the exclusions.
+	listed []string
+	// answered is the time for which the platform has answered this process in the era of the exclusions, and heard the
+	// longest that other processes have stated.
+	answered, heard time.Duration
 	// wantedRevisions are the newest revisions that other processes have advertised.
 	wantedRevisions landing.PolicyRevisions
 }
@@ -55,7 +59,7 @@
 // IsExcluded reports whether operators have taken the zone out of service. An exclusion that was in force
 // before the platform came back from an older copy stays in force while it may be written again.
 func (p Policy) IsExcluded(zone string) bool {
-	return slices.Contains(p.exclusions.Zones(), zone) || slices.ContainsFunc(p.retained, func(z retainedZone) bool { return z.name == zone })
+	return slices.Contains(p.exclusions.Zones(), zone) || slices.Contains(p.retained, zone)
 }
 
 // IsComplete reports whether both rules and exclusions have been read.
@@ -80,6 +84,10 @@
 		return p
 	}
 	p.retained = p.retainedAfter(newer)
+	if newer.Era() != p.exclusions.Era() {
+		p.answered, p.heard, p.listed = 0, 0, nil
+	}
+	p.listed = sortedNames(slices.Concat(p.listed, newer.Zones()))
 	p.exclusions = newer.WithChangedRevision(p.lastChange(newer))
 	return p
 }
--- a/core/pkg/policy/policy_test.go
+++ b/core/pkg/policy/policy_test.go
@@ -14,8 +14,6 @@
 // retention is the time for which exclusions are kept that the platform may have lost.
 const retention = 12 * time.Second
 
-var now = time.Unix(1000, 0)
-
 func ExamplePolicy() {
 	p := Policy{}.
 		WithRules(landing.RoutingRules{}.WithRevision(7)).
@@ -99,10 +97,10 @@
 	is.True(p.IsExcluded("east"))
 	is.Equal(p.RetainedZones(), []string{"east"})
 	p = p.WithExclusions(exclusionsAt(2, 85, "west")) // a later list of the same era prolongs nothing
-	p = p.WithStoreTime(retention)
+	p = p.WithAnswered(retention)
 	is.True(!p.HasExpired())
 	is.True(p.WithoutExpired().IsExcluded("east"))
-	p = p.WithStoreTime(1)
+	p = p.WithAnswered(1)
 	is.True(p.HasExpired())
 	p = p.WithoutExpired()
 	is.True(!p.IsExcluded("east"))
@@ -123,9 +121,32 @@
 func TestWithExclusions_SecondReturnRetainsAnew(t *testing.T) {
 	is := is.New(t)
 	p := New(retention).WithExclusions(exclusionsAt(1, 100, "east")).WithExclusions(exclusionsAt(2, 80))
-	p = p.WithStoreTime(retention - time.Second).WithExclusions(exclusionsAt(3, 70))
-	is.True(p.WithStoreTime(retention).WithoutExpired().IsExcluded("east"))
-	is.True(!p.WithStoreTime(retention + 1).WithoutExpired().IsExcluded("east"))
+	p = p.WithAnswered(retention - time.Second).WithExclusions(exclusionsAt(3, 70))
+	is.True(p.WithAnswered(retention).WithoutExpired().IsExcluded("east"))
+	is.True(!p.WithAnswered(retention + 1).WithoutExpired().IsExcluded("east"))
+}
+
+// Guards against a process that has started since the return and admits flows in a zone that others retain, and against zones
+// that processes keep out of service for each other when the retention is over or the exclusion was written again and removed.
+func TestWithZonesStated_AdoptsWhatOthersRetainInSameEra(t *testing.T) {
+	is := is.New(t)
+	started := New(retention).WithExclusions(exclusionsAt(2, 80))
+	is.True(!started.WithZonesStated(1, []string{"east"}).IsExcluded("east"))
+	is.True(!started.WithStoreTimeHeard(2, retention+time.Millisecond).WithZonesStated(2, []string{"east"}).IsExcluded("east"))
+	p := started.WithZonesStated(2, []string{"east"})
+	is.True(p.IsExcluded("east"))
+	removed := p.WithExclusions(exclusionsAt(2, 81, "east")).WithExclusions(exclusionsAt(2, 82))
+	is.True(!removed.WithZonesStated(2, []string{"east"}).IsExcluded("east"))
+}
+
+// Guards against a process that was suspended and gives up an exclusion that was written again meanwhile, before it has read it.
+func TestHasExpired_NotWhileExclusionsAreLacking(t *testing.T) {
+	is := is.New(t)
+	p := New(retention).WithExclusions(exclusionsAt(1, 100, "east")).WithExclusions(exclusionsAt(2, 80))
+	rewritten := New(retention).WithExclusions(exclusionsAt(2, 85, "east"))
+	p = p.WithStoreTimeHeard(2, retention+time.Millisecond).WithRevisionsSeen(rewritten.AdvertisedRevisions())
+	is.True(!p.HasExpired())
+	is.True(p.WithConsistentRead(p.WantedRevisions()).HasExpired())
 }
 
 // Guards against a store without eras, whose removals would be in force late.
--- a/core/pkg/policy/retention.go
+++ b/core/pkg/policy/retention.go
@@ -7,52 +7,78 @@
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 )
 
-// retainedZone is an availability zone that was out of service in an earlier era of the platform and is not in the list of
-// the later one.
-type retainedZone struct {
-	name string
-	// until is the store time until which the exclusion may be written again.
-	until time.Duration
-}
-
-// WithStoreTime returns a copy after the platform has answered for this time. Operators can repeat a lost exclusion only
-// while it does, so the time for which it does not answer, or for which the process is suspended, does not count.
-func (p Policy) WithStoreTime(d time.Duration) Policy {
-	p.storeTime += d
+// storeTimeUnit is the unit in which processes state the store time.
+const storeTimeUnit = time.Millisecond
+
+// StoreTime returns the time for which the platform has answered in the era of the exclusions: the longest that this process
+// or another one has counted, up to a little more than the retention. Operators can repeat a lost exclusion only in this time,
+// so a time in which the platform does not answer, or in which a process is suspended, does not count.
+func (p Policy) StoreTime() time.Duration {
+	return min(max(p.answered, p.heard), p.retention+storeTimeUnit)
+}
+
+// WithAnswered returns a copy after the platform has answered this process for a further time in the era of the exclusions.
+func (p Policy) WithAnswered(d time.Duration) Policy {
+	p.answered += d
+	return p
+}
+
+// WithStoreTimeHeard returns a copy after another process has stated the store time of an era. That of another era than that
+// of the exclusions is ignored.
+func (p Policy) WithStoreTimeHeard(era uint64, t time.Duration) Policy {
+	if era == p.exclusions.Era() {
+		p.heard = max(p.heard, t)
+	}
 	return p
 }
 
 // RetainedZones returns the zones that stay out of service although the list does not contain them, in alphabetical order.
 func (p Policy) RetainedZones() []string {
-	names := make([]string, 0, len(p.retained))
-	for _, z := range p.retained {
-		names = append(names, z.name)
-	}
-	return names
+	return slices.Clone(p.retained)
 }
 
-// HasExpired reports whether an exclusion is retained whose time is over.
+// isRetentionOver reports whether operators have had the time to write lost exclusions again. A process that lacks newer
+// exclusions cannot tell yet, since these may contain the zones again.
+func (p Policy) isRetentionOver() bool {
+	return p.StoreTime() > p.retention && !p.LacksExclusions()
+}
+
+// HasExpired reports whether exclusions are retained whose time is over.
 func (p Policy) HasExpired() bool {
-	return slices.ContainsFunc(p.retained, func(z retainedZone) bool { return p.storeTime > z.until })
+	return p.isRetentionOver() && len(p.retained) > 0
 }
 
 // WithoutExpired returns a copy without the retained exclusions whose time is over.
 func (p Policy) WithoutExpired() Policy {
-	p.retained = slices.DeleteFunc(slices.Clone(p.retained), func(z retainedZone) bool { return p.storeTime > z.until })
+	if p.isRetentionOver() {
+		p.retained = nil
+	}
+	return p
+}
+
+// WithZonesStated returns a copy after another process has stated that it retains the exclusions of these zones in an era. A
+// process that has started since the platform came back does not know them otherwise. It retains them too, but for those that
+// its own lists of the era have contained. Statements of another era than that of the exclusions are ignored.
+func (p Policy) WithZonesStated(era uint64, zones []string) Policy {
+	if len(zones) == 0 || era != p.exclusions.Era() || p.StoreTime() > p.retention {
+		return p
+	}
+	retained := slices.Concat(p.retained, zones)
+	p.retained = sortedNames(slices.DeleteFunc(retained, func(name string) bool { return slices.Contains(p.listed, name) }))
 	return p
 }
 
 // retainedAfter returns the retained zones after the exclusions have been replaced by newer ones. When these are of a later
-// era, all exclusions that were in force are retained for the retention time, unless the newer ones contain them.
-func (p Policy) retainedAfter(newer landing.ZoneExclusions) []retainedZone {
+// era, all exclusions that were in force are retained, unless the newer ones contain them.
+func (p Policy) retainedAfter(newer landing.ZoneExclusions) []string {
 	retained := p.retained
 	if newer.Era() > p.exclusions.Era() && p.exclusions.Revision() > 0 {
-		names := slices.Concat(p.exclusions.Zones(), p.RetainedZones())
-		slices.Sort(names)
-		retained = nil
-		for _, name := range slices.Compact(names) {
-			retained = append(retained, retainedZone{name: name, until: p.storeTime + p.retention})
-		}
+		retained = sortedNames(slices.Concat(p.exclusions.Zones(), p.retained))
 	}
-	return slices.DeleteFunc(slices.Clone(retained), func(z retainedZone) bool { return slices.Contains(newer.Zones(), z.name) })
+	return slices.DeleteFunc(slices.Clone(retained), func(name string) bool { return slices.Contains(newer.Zones(), name) })
+}
+
+// sortedNames returns the names in alphabetical order, each once.
+func sortedNames(names []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(names)))
 }
--- a/core/pkg/policy/revisions.go
+++ b/core/pkg/policy/revisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"time"
 
 	"github.com/crocuslanding/crocuslanding/core/gen/landing"
 	"github.com/crocuslanding/crocuslanding/core/pkg/position"
@@ -14,12 +15,13 @@
 		WithExclusionsRead(s.ExclusionsReadRevision()).WithExclusionsHash(s.ExclusionsHash())
 }
 
-// StatusWithRevisions returns the status with the revisions that the process advertises.
+// StatusWithRevisions returns the status with the revisions that the process advertises and the exclusions that it retains.
 func StatusWithRevisions(s landing.SidecarStatus, p Policy) landing.SidecarStatus {
 	r := p.AdvertisedRevisions()
 	return s.WithRulesRevision(r.Rules()).WithRulesVersion(r.RulesVersion()).
 		WithExclusionsChangedRevision(r.Exclusions()).WithStoreEra(r.Era()).
-		WithExclusionsReadRevision(r.ExclusionsRead()).WithExclusionsHash(r.ExclusionsHash())
+		WithExclusionsReadRevision(r.ExclusionsRead()).WithExclusionsHash(r.ExclusionsHash()).
+		WithRetainedZones(p.retained...).WithStoreTimeMillis(p.statedMillis())
 }
 
 // RevisionsOfSubscription returns the revisions that the balancer advertises with the subscription.
@@ -29,12 +31,27 @@
 		WithExclusionsRead(s.ExclusionsReadRevision()).WithExclusionsHash(s.ExclusionsHash())
 }
 
-// SubscriptionWithRevisions returns the subscription with the revisions that the process advertises.
+// SubscriptionWithRevisions returns the subscription with the revisions that the process advertises and the exclusions that
+// it retains.
 func SubscriptionWithRevisions(s landing.StatusSubscription, p Policy) landing.StatusSubscription {
 	r := p.AdvertisedRevisions()
 	return s.WithRulesRevision(r.Rules()).WithRulesVersion(r.RulesVersion()).
 		WithExclusionsChangedRevision(r.Exclusions()).WithStoreEra(r.Era()).
-		WithExclusionsReadRevision(r.ExclusionsRead()).WithExclusionsHash(r.ExclusionsHash())
+		WithExclusionsReadRevision(r.ExclusionsRead()).WithExclusionsHash(r.ExclusionsHash()).
+		WithRetainedZones(p.retained...).WithStoreTimeMillis(p.statedMillis())
+}
+
+// WithStatusStatements returns the policy after a sidecar has stated the store time and the exclusions that it retains.
+func WithStatusStatements(p Policy, s landing.SidecarStatus) Policy {
+	return p.WithStoreTimeHeard(s.StoreEra(), time.Duration(s.StoreTimeMillis())*storeTimeUnit).WithZonesStated(s.StoreEra(), s.RetainedZones())
+}
+
+// statedMillis returns the store time as other processes are told; 0 on a platform without eras, where nothing is retained.
+func (p Policy) statedMillis() uint32 {
+	if p.exclusions.Era() == 0 {
+		return 0
+	}
+	return uint32(p.StoreTime() / storeTimeUnit)
 }
 
 // RevisionsOfPacket returns the newest revisions of the processes that have forwarded the packet.
--- a/core/pkg/policylog/policylog.go
+++ b/core/pkg/policylog/policylog.go
@@ -39,3 +39,10 @@
 			"kept", inForce.Zones(), "since", inForce.Revision())
 	}
 }
+
+// Retained logs that exclusions are in force since the event because another process has stated that it retains them.
+func Retained(telemetry common.Telemetry, before, after policy.Policy) {
+	if zones := after.RetainedZones(); len(zones) > len(before.RetainedZones()) {
+		telemetry.Log().Info("lost exclusions learned", "zones", zones, "era", after.Exclusions().Era())
+	}
+}
--- a/core/pkg/position/history_test.go
+++ b/core/pkg/position/history_test.go
@@ -27,8 +27,10 @@
 	boundSteps = int(retention / stepTime)
 	// longOutage is the unit of the steps for which the store does not answer or a process is suspended.
 	longOutage = boundSteps / 6
-	// stableSteps are the steps after a suspension in which a reset of open flows breaks no rule.
+	// stableSteps are the steps after a start or a suspension in which a process is not in touch.
 	stableSteps = 16
+	// lostWatchSteps are the steps that a watch takes at most while a balancer retains what the store may have lost.
+	lostWatchSteps = 8
 	// longestCall is the longest time that a call and the watch that precedes it take while the process runs.
 	longestCall = 20 * stepTime
 	// historySteps are the steps in which events happen. They are followed by a time in which everything must settle.
@@ -65,8 +67,10 @@
 )
 
 func (k eventKind) String() string {
-	return [...]string{"configure", "exclude or include", "lose and return", "restart balancer", "restart sidecar", "late removal", "drop history",
-		"replace balancer", "lose contact", "suspend"}[k]
+	return [...]string{
+		"configure", "exclude or include", "lose and return", "restart balancer", "restart sidecar", "late removal", "drop history",
+		"replace balancer", "lose contact", "suspend",
+	}[k]
 }
 
 // event happens at a step. The numbers select what it concerns: a zone or process, or the age of the copy and the time for which
@@ -147,6 +151,8 @@
 	version     uint64
 	versionStep int
 	intents     map[string]intent
+	// isInForce reports for each excluded zone whether the exclusion has been in force at all processes.
+	isInForce map[string]bool
 	// replaced is the number of balancers that were replaced by others at new addresses.
 	replaced int
 	// lostCallAt is the step at which a call to the store was lost last.
@@ -155,7 +161,7 @@
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 0)), store: newStore(), queue: map[int][]func(){}, intents: map[string]intent{}, version: 1}
+	w := &world{random: rand.New(rand.NewPCG(seed, 0)), store: newStore(), queue: map[int][]func(){}, intents: map[string]intent{}, isInForce: map[string]bool{}, version: 1}
 	w.store.write(change{kind: config, name: "main", version: 1})
 	for i := range balancerCount {
 		w.balancers = append(w.balancers, newBalancer(w, i))
@@ -369,6 +375,9 @@
 			w.checkExclusion(p, zone)
 		}
 	}
+	for _, zone := range zones {
+		w.checkOpening(zone)
+	}
 	for _, s := range w.sidecars {
 		if _, isEnrolled := w.store.find(enrolled, s.name); !isEnrolled && w.isOver(boundSteps, s.inTouchSince(), s.lostStep) {
 			w.fail("%s is not enrolled", s.name)
@@ -394,10 +403,34 @@
 	p.followed[zone] = wanted.isExcluded && isExcluded && isRead
 }
 
+// checkOpening reports a balancer and a sidecar between which a flow would be opened in a zone whose exclusion was in force at all
+// processes.
+func (w *world) checkOpening(zone string) {
+	if !w.intents[zone].isExcluded {
+		w.isInForce[zone] = false
+		return
+	}
+	if !w.isInForce[zone] {
+		w.isInForce[zone] = !slices.ContainsFunc(w.processes(), func(p *process) bool { return !p.policy.IsExcluded(zone) })
+		return
+	}
+	admits := func(p *process) bool {
+		return w.step-p.inTouchSince() > stableSteps && p.policy.IsComplete() && !p.policy.IsExcluded(zone)
+	}
+	for _, b := range w.balancers {
+		for _, s := range w.sidecars {
+			if admits(b.process) && admits(s.process) {
+				w.fail("%s opens flows at %s in %s", b.name, s.name, zone)
+			}
+		}
+	}
+}
+
 // checkKnown reports a balancer that loses a sidecar that runs.
 func (w *world) checkKnown(b *balancer, s *sidecar) {
 	_, isKnown := b.directory.Find(s.address)
 	if b.isSuspended() || s.isSuspended() {
+		b.known[s] = b.known[s] && !s.isSuspended()
 		return
 	}
 	switch {
--- a/core/pkg/position/process_test.go
+++ b/core/pkg/position/process_test.go
@@ -279,6 +279,9 @@
 		b.endWatch(k, w, w.since.WithRevision(0))
 	default:
 		w.isOpen, w.openedAt, w.endsAt = true, b.step, b.step+6+b.random.IntN(6)
+		if len(b.policy.RetainedZones()) > 0 || b.directory.RetainedCount() > 0 {
+			w.endsAt = min(w.endsAt, b.step+lostWatchSteps)
+		}
 	}
 }
 
@@ -331,8 +334,11 @@
 		}
 	case exclusion:
 		b.exclusions = exclusions
-		b.policy = b.policy.WithStoreTime(answered)
+		era := b.policy.Exclusions().Era()
 		b.applyExclusions(exclusions)
+		if b.policy.Exclusions().Era() == era {
+			b.policy = b.policy.WithAnswered(answered)
+		}
 	case enrolled:
 		b.list = list
 		b.directory = b.directory.WithStoreTime(answered)
@@ -373,7 +379,7 @@
 }
 
 func (b *balancer) receive(status landing.SidecarStatus, source uint64) {
-	b.policy = b.policy.WithRevisionsSeen(policy.RevisionsOfStatus(status))
+	b.policy = policy.WithStatusStatements(b.policy.WithRevisionsSeen(policy.RevisionsOfStatus(status)), status)
 	b.directory = b.directory.WithStatuses(landing.ReceivedStatus{}.WithStatus(status).WithSourceAddress(source).WithReceivedAt(b.now()))
 }
 
@@ -391,10 +397,8 @@
 	confirmation enrollment.Confirmation
 	count        int
 	subscribers  map[uint64]subscriber
-	// heardAt is the step of the last subscription.
-	heardAt     int
-	isEnrolling bool
-	enrollAt    int
+	isEnrolling  bool
+	enrollAt     int
 	// lostAt is the position at which its enrollment was removed last, and lostStep the step.
 	lostAt   landing.StorePosition
 	lostStep int
@@ -450,7 +454,7 @@
 	if (s.policy.IsBehind() || !s.policy.IsComplete() || isPolled) && !s.isReading && s.step >= s.readAt {
 		s.catchUp(!s.policy.IsComplete() || !s.hasSubscriber())
 	}
-	if (s.step-s.startedAt)%pollSteps == 0 && s.policy.HasExpired() {
+	if (s.step-s.startedAt)%pollSteps == 0 {
 		s.policy = s.policy.WithoutExpired()
 	}
 	if !s.isEnrolling && s.step >= s.enrollAt && s.confirmation.IsRenewalDue(s.now()) {
@@ -492,10 +496,8 @@
 }
 
 func (s *sidecar) receive(subscription landing.StatusSubscription) {
-	if len(s.subscribers) > 0 && subscription.StoreEra() == s.policy.Exclusions().Era() {
-		s.policy = s.policy.WithStoreTime(min(time.Duration(s.step-s.heardAt)*stepTime, time.Second))
-	}
-	s.heardAt = s.step
+	s.policy = s.policy.WithStoreTimeHeard(subscription.StoreEra(), time.Duration(subscription.StoreTimeMillis())*time.Millisecond).
+		WithZonesStated(subscription.StoreEra(), subscription.RetainedZones())
 	s.policy = s.policy.WithRevisionsSeen(policy.RevisionsOfSubscription(subscription))
 	s.recordEra(subscription.StoreEra())
 	if subscription.Instance() == s.name && subscription.StatusIncarnation() == uint64(s.startedAt)+1 {
--- a/experiment/pkg/relayed/storereturn_exclusion_test.go
+++ b/experiment/pkg/relayed/storereturn_exclusion_test.go
@@ -40,6 +40,31 @@
 	}
 }
 
+// Guards against flows that are opened in a zone that was taken out of service: the store has lost the exclusion, and a balancer
+// and the sidecars of the zone start before the operator has written it again.
+func TestLostExclusionIsInForceAtStartedProcesses(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, 3, 4)
+	p := startProber(t, f)
+	copied := f.Store().Copy()
+	loseWrites(t, f)
+	f.Store().Put("evacuations", "a", map[string]any{})
+	time.Sleep(exclusionTimeLimit)
+	f.Store().Return(copied)
+	time.Sleep(time.Second)
+	p.restartBalancer(t, 2)
+	for _, i := range []int{0, 2} {
+		f.StopSidecar(i)
+		is.NoErr(f.StartSidecar(i))
+	}
+	inTouchAt := time.Now().Add(inTouchAfter)
+	sleepUntil(inTouchAt.Add(time.Second))
+	f.Store().RepeatOperatorWrites()
+	sleepUntil(time.Now().Add(time.Second))
+	p.checkInForce(t, probe.isServedInZoneA, isServedElsewhere, inTouchAt)
+}
+
 // Guards against flows that are opened in a zone that was taken out of service: the store has lost the exclusion, and does not
 // answer for longer than a lost exclusion is kept before the operator can write it again.
 func TestLostExclusionStaysInForceWhileStoreDoesNotAnswer(t *testing.T) {
--- a/sidecar/pkg/relay/control_thread.go
+++ b/sidecar/pkg/relay/control_thread.go
@@ -123,12 +123,15 @@
 		return t.applyUpstreamEvent(s, e.Event())
 	case landing.SubscriptionReceived:
 		subscription := e.Subscription()
-		s = s.WithPolicy(s.policy.WithStoreTime(s.StoreTime(subscription, e.ReceivedAt())))
 		s = t.recordRevisions(s, policy.RevisionsOfSubscription(subscription))
 		s = t.recordEra(s, subscription.StoreEra())
 		if subscription.Instance() == t.instance {
 			s = s.WithConfirmation(s.confirmation.WithSubscription(e.AcknowledgedAt(), e.ReceivedAt()))
 		}
+		s = s.WithStoreTime(subscription, e.ReceivedAt())
+		next := s.policy.WithZonesStated(subscription.StoreEra(), subscription.RetainedZones())
+		policylog.Retained(t.telemetry, s.policy, next)
+		s = t.applyPolicy(s, next)
 		return s.WithSubscriber(subscription, e.ReceivedAt()).WithSidecarCount(int(subscription.SidecarCount()))
 	case landing.RevisionsSeen:
 		return t.recordRevisions(s, e.Revisions())
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -99,17 +99,18 @@
 	return s
 }
 
-// StoreTime returns the time that counts as answered by the platform when a balancer renews its subscription. A sidecar does not
-// call the platform regularly. It counts the time in which it hears balancers that are in the era of its exclusions.
-func (s Snapshot) StoreTime(subscription landing.StatusSubscription, now time.Time) time.Duration {
-	if subscription.StoreEra() != s.policy.Exclusions().Era() || len(s.subscribers) == 0 {
-		return 0
+// WithStoreTime returns a copy after a balancer has stated the store time in its subscription. A balancer of the previous
+// version states none; the time in which the sidecar hears such balancers counts instead.
+func (s Snapshot) WithStoreTime(subscription landing.StatusSubscription, now time.Time) Snapshot {
+	stated := time.Duration(subscription.StoreTimeMillis()) * time.Millisecond
+	if subscription.ExclusionsHash() > 0 || subscription.StoreEra() != s.policy.Exclusions().Era() || len(s.subscribers) == 0 {
+		return s.WithPolicy(s.policy.WithStoreTimeHeard(subscription.StoreEra(), stated))
 	}
 	lastRenewedAt := s.subscribers[0].renewedAt
 	for _, b := range s.subscribers {
 		lastRenewedAt = later(lastRenewedAt, b.renewedAt)
 	}
-	return min(max(now.Sub(lastRenewedAt), 0), subscriptionInterval)
+	return s.WithPolicy(s.policy.WithAnswered(min(max(now.Sub(lastRenewedAt), 0), subscriptionInterval)))
 }
 
 // later returns the later of two times.
