A balancer at a new address resets no flow of a sidecar that only others know

Callers could get a reset on an open flow: the enrollment of the sidecar that holds it was lost with a return of the store, or removed by a call that was carried out late, and the store did not answer for some seconds. A balancer that was added at a new address meanwhile took its first list for complete. The sidecar sends its status only to balancers that have subscribed to it before.

Change: subscriptions say whether the balancer knows sidecars that are not enrolled, statuses whether a subscriber does, and no balancer takes a list for complete while a sidecar that it hears says so.

Ruled out: subscriptions to sidecars that are not listed.

TestIsSettled_NotWhileOthersKnowUnlisted does not compile before, as the field is new; not shown with processes.

--- a/balancer/pkg/relay/platform_sync.go
+++ b/balancer/pkg/relay/platform_sync.go
@@ -354,7 +354,8 @@
 	advertised := s.policy.AdvertisedRevisions()
 	subscription := policy.SubscriptionWithRevisions(landing.StatusSubscription{}, s.policy).
 		WithBalancerAddress(f.link.LocalAddress()).
-		WithSidecarCount(uint32(len(s.directory.Sidecars())))
+		WithSidecarCount(uint32(len(s.directory.Sidecars()))).
+		WithKnowsUnlisted(s.directory.KnowsUnlisted(now))
 	subscribed := s.directory.Subscribed()
 	if toTell > 0 {
 		// Balancers tell different sidecars.
--- a/core/gen/codec/relay.go
+++ b/core/gen/codec/relay.go
@@ -257,6 +257,7 @@
 		m.RetainedZones = append(m.RetainedZones, v.RetainedZonesAt(i))
 	}
 	m.StoreTimeMillis = v.StoreTimeMillis()
+	m.KnowsUnlisted = v.KnowsUnlisted()
 	return m
 }
 
@@ -289,6 +290,7 @@
 	}
 	v = v.WithRetainedZones(retainedZones...)
 	v = v.WithStoreTimeMillis(m.GetStoreTimeMillis())
+	v = v.WithKnowsUnlisted(m.GetKnowsUnlisted())
 	return v
 }
 
@@ -310,6 +312,7 @@
 		m.RetainedZones = append(m.RetainedZones, v.RetainedZonesAt(i))
 	}
 	m.StoreTimeMillis = v.StoreTimeMillis()
+	m.KnowsUnlisted = v.KnowsUnlisted()
 	return m
 }
 
@@ -333,6 +336,7 @@
 	}
 	v = v.WithRetainedZones(retainedZones...)
 	v = v.WithStoreTimeMillis(m.GetStoreTimeMillis())
+	v = v.WithKnowsUnlisted(m.GetKnowsUnlisted())
 	return v
 }
 
--- a/core/gen/landing/relay.go
+++ b/core/gen/landing/relay.go
@@ -730,6 +730,7 @@
 	exclusionsHash            uint32
 	retainedZones             []string
 	storeTimeMillis           uint32
+	knowsUnlisted             bool
 }
 
 func (SidecarStatus) isDatagram() {}
@@ -1036,6 +1037,20 @@
 	return v
 }
 
+// KnowsUnlisted returns the field of the same name.
+//
+// Whether a balancer that subscribes to the sidecar knows sidecars that run, or may run, and are not
+// enrolled.
+func (v SidecarStatus) KnowsUnlisted() bool {
+	return v.knowsUnlisted
+}
+
+// WithKnowsUnlisted returns a copy of v with the given knowsUnlisted.
+func (v SidecarStatus) WithKnowsUnlisted(knowsUnlisted bool) SidecarStatus {
+	v.knowsUnlisted = knowsUnlisted
+	return v
+}
+
 // StatusSubscription is sent periodically by a balancer to a sidecar to receive the sidecar's
 // status. The subscription expires unless it is repeated.
 type StatusSubscription struct {
@@ -1052,6 +1067,7 @@
 	exclusionsHash            uint32
 	retainedZones             []string
 	storeTimeMillis           uint32
+	knowsUnlisted             bool
 }
 
 func (StatusSubscription) isDatagram() {}
@@ -1240,6 +1256,20 @@
 	return v
 }
 
+// KnowsUnlisted returns the field of the same name.
+//
+// Whether the balancer knows sidecars that run, or may run since the platform may have lost their
+// enrollments, and that are not enrolled.
+func (v StatusSubscription) KnowsUnlisted() bool {
+	return v.knowsUnlisted
+}
+
+// WithKnowsUnlisted returns a copy of v with the given knowsUnlisted.
+func (v StatusSubscription) WithKnowsUnlisted(knowsUnlisted bool) StatusSubscription {
+	v.knowsUnlisted = knowsUnlisted
+	return v
+}
+
 // FlowClaim reports to a balancer that the upstream of the sending sidecar holds a flow, that is,
 // has the TCP state of the flow.
 type FlowClaim struct {
--- a/core/gen/wire/relay.go
+++ b/core/gen/wire/relay.go
@@ -322,6 +322,7 @@
 		b = field.AppendStringElement(b, 22, v.RetainedZonesAt(i))
 	}
 	b = field.AppendUint(b, 23, uint64(v.StoreTimeMillis()))
+	b = field.AppendBool(b, 24, v.KnowsUnlisted())
 	return b
 }
 
@@ -376,6 +377,8 @@
 			retainedZones = append(retainedZones, r.String())
 		case 23:
 			v = v.WithStoreTimeMillis(uint32(r.Uint()))
+		case 24:
+			v = v.WithKnowsUnlisted(r.Bool())
 		}
 	}
 	v = v.WithRetainedZones(retainedZones...)
@@ -399,6 +402,7 @@
 		b = field.AppendStringElement(b, 12, v.RetainedZonesAt(i))
 	}
 	b = field.AppendUint(b, 13, uint64(v.StoreTimeMillis()))
+	b = field.AppendBool(b, 14, v.KnowsUnlisted())
 	return b
 }
 
@@ -435,6 +439,8 @@
 			retainedZones = append(retainedZones, r.String())
 		case 13:
 			v = v.WithStoreTimeMillis(uint32(r.Uint()))
+		case 14:
+			v = v.WithKnowsUnlisted(r.Bool())
 		}
 	}
 	v = v.WithRetainedZones(retainedZones...)
--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -248,6 +248,23 @@
 	is.True(!isKnown) // its removal is in force at once
 }
 
+// Guards against a balancer at a new address that resets the flows of a sidecar whose enrollment is lost: that sidecar sends it
+// no status, and only other balancers know it.
+func TestIsSettled_NotWhileOthersKnowUnlisted(t *testing.T) {
+	is := is.New(t)
+	started := New(1, retention).WithEnrollmentList(listAt(2, 80, b), now)
+	settled := status(2, 1).WithSettledEra(2).WithStoreEra(2).WithInstance(b.Instance())
+	later := now.Add(2 * interruptionTime)
+	hear := func(s landing.SidecarStatus) *Directory {
+		return started.WithStatuses(landing.ReceivedStatus{}.WithStatus(s).WithSourceAddress(started.Sidecars()[0].Address()).WithReceivedAt(later))
+	}
+	is.True(hear(settled).IsSettled(later))
+	is.True(!hear(settled.WithKnowsUnlisted(true)).IsSettled(later))
+	lost := New(2, retention).WithEnrollmentList(listAt(1, 100, a, b), now).WithEnrollmentList(listAt(2, 80, b), now)
+	is.True(lost.KnowsUnlisted(now))
+	is.True(!started.KnowsUnlisted(now))
+}
+
 // Guards against a balancer that takes all sidecars for new after the return of the platform, and passes them over until it has
 // heard them again.
 func TestWithEnrollmentList_StatusIsKeptAcrossEras(t *testing.T) {
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -40,6 +40,8 @@
 	renewedAt time.Time
 	// revisions are the revisions that the balancer advertised last.
 	revisions landing.PolicyRevisions
+	// knowsUnlisted reports whether the balancer has stated that it knows sidecars that are not enrolled.
+	knowsUnlisted bool
 }
 
 // isSubscribed reports whether the subscription has not expired.
@@ -95,10 +97,17 @@
 	s.subscribers = slices.DeleteFunc(slices.Clone(s.subscribers), func(b subscriber) bool {
 		return b.address == subscription.BalancerAddress() || now.Sub(b.renewedAt) > subscriberRetention
 	})
-	s.subscribers = append(s.subscribers, subscriber{address: subscription.BalancerAddress(), renewedAt: now, revisions: policy.RevisionsOfSubscription(subscription)})
+	s.subscribers = append(s.subscribers, subscriber{address: subscription.BalancerAddress(), renewedAt: now, revisions: policy.RevisionsOfSubscription(subscription), knowsUnlisted: subscription.KnowsUnlisted()})
 	return s
 }
 
+// AreUnlistedKnown reports whether a subscribed balancer knows sidecars that are not enrolled. A balancer that has started since does not know them.
+func (s Snapshot) AreUnlistedKnown(now time.Time) bool {
+	return slices.ContainsFunc(s.subscribers, func(b subscriber) bool {
+		return b.knowsUnlisted && b.isSubscribed(now)
+	})
+}
+
 // WithStoreTime returns a copy after a balancer has stated the store time in its subscription. A balancer of the previous
 // version states none; the time in which the sidecar hears such balancers counts instead.
 func (s Snapshot) WithStoreTime(subscription landing.StatusSubscription, now time.Time) Snapshot {
--- a/sidecar/pkg/relay/status.go
+++ b/sidecar/pkg/relay/status.go
@@ -82,7 +82,8 @@
 		WithSettledEra(s.confirmation.SettledEra(now)).
 		WithUpstreamStartMillis(upstreamStartMillis(s.upstream)).
 		WithSubscriberCount(uint32(s.SubscriberCount(now))).
-		WithEjected(l.isEjected(now))
+		WithEjected(l.isEjected(now)).
+		WithKnowsUnlisted(s.AreUnlistedKnown(now))
 	f.sentStatuses.record(sequence, now)
 	for _, receiver := range s.StatusReceivers(now) {
 		f.link.Send(status.WithSubscriberRank(uint32(s.SubscriberRank(receiver, now))), receiver)
