Balancers keep a sidecar that is heard and has yet to enroll in the new era

Callers' packets on open flows were left unanswered, and new flows were not placed: the store came back without the enrollment of a sidecar and turned this sidecar away for longer than lost enrollments are kept, while it served the balancers. They gave the sidecar up although it ran. In fleets with more sidecars than the writes allow to confirm in that time, the last ones are in the same place.

Cause: the retention of an enrollment ended by time alone.

Change: a retained sidecar whose statuses arrive, and that says that its enrollment is not confirmed in the era of the list, is kept.

TestHasExpired_NotWhileSidecarHasYetToEnroll fails without the change.

--- a/core/pkg/directory/directory_test.go
+++ b/core/pkg/directory/directory_test.go
@@ -238,16 +238,25 @@
 	is.Equal(sidecar.LastStatus().SequenceNumber(), uint64(7))
 	is.Equal(d.Generation(), generation) // walks that have begun go on
 	d = d.WithEnrollmentList(listAt(2, 85, b), now.Add(time.Second))
-	is.True(!d.WithStoreTime(retention).HasExpired())
-	is.True(d.WithStoreTime(retention + 1).HasExpired())
+	is.True(!d.WithStoreTime(retention).HasExpired(now))
+	is.True(d.WithStoreTime(retention + 1).HasExpired(now))
 	_, isKnown = d.WithStoreTime(retention + 1).WithoutExpired(now).Find(addressA)
 	is.True(!isKnown)
 	enrolledAgain := d.WithEnrollmentList(listAt(2, 86, a, b), now.Add(2*time.Second))
-	is.True(!enrolledAgain.WithStoreTime(time.Hour).HasExpired())
+	is.True(!enrolledAgain.WithStoreTime(time.Hour).HasExpired(now))
 	_, isKnown = enrolledAgain.WithEnrollmentList(listAt(2, 87, b), now.Add(3*time.Second)).Find(addressA)
 	is.True(!isKnown) // its removal is in force at once
 }
 
+// Guards against a balancer that gives up a sidecar that runs and whose calls the platform turns away.
+func TestHasExpired_NotWhileSidecarHasYetToEnroll(t *testing.T) {
+	is := is.New(t)
+	d := New(1, retention).WithEnrollmentList(listAt(1, 100, a, b), now).WithEnrollmentList(listAt(2, 80, b), now).WithStoreTime(retention + 1)
+	is.True(!d.WithStatuses(received(status(1, 7).WithStoreEra(2).WithSettledEra(1))).HasExpired(now))
+	is.True(d.WithStatuses(received(status(1, 7).WithStoreEra(2).WithSettledEra(2))).HasExpired(now))
+	is.True(d.WithStatuses(received(status(1, 7).WithStoreEra(2).WithSettledEra(1))).HasExpired(now.Add(interruptionTime + 1)))
+}
+
 // Guards against a balancer at a new address that resets the flows of a sidecar whose enrollment is lost: that sidecar sends it
 // no status, and only other balancers know it.
 func TestIsSettled_NotWhileOthersKnowUnlisted(t *testing.T) {
--- a/core/pkg/directory/proof.go
+++ b/core/pkg/directory/proof.go
@@ -66,7 +66,5 @@
 // confirmed.
 func (d *Directory) ConfirmsEnrollment(s landing.KnownSidecar) bool {
 	_, isUnreadable := d.unreadableSince[s.Enrollment().Instance()]
-	status := s.LastStatus()
-	isExpected := status.StoreEra() > 0 && status.SettledEra() < d.enrollments.Era()
-	return !isUnreadable && (!isRetained(s) || isExpected)
+	return !isUnreadable && (!isRetained(s) || d.hasYetToEnroll(s))
 }
--- a/core/pkg/directory/retention.go
+++ b/core/pkg/directory/retention.go
@@ -48,18 +48,25 @@
 }
 
 // HasExpired reports whether a sidecar is retained whose time is over.
-func (d *Directory) HasExpired() bool {
-	return slices.ContainsFunc(d.sidecars, d.isExpired)
+func (d *Directory) HasExpired(now time.Time) bool {
+	return slices.ContainsFunc(d.sidecars, func(s landing.KnownSidecar) bool { return d.isExpired(s, now) })
 }
 
-// isExpired reports whether the sidecar is retained and its time is over.
-func (d *Directory) isExpired(s landing.KnownSidecar) bool {
-	return isRetained(s) && d.storeTime > s.RetainedUntil()
+// isExpired reports whether the sidecar is retained and its time is over. One that can be heard and has yet to have its
+// enrollment confirmed in the era of the list is kept for longer: the platform may turn it away while it serves others.
+func (d *Directory) isExpired(s landing.KnownSidecar, now time.Time) bool {
+	return isRetained(s) && d.storeTime > s.RetainedUntil() && !(isHeard(s, now) && d.hasYetToEnroll(s))
+}
+
+// hasYetToEnroll reports whether the sidecar says that its enrollment is not confirmed in the era of the list. Sidecars of the
+// previous version state no era.
+func (d *Directory) hasYetToEnroll(s landing.KnownSidecar) bool {
+	return s.LastStatus().StoreEra() > 0 && s.LastStatus().SettledEra() < d.enrollments.Era()
 }
 
 // WithoutExpired returns a directory without the retained sidecars whose time is over.
 func (d *Directory) WithoutExpired(now time.Time) *Directory {
-	return d.withSidecars(slices.DeleteFunc(slices.Clone(d.sidecars), d.isExpired), now)
+	return d.withSidecars(slices.DeleteFunc(slices.Clone(d.sidecars), func(s landing.KnownSidecar) bool { return d.isExpired(s, now) }), now)
 }
 
 // isSameProcess reports whether the enrollment is that of the known process of the sidecar. A sidecar that has
--- a/core/pkg/position/history_test.go
+++ b/core/pkg/position/history_test.go
@@ -27,7 +27,7 @@
 	boundSteps = int(retention / stepTime)
 	// longOutage is the unit of the steps for which the store does not answer or a process is suspended.
 	longOutage = boundSteps / 6
-	// stableSteps are the steps after a start or a suspension in which a process is not in touch.
+	// stableSteps are the steps after a start, a suspension or refused calls in which a process is not in touch.
 	stableSteps = 16
 	// lostWatchSteps are the steps that a watch takes at most while a balancer retains what the store may have lost.
 	lostWatchSteps = 8
@@ -63,13 +63,14 @@
 	replaceBalancer // by one at another address
 	loseContact     // the store does not answer, and loses nothing
 	suspend         // a process
+	turnAway        // the store refuses the calls of a sidecar
 	eventKindCount
 )
 
 func (k eventKind) String() string {
 	return [...]string{
 		"configure", "exclude or include", "lose and return", "restart balancer", "restart sidecar", "late removal", "drop history",
-		"replace balancer", "lose contact", "suspend",
+		"replace balancer", "lose contact", "suspend", "turn away",
 	}[k]
 }
 
@@ -289,6 +290,8 @@
 	case suspend:
 		all := w.processes()
 		all[e.first%len(all)].suspendedUntil = w.step + 1 + e.second*longOutage
+	case turnAway:
+		w.sidecars[j].refusedUntil = w.step + 1 + e.second*longOutage
 	case eventKindCount:
 	}
 }
@@ -448,7 +451,7 @@
 	case !isKnown && w.isOver(boundSteps, b.inTouchSince(), s.inTouchSince(), s.lostStep):
 		w.fail("%s does not know %s", b.name, s.name)
 	}
-	if !isKnown && s.confirmation.HasBeenConfirmed() && w.step-max(s.lostStep+boundSteps, s.suspendedUntil+stableSteps) > 0 && b.provesAbsence() {
+	if !isKnown && s.confirmation.HasBeenConfirmed() && w.step-max(s.lostStep+boundSteps, s.suspendedUntil+stableSteps, s.refusedUntil+stableSteps) > 0 && b.provesAbsence() {
 		w.fail("%s takes flows of %s for lost", b.name, s.name)
 	}
 	isInTouch := w.step-s.suspendedUntil > stableSteps
--- a/core/pkg/position/process_test.go
+++ b/core/pkg/position/process_test.go
@@ -20,7 +20,9 @@
 	startedAt int
 	// suspendedUntil is the step at which the process was or will be resumed.
 	suspendedUntil int
-	policy         policy.Policy
+	// refusedUntil is the step until which the store refuses the calls of the process.
+	refusedUntil int
+	policy       policy.Policy
 	// readyAt is the step at which the process had read the whole policy for the first time; 0 before that.
 	readyAt int
 	// isReading reports whether the process reads what it lacks, and readAt is the earliest step of the next read.
@@ -49,9 +51,9 @@
 	return p.step < p.suspendedUntil
 }
 
-// inTouchSince returns the step at which the process was started or resumed last.
+// inTouchSince returns the step at which the process was started or resumed last, or since which the store serves it.
 func (p *process) inTouchSince() int {
-	return max(p.startedAt, p.suspendedUntil)
+	return max(p.startedAt, p.suspendedUntil, p.refusedUntil)
 }
 
 // whenResumed runs the task, or has it wait while the process is suspended.
@@ -65,6 +67,10 @@
 
 // call calls the store as world.call does, and handles the response when the process runs.
 func (p *process) call(request func() (deliver func()), failed func()) {
+	if p.step < p.refusedUntil {
+		p.after(1, func() { p.whenResumed(failed) })
+		return
+	}
 	p.world.call(func() func() {
 		deliver := request()
 		return func() { p.whenResumed(deliver) }
@@ -253,7 +259,7 @@
 	if b.policy.IsBehind() && !b.isReading && b.step > b.readAt {
 		b.catchUp(false)
 	}
-	if b.policy.HasExpired() || b.directory.HasExpired() {
+	if b.policy.HasExpired() || b.directory.HasExpired(b.now()) {
 		b.policy, b.directory = b.policy.WithoutExpired(), b.directory.WithoutExpired(b.now())
 	}
 	b.subscribe()
