--- a/experiment/pkg/relayed/fleet.go
+++ b/experiment/pkg/relayed/fleet.go
@@ -90,8 +90,8 @@
 	storeProxy *proxy.Proxy
 	balancers  []*handle
 	nodes      []*node
-	// platforms holds the addresses at which balancers reach the platform, by number, where it is not that of the store.
-	platforms   map[int]netip.AddrPort
+	// platforms holds the addresses at which instances reach the platform, by name, where it is not that of the store.
+	platforms   map[string]netip.AddrPort
 	callerCount atomic.Uint32
 }
 
@@ -132,7 +132,7 @@
 
 // NewFromConfig starts the deployment that cfg describes. It returns an error when an address cannot be used.
 func NewFromConfig(cfg Config) (*Fleet, error) {
-	f := &Fleet{number: fleetCount.Add(1), store: store.New(), cfg: cfg, platforms: map[int]netip.AddrPort{}}
+	f := &Fleet{number: fleetCount.Add(1), store: store.New(), cfg: cfg, platforms: map[string]netip.AddrPort{}}
 	f.basePort = firstPort + uint16(os.Getpid()%100)*portsPerFleet*3
 	server, err := serve.New(f.address(f.ip(250, 1), portOffsetStore).String(), f.store.Handler())
 	if err != nil {
@@ -235,17 +235,14 @@
 
 func (f *Fleet) balancerSettings(i int) landing.RelayBalancerSettings {
 	ip := f.ip(0, i+1)
-	platform, isOther := f.platforms[i]
-	if !isOther {
-		platform = f.platformAddress()
-	}
+	instance := "edge-" + strconv.Itoa(i)
 	return landing.RelayBalancerSettings{}.
-		WithInstance("edge-"+strconv.Itoa(i)).
+		WithInstance(instance).
 		WithZone("a").
 		WithFront(f.address(ip, portOffsetFront).String()).
 		WithReadiness(f.address(ip, portOffsetReadiness).String()).
 		WithFleet(f.address(ip, portOffsetFleet).String()).
-		WithPlatform(platform.String()).
+		WithPlatform(f.platformOf(instance).String()).
 		WithSeeds(f.address(f.ip(0, 1), portOffsetFleet).String(), f.address(f.ip(0, 2), portOffsetFleet).String()).
 		WithGrace(stopGrace).
 		WithLeave(serveAfterStop).
@@ -254,6 +251,14 @@
 		WithStretch(maxStretch)
 }
 
+// platformOf returns the address at which an instance reaches the platform.
+func (f *Fleet) platformOf(instance string) netip.AddrPort {
+	if other, isOther := f.platforms[instance]; isOther {
+		return other
+	}
+	return f.platformAddress()
+}
+
 func startBalancer(s landing.RelayBalancerSettings) (*handle, error) {
 	b, err := balancer.New(common.New(logr.Discard(), counter.New()), s)
 	if err != nil {
@@ -293,7 +298,7 @@
 		WithUpstream(f.address(n.ip, portOffsetUpstream).String()).
 		WithReadiness(f.address(n.ip, portOffsetReadiness).String()).
 		WithFleet(f.address(n.ip, portOffsetFleet).String()).
-		WithPlatform(f.platformAddress().String()).
+		WithPlatform(f.platformOf(n.instance).String()).
 		WithSeeds(f.address(f.ip(0, 1), portOffsetFleet).String()).
 		WithHeartbeat(endpoint.HeartbeatInterval).
 		WithGrace(stopGrace).
--- a/experiment/pkg/relayed/statusloss_test.go
+++ b/experiment/pkg/relayed/statusloss_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +25,8 @@
 	conn              *net.UDPConn
 	balancer, sidecar netip.AddrPort
 	drops             atomic.Bool
+	// isCut reports whether the proxy drops all datagrams.
+	isCut atomic.Bool
 	// dropped is the number of statuses that were dropped.
 	dropped atomic.Int64
 }
@@ -65,6 +68,9 @@
 // pass forwards a datagram. In one for the sidecar, the proxy's address replaces that of the balancer, so that the sidecar
 // responds through the proxy.
 func (p *statusProxy) pass(d landing.Datagram) {
+	if p.isCut.Load() {
+		return
+	}
 	own := address.PackAddrPort(p.address())
 	switch d := d.(type) {
 	case landing.SidecarStatus:
@@ -116,7 +122,7 @@
 		_, _ = w.Write(body)
 	}))
 	f.StopBalancer(i)
-	f.platforms[i] = netip.MustParseAddrPort(platform.Listener.Addr().String())
+	f.platforms["edge-"+strconv.Itoa(i)] = netip.MustParseAddrPort(platform.Listener.Addr().String())
 	is.New(t).NoErr(f.StartBalancer(i))
 	t.Cleanup(platform.Close)
 	awaitAllUpstreamsReachable(t, f, i)
