core/pkg/platform: stop with an error when the platform goes back to an older state

Cause: the product's own path took any other version of an object for a newer one. A platform that comes back from an older copy would have brought back an older roster, or a key that had been withdrawn, without a word. The relay path bears such a return; this path need not, but must not follow it in silence.

Change: the client keeps the highest version of each object that it has seen. When a call that began later shows a lower one, or no object, all its calls return ErrOlderState. landingctl ends with it; balancers log it, stop their watches and go on with what is in force.

Responses in the reverse order are no error.

--- a/balancer/pkg/store/store.go
+++ b/balancer/pkg/store/store.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -104,7 +105,8 @@
 }
 
 // watchWhile calls handle with the object of this name, now and after each change, until Stop is called. It calls isNeeded
-// before each read, and does not read while isNeeded returns false. When handle fails, the same version is read again.
+// before each read, and does not read while isNeeded returns false. When handle fails, the same version is read again. It ends when
+// the platform has lost acknowledged writes: the balancer goes on with what is in force.
 func (s *PlatformSync) watchWhile(isNeeded func() bool, name string, handle func(platform.Object) error) {
 	seenVersion := uint64(0)
 	for s.ctx.Err() == nil {
@@ -123,6 +125,9 @@
 			// The watch timed out without a change, or the platform limits the rate of calls. Neither is counted as a
 			// retry, and the pause is shorter.
 			s.pause(pauseAfterFailure / 10)
+		case errors.Is(err, platform.ErrOlderState):
+			s.telemetry.Log().Info("platform no longer followed", "object", name, "error", err.Error())
+			return
 		default:
 			s.telemetry.Counters().Counter("retried.watch").Inc(1)
 			s.pause(pauseAfterFailure)
--- a/balancer/pkg/store/task.go
+++ b/balancer/pkg/store/task.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -71,7 +72,7 @@
 			s.control.Post(absent)
 			return
 		}
-		if err == nil && handle(o) == nil {
+		if err == nil && handle(o) == nil || errors.Is(err, platform.ErrOlderState) {
 			return
 		}
 		s.telemetry.Counters().Counter("retried.read").Inc(1)
--- a/core/pkg/platform/client.go
+++ b/core/pkg/platform/client.go
@@ -47,10 +47,12 @@
 	return bytes.Clone(o.value)
 }
 
-// Client calls the object API. Its methods may be called from several goroutines.
+// Client calls the object API. Its methods may be called from several goroutines. The platform must not come back from an older
+// copy of itself: once the client notices that, all calls return ErrOlderState.
 type Client struct {
 	base string
 	http *http.Client
+	seen seenVersions
 }
 
 // New returns a client of the object API at this TCP address, a host and port.
@@ -95,6 +97,10 @@
 
 // do sends a request. The header of the response must come within timeout, and its body must then make progress.
 func (c *Client) do(ctx context.Context, timeout time.Duration, method, name string, query url.Values, header http.Header, value []byte) (Object, error) {
+	before, err := c.seen.before(name)
+	if err != nil {
+		return Object{}, err
+	}
 	address := c.base + objectsPath + url.PathEscape(name) + "?" + query.Encode()
 	r, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(value))
 	if err != nil {
@@ -107,7 +113,13 @@
 	if err != nil {
 		return Object{}, trace.ConnectionProblem(err, "%s %s: %v", method, name, err)
 	}
-	return readResponse(response, name, value)
+	o, err := readResponse(response, name, value)
+	if err == nil || trace.IsNotFound(err) {
+		if olderErr := c.seen.note(name, before, o.version); olderErr != nil {
+			return Object{}, olderErr
+		}
+	}
+	return o, err
 }
 
 func readResponse(response transfer.Response, name string, written []byte) (Object, error) {
--- a/core/pkg/platform/client_test.go
+++ b/core/pkg/platform/client_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +56,60 @@
 	is.Equal(len(object.Value()), MaxValueBytes)
 }
 
+// Guards against a process that follows older states in silence, such as a key that was withdrawn, when the platform comes back
+// from an older copy of itself.
+func TestGet_FailsForGoodAfterOlderState(t *testing.T) {
+	for name, older := range map[string]string{"older version": `"6"`, "object is missing": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			version := `"7"`
+			client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				if version == "" {
+					w.WriteHeader(http.StatusNotFound)
+					return
+				}
+				w.Header().Set("ETag", version)
+			})
+			_, err := client.Get(context.Background(), "keyring")
+			is.NoErr(err)
+			version = older
+			_, err = client.Get(context.Background(), "keyring")
+			is.True(errors.Is(err, ErrOlderState))
+			version = `"8"`
+			_, err = client.Get(context.Background(), "lists")
+			is.True(errors.Is(err, ErrOlderState))
+		})
+	}
+}
+
+// Guards against two calls at the same time whose responses arrive in the reverse order and are taken for a platform that has
+// gone back.
+func TestGet_ResponsesInReverseOrder(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	calls := atomic.Int32{}
+	client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			w.Header().Set("ETag", `"7"`)
+			<-release
+			return
+		}
+		w.Header().Set("ETag", `"8"`)
+	})
+	first := make(chan error)
+	go func() {
+		_, err := client.Get(context.Background(), "lists")
+		first <- err
+	}()
+	for calls.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := client.Get(context.Background(), "lists")
+	is.NoErr(err)
+	close(release)
+	is.NoErr(<-first)
+}
+
 func TestGet_FailsWithoutVersionOrOverLimit(t *testing.T) {
 	is := is.New(t)
 	for _, header := range []string{"", `"3"`} {
