--- a/core/pkg/directory/retention.go
+++ b/core/pkg/directory/retention.go
@@ -55,7 +55,7 @@
 // isExpired reports whether the sidecar is retained and its time is over. One that can be heard and has yet to have its
 // enrollment confirmed in the era of the list is kept for longer: the platform may turn it away while it serves others.
 func (d *Directory) isExpired(s landing.KnownSidecar, now time.Time) bool {
-	return isRetained(s) && d.storeTime > s.RetainedUntil() && !(isHeard(s, now) && d.hasYetToEnroll(s))
+	return isRetained(s) && d.storeTime > s.RetainedUntil() && (!isHeard(s, now) || !d.hasYetToEnroll(s))
 }
 
 // hasYetToEnroll reports whether the sidecar says that its enrollment is not confirmed in the era of the list. Sidecars of the
