--- a/experiment/pkg/relayed/storereturn_faults_test.go
+++ b/experiment/pkg/relayed/storereturn_faults_test.go
@@ -14,16 +14,14 @@
 )
 
 // returnWithOtherFault lets the store come back from the copy while the other fault acts. The operator repeats its lost changes
-// after the rewriteDelay. It returns the time at which the store was back.
-func returnWithOtherFault(f *Fleet, copied store.Copy, fault func()) time.Time {
+// after the rewriteDelay.
+func returnWithOtherFault(f *Fleet, copied store.Copy, fault func()) {
 	f.Store().SetUnavailable(true)
 	fault()
 	f.Store().Return(copied)
 	f.Store().SetUnavailable(false)
-	returnedAt := time.Now()
 	time.Sleep(rewriteDelay)
 	f.Store().RepeatOperatorWrites()
-	return returnedAt
 }
 
 // checkChangesComeIntoForce excludes a zone and then drops the route, and fails the test unless both are in force in time.
