--- a/experiment/pkg/relayed/storereturn_test.go
+++ b/experiment/pkg/relayed/storereturn_test.go
@@ -274,6 +274,24 @@
 	}
 }
 
+// Guards against balancers that ignore all later enrollment lists, whose revisions are lower than before the return, and place
+// no flow at a sidecar that enrolls then.
+func TestSidecarThatEnrollsAfterReturnGetsFlows(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, 3, 2)
+	copied := f.Store().Copy()
+	loseWrites(t, f)
+	is.NoErr(f.AddSidecar()) // the running balancers have read the list that is lost
+	openFlowsAt(t, f, 2, f.RouteThrough(0))
+	returnedAt := drill(f, copied, 0)
+	time.Sleep(time.Until(returnedAt.Add(inTouchAfter)))
+	is.NoErr(f.AddSidecar())
+	for i := range f.balancers {
+		openFlowsAt(t, f, 3, f.RouteThrough(i))
+	}
+}
+
 // Guards against changes that are not in force, enrollments that are missing and open flows that are reset after the store
 // has come back from an older copy twice within five seconds.
 func TestStoreComesBackTwice(t *testing.T) {
