directory: keep a lost sidecar until the list follows its new enrollment

Change: each status of a sidecar that has yet to enroll prolongs its retention to at least 5 s of store time.

--- a/balancer/pkg/relay/control_thread.go
+++ b/balancer/pkg/relay/control_thread.go
@@ -91,7 +91,7 @@
 
 // RemoveExpired removes the retained exclusions and sidecars whose time is over.
 func (c *ControlThread) RemoveExpired() {
-	if !c.Snapshot().HasExpired(clock.Now()) {
+	if !c.Snapshot().HasExpired() {
 		return
 	}
 	c.Update(func(s Snapshot) Snapshot {
--- a/balancer/pkg/relay/snapshot.go
+++ b/balancer/pkg/relay/snapshot.go
@@ -46,8 +46,8 @@
 }
 
 // HasExpired reports whether an exclusion or a sidecar is retained whose time is over.
-func (s Snapshot) HasExpired(now time.Time) bool {
-	return s.policy.HasExpired() || s.directory.HasExpired(now)
+func (s Snapshot) HasExpired() bool {
+	return s.policy.HasExpired() || s.directory.HasExpired()
 }
 
 // RetainsLost reports whether exclusions or sidecars are retained that the platform may have lost.
--- a/core/pkg/directory/directory.go
+++ b/core/pkg/directory/directory.go
@@ -60,6 +60,9 @@
 	// unreadableTimeout is the time for which an entry that cannot be read may belong to a sidecar that
 	// runs. Balancers do not confirm such an enrollment, so its sidecar replaces the entry after 2 s.
 	unreadableTimeout = 10 * time.Second
+	// listDelay is the store time within which the list follows the confirmation of an enrollment. A watch of
+	// enrollments waits 4 s at most while sidecars are retained.
+	listDelay = 5 * time.Second
 )
 
 // New returns a directory without sidecars for the balancer at this address. Sidecars that the platform may
@@ -207,7 +210,7 @@
 		if !found || before.Enrollment().Instance() != r.Status().Instance() || !isNewer(r.Status(), before.LastStatus()) {
 			continue
 		}
-		after := before.WithLastStatus(r.Status()).WithUnansweredLocalProbes(0).WithUnansweredRemoteProbes(0)
+		after := d.prolonged(before.WithLastStatus(r.Status()).WithUnansweredLocalProbes(0).WithUnansweredRemoteProbes(0))
 		if d.subscribed[r.SourceAddress()] {
 			after = after.WithLastStatusAt(r.ReceivedAt())
 			heardZones[before.Enrollment().Zone()] = true
--- a/core/pkg/directory/retention.go
+++ b/core/pkg/directory/retention.go
@@ -48,14 +48,21 @@
 }
 
 // HasExpired reports whether a sidecar is retained whose time is over.
-func (d *Directory) HasExpired(now time.Time) bool {
-	return slices.ContainsFunc(d.sidecars, func(s landing.KnownSidecar) bool { return d.isExpired(s, now) })
+func (d *Directory) HasExpired() bool {
+	return slices.ContainsFunc(d.sidecars, d.isExpired)
 }
 
-// isExpired reports whether the sidecar is retained and its time is over. One that can be heard and has yet to have its
-// enrollment confirmed in the era of the list is kept for longer: the platform may turn it away while it serves others.
-func (d *Directory) isExpired(s landing.KnownSidecar, now time.Time) bool {
-	return isRetained(s) && d.storeTime > s.RetainedUntil() && (!isHeard(s, now) || !d.hasYetToEnroll(s))
+func (d *Directory) isExpired(s landing.KnownSidecar) bool {
+	return isRetained(s) && d.storeTime > s.RetainedUntil()
+}
+
+// prolonged returns a retained sidecar whose status has arrived. While it has yet to have its enrollment confirmed in the era of
+// the list, it is kept for longer: the platform may turn it away while it serves others.
+func (d *Directory) prolonged(s landing.KnownSidecar) landing.KnownSidecar {
+	if !isRetained(s) || !d.hasYetToEnroll(s) {
+		return s
+	}
+	return s.WithRetainedUntil(max(s.RetainedUntil(), d.storeTime+listDelay))
 }
 
 // hasYetToEnroll reports whether the sidecar says that its enrollment is not confirmed in the era of the list. Sidecars of the
@@ -66,7 +73,7 @@
 
 // WithoutExpired returns a directory without the retained sidecars whose time is over.
 func (d *Directory) WithoutExpired(now time.Time) *Directory {
-	return d.withSidecars(slices.DeleteFunc(slices.Clone(d.sidecars), func(s landing.KnownSidecar) bool { return d.isExpired(s, now) }), now)
+	return d.withSidecars(slices.DeleteFunc(slices.Clone(d.sidecars), d.isExpired), now)
 }
 
 // isSameProcess reports whether the enrollment is that of the known process of the sidecar. A sidecar that has
