--- a/experiment/pkg/relayed/soak_test.go
+++ b/experiment/pkg/relayed/soak_test.go
@@ -57,7 +57,7 @@
 		Slots: 2, ServiceTime: 10 * time.Millisecond, ResponseAim: 400 * time.Millisecond, RequestTimeout: requestTimeout,
 		HasStoreProxy: true,
 	}
-	return soakPlan{cfg: cfg, faultKinds: 12, maxSuspension: maxSuspension, hasLateSyns: true}
+	return soakPlan{cfg: cfg, faultKinds: 13, maxSuspension: maxSuspension, hasLateSyns: true}
 }
 
 // newRegressionPlan returns the plan with which the seeds of TestSoakRegressions failed. With more kinds of faults or longer
@@ -322,6 +322,15 @@
 		s.fleet.SilenceStore()
 	case 11:
 		s.drill(random)
+	case 12:
+		var drilled sync.WaitGroup
+		drilled.Go(func() { s.drill(random) })
+		s.sleep(pause)
+		s.fleet.KillSidecar(nodeIndex)
+		s.addError(s.fleet.StartSidecar(nodeIndex))
+		s.fleet.balancers[balancerIndex].kill()
+		s.addError(s.fleet.StartBalancer(balancerIndex))
+		drilled.Wait()
 	}
 	s.sleep(pause)
 }
