--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -27,6 +27,8 @@
 	retention  time.Duration
 	rules      *rules.Index
 	exclusions landing.ZoneExclusions
+	// exclusionsHash is the hash of the excluded zones; 0 when none have been read.
+	exclusionsHash uint32
 	// retained are zones whose exclusions were in force in an earlier era of the platform, here or at another process, and
 	// have not been in a list of the later one, in alphabetical order.
 	retained []string
@@ -89,6 +91,7 @@
 	}
 	p.listed = sortedNames(slices.Concat(p.listed, newer.Zones()))
 	p.exclusions = newer.WithChangedRevision(p.lastChange(newer))
+	p.exclusionsHash = hashOf(p.exclusions)
 	return p
 }
 
@@ -121,7 +124,7 @@
 // its rules, the one at which its exclusions last changed and the one up to which they are current.
 func (p Policy) AdvertisedRevisions() landing.PolicyRevisions {
 	return p.KnownRevisions().WithExclusions(p.exclusions.ChangedRevision()).
-		WithExclusionsRead(p.exclusions.Revision()).WithExclusionsHash(hashOf(p.exclusions))
+		WithExclusionsRead(p.exclusions.Revision()).WithExclusionsHash(p.exclusionsHash)
 }
 
 // WantedRevisions returns the newest revisions that other processes have advertised.
--- a/core/pkg/policy/revisions.go
+++ b/core/pkg/policy/revisions.go
@@ -94,17 +94,14 @@
 // to be current: the first list that a process reads does not show when zones were removed from it.
 func (p Policy) comparable(seen landing.PolicyRevisions) landing.PolicyRevisions {
 	isStated := seen.ExclusionsHash() != 0 && seen.Era() == p.exclusions.Era()
-	if isStated && seen.ExclusionsHash() != hashOf(p.exclusions) {
+	if isStated && seen.ExclusionsHash() != p.exclusionsHash {
 		seen = seen.WithExclusions(seen.ExclusionsRead())
 	}
 	return seen.WithExclusionsRead(0).WithExclusionsHash(0)
 }
 
-// hashOf returns a hash of the names of the excluded zones, which is not 0; 0 if no exclusions have been read.
+// hashOf returns a hash of the names of the excluded zones, which is not 0.
 func hashOf(e landing.ZoneExclusions) uint32 {
-	if e.Revision() == 0 {
-		return 0
-	}
 	h := fnv.New32a()
 	for _, zone := range e.Zones() {
 		_, _ = h.Write(append([]byte(zone), 0))
--- a/sidecar/pkg/relay/snapshot.go
+++ b/sidecar/pkg/relay/snapshot.go
@@ -97,11 +97,17 @@
 	s.subscribers = slices.DeleteFunc(slices.Clone(s.subscribers), func(b subscriber) bool {
 		return b.address == subscription.BalancerAddress() || now.Sub(b.renewedAt) > subscriberRetention
 	})
-	s.subscribers = append(s.subscribers, subscriber{address: subscription.BalancerAddress(), renewedAt: now, revisions: policy.RevisionsOfSubscription(subscription), knowsUnlisted: subscription.KnowsUnlisted()})
+	s.subscribers = append(s.subscribers, subscriber{
+		address:       subscription.BalancerAddress(),
+		renewedAt:     now,
+		revisions:     policy.RevisionsOfSubscription(subscription),
+		knowsUnlisted: subscription.KnowsUnlisted(),
+	})
 	return s
 }
 
-// AreUnlistedKnown reports whether a subscribed balancer knows sidecars that are not enrolled. A balancer that has started since does not know them.
+// AreUnlistedKnown reports whether a subscribed balancer knows sidecars that are not enrolled. A balancer that has started since
+// does not know them.
 func (s Snapshot) AreUnlistedKnown(now time.Time) bool {
 	return slices.ContainsFunc(s.subscribers, func(b subscriber) bool {
 		return b.knowsUnlisted && b.isSubscribed(now)
