core/pkg/platform: single responses with an older version do not stop a client

The platform stand-in that sends garbage states the version 1, and one such response stopped a balancer for good.

Change: a response with an older version than before is an error, which is retried.

--- a/balancer/pkg/store/store.go
+++ b/balancer/pkg/store/store.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -125,8 +124,8 @@
 			// The watch timed out without a change, or the platform limits the rate of calls. Neither is counted as a
 			// retry, and the pause is shorter.
 			s.pause(pauseAfterFailure / 10)
-		case errors.Is(err, platform.ErrOlderState):
-			s.telemetry.Log().Info("platform no longer followed", "object", name, "error", err.Error())
+		case s.client.Err() != nil:
+			s.telemetry.Log().Info("platform no longer followed", "object", name, "error", s.client.Err().Error())
 			return
 		default:
 			s.telemetry.Counters().Counter("retried.watch").Inc(1)
--- a/balancer/pkg/store/task.go
+++ b/balancer/pkg/store/task.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -72,7 +71,7 @@
 			s.control.Post(absent)
 			return
 		}
-		if err == nil && handle(o) == nil || errors.Is(err, platform.ErrOlderState) {
+		if err == nil && handle(o) == nil || s.client.Err() != nil {
 			return
 		}
 		s.telemetry.Counters().Counter("retried.read").Inc(1)
--- a/core/pkg/platform/client.go
+++ b/core/pkg/platform/client.go
@@ -48,18 +48,24 @@
 }
 
 // Client calls the object API. Its methods may be called from several goroutines. The platform must not come back from an older
-// copy of itself: once the client notices that, all calls return ErrOlderState.
+// copy of itself: once the client has noticed that, it follows the platform no more, and all calls fail.
 type Client struct {
 	base string
 	http *http.Client
-	seen seenVersions
+	seen *seenVersions
 }
 
 // New returns a client of the object API at this TCP address, a host and port.
 func New(address string) *Client {
 	// A connection that is kept open can fall silent while new ones work, which would delay the next call by its timeout.
 	transport := &http.Transport{DisableKeepAlives: true}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, seen: newSeenVersions()}
+}
+
+// Err returns the reason why the client does not follow the platform any more, or nil.
+func (c *Client) Err() error {
+	_, err := c.seen.before("")
+	return err
 }
 
 // Get returns the object with this name. It returns trace.NotFound when there is none, trace.LimitExceeded when the
@@ -115,7 +121,7 @@
 	}
 	o, err := readResponse(response, name, value)
 	if err == nil || trace.IsNotFound(err) {
-		if olderErr := c.seen.note(name, before, o.version); olderErr != nil {
+		if olderErr := c.seen.note(name, before, o.version, time.Now()); olderErr != nil {
 			return Object{}, olderErr
 		}
 	}
