--- a/core/pkg/position/history_test.go
+++ b/core/pkg/position/history_test.go
@@ -395,7 +395,7 @@
 func (w *world) checkExclusion(p *process, zone string) {
 	wanted, isExcluded := w.intents[zone], p.policy.IsExcluded(zone)
 	switch {
-	case wanted.isExcluded && !isExcluded && p.followed[zone] && !w.store.isOutlasted(p.policy.Exclusions().Era(), w.step):
+	case wanted.isExcluded && !isExcluded && p.followed[zone]:
 		w.fail("%s drops the exclusion of %s", p.name, zone)
 	case wanted.isExcluded && !isExcluded && w.isOver(boundSteps, wanted.step, p.inTouchSince()):
 		w.fail("%s lacks the exclusion of %s", p.name, zone)
@@ -446,7 +446,7 @@
 		return
 	}
 	switch {
-	case !isKnown && b.known[s] && !w.store.isOutlasted(b.directory.EnrollmentList().Era(), w.step):
+	case !isKnown && b.known[s]:
 		w.fail("%s loses %s", b.name, s.name)
 	case !isKnown && w.isOver(boundSteps, b.inTouchSince(), s.inTouchSince(), s.lostStep):
 		w.fail("%s does not know %s", b.name, s.name)
--- a/core/pkg/position/store_test.go
+++ b/core/pkg/position/store_test.go
@@ -139,8 +139,7 @@
 type store struct {
 	image
 	isAway bool
-	// returns are the steps at which the eras have begun, and answersSince is the step since which the store has answered.
-	returns      map[uint64]int
+	// answersSince is the step since which the store has answered.
 	answersSince int
 	// oldest is the revision after which the store has all changes.
 	oldest uint64
@@ -149,7 +148,7 @@
 }
 
 func newStore() *store {
-	return &store{image: image{at: position.New(1, 1)}, returns: map[uint64]int{1: 0}}
+	return &store{image: image{at: position.New(1, 1)}}
 }
 
 // write carries out a change and returns its position.
@@ -190,7 +189,6 @@
 	era := s.at.Era() + 1
 	s.image = image{at: backup.at.WithEra(era), changes: backup.changes}
 	s.oldest = min(s.oldest, s.at.Revision())
-	s.returns[era] = step
 	s.answer(step)
 }
 
@@ -198,9 +196,3 @@
 func (s *store) answer(step int) {
 	s.isAway, s.answersSince = false, step
 }
-
-// isOutlasted reports whether a process that has last read in this era keeps what was lost for longer than it must, since the
-// store has come back once more and the process has not noticed it.
-func (s *store) isOutlasted(era uint64, step int) bool {
-	return era < s.at.Era() && step-s.returns[era] > boundSteps
-}
