--- a/core/pkg/policy/policy.go
+++ b/core/pkg/policy/policy.go
@@ -135,7 +135,7 @@
 // WithRevisionsSeen returns a copy that takes account of the revisions that another process has
 // advertised.
 func (p Policy) WithRevisionsSeen(seen landing.PolicyRevisions) Policy {
-	p.wantedRevisions = Newest(p.wantedRevisions, p.comparable(seen))
+	p.wantedRevisions = Newest(p.wantedRevisions, p.normalized(seen))
 	return p
 }
 
@@ -163,7 +163,7 @@
 // IsOlderThan reports whether any of the given revisions is newer than the corresponding one of
 // this process.
 func (p Policy) IsOlderThan(other landing.PolicyRevisions) bool {
-	known, other := p.KnownRevisions(), p.comparable(other)
+	known, other := p.KnownRevisions(), p.normalized(other)
 	return AreRulesNewer(other, known) || AreExclusionsNewer(other, known)
 }
 
--- a/core/pkg/policy/revisions.go
+++ b/core/pkg/policy/revisions.go
@@ -89,10 +89,10 @@
 	return a.WithExclusionsRead(b.ExclusionsRead()) == b
 }
 
-// comparable returns the revisions that another process has advertised, without what it has stated of its zones. If
+// normalized returns the revisions that another process has advertised, without what it has stated of its zones. If
 // these differ from the zones in force, its exclusions count as changed at the revision up to which they are confirmed
 // to be current: the first list that a process reads does not show when zones were removed from it.
-func (p Policy) comparable(seen landing.PolicyRevisions) landing.PolicyRevisions {
+func (p Policy) normalized(seen landing.PolicyRevisions) landing.PolicyRevisions {
 	isStated := seen.ExclusionsHash() != 0 && seen.Era() == p.exclusions.Era()
 	if isStated && seen.ExclusionsHash() != p.exclusionsHash {
 		seen = seen.WithExclusions(seen.ExclusionsRead())
